--- /dev/null
+++ b/src/base/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace indigohill::base {
+enum class Verdict;
+struct Fault;
+template <class Event, class Picture>
+class Journal;
+}  // namespace indigohill::base
--- /dev/null
+++ b/src/base/result.hpp
@@ -0,0 +1,25 @@
+#pragma once
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace indigohill::base {
+
+// Whether a request may have run at a runner. Only NotRun lets what is not repeatable be tried again, and only
+// NotRun lets it be answered with 408, 421, 429 or 503.
+enum class Verdict { NotRun, MayHaveRun, Ran };
+
+struct Fault {
+  Verdict verdict = Verdict::NotRun;
+  std::string what;
+};
+
+template <class T>
+using Result = std::variant<T, Fault>;
+
+template <class T>
+const Fault* fault(const Result<T>& result) {
+  return std::get_if<Fault>(&result);
+}
+
+}  // namespace indigohill::base
--- /dev/null
+++ b/src/base/time.hpp
@@ -0,0 +1,16 @@
+#pragma once
+#include <chrono>
+
+namespace indigohill::base {
+
+// The steady clock alone: the time of day steps on some machines, so nothing here reads it.
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Millis = std::chrono::milliseconds;
+
+inline std::int64_t toMs(TimePoint at) {
+  return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
+}
+inline double seconds(Clock::duration span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace indigohill::base
--- /dev/null
+++ b/src/settings/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace indigohill::settings {
+struct Endpoint;
+struct Ports;
+struct Settings;
+}  // namespace indigohill::settings
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,162 @@
+#include "settings/settings.hpp"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "base/log.hpp"
+
+namespace indigohill::settings {
+
+namespace {
+
+template <class T>
+bool number(const std::string& text, T& out) {
+  const auto* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, out);
+  return error == std::errc{} && at == end;
+}
+
+std::vector<std::string> items(const std::string& text) {
+  std::vector<std::string> out;
+  if (!text.empty()) boost::split(out, text, boost::is_any_of(","));
+  for (auto& item : out) boost::trim(item);
+  return out;
+}
+
+// One reader for each type of the schema; each answers what is wrong, or nothing.
+namespace read_as {
+std::string text(const std::string& in, std::string& out) {
+  out = in;
+  return {};
+}
+[[maybe_unused]] std::string list(const std::string& in, std::vector<std::string>& out) {
+  out = items(in);
+  return {};
+}
+std::string whole(const std::string& in, std::uint64_t& out) {
+  return number(in, out) ? "" : "a whole number is wanted";
+}
+std::string fraction(const std::string& in, double& out) {
+  return number(in, out) && out >= 0 ? "" : "a number of 0 or more is wanted";
+}
+std::string flag(const std::string& in, bool& out) {
+  out = in == "true";
+  return in == "true" || in == "false" ? "" : "true or false is wanted";
+}
+std::string span(const std::string& in, std::chrono::milliseconds& out, double unitMs) {
+  double value = 0;
+  if (!number(in, value) || value < 0 || value > 1e9) return "a span of 0 or more is wanted";
+  out = std::chrono::milliseconds(static_cast<std::int64_t>(value * unitMs));
+  return {};
+}
+std::string millis(const std::string& in, std::chrono::milliseconds& out) { return span(in, out, 1); }
+std::string seconds(const std::string& in, std::chrono::milliseconds& out) { return span(in, out, 1000); }
+std::string endpoint(const std::string& in, Endpoint& out) {
+  if (in.empty()) return {};
+  auto parsed = parseEndpoint(in);
+  if (const auto* bad = base::fault(parsed)) return bad->what;
+  out = std::get<Endpoint>(parsed);
+  return {};
+}
+std::string endpoints(const std::string& in, std::vector<Endpoint>& out) {
+  for (const auto& item : items(in)) {
+    Endpoint one;
+    if (auto wrong = endpoint(item, one); !wrong.empty()) return wrong;
+    out.push_back(one);
+  }
+  return {};
+}
+std::string ports(const std::string& in, Ports& out) {
+  const auto parts = items(in);
+  if (parts.size() != 2 || !number(parts[0], out.first) || !number(parts[1], out.last) || out.first == 0 ||
+      out.last <= out.first)
+    return "two ports, first and last, are wanted";
+  return {};
+}
+}  // namespace read_as
+
+}  // namespace
+
+std::string text(const Endpoint& e) {
+  return fmt::format("{}.{}.{}.{}:{}", e.ip >> 24, (e.ip >> 16) & 255, (e.ip >> 8) & 255, e.ip & 255, e.port);
+}
+
+base::Result<Endpoint> parseEndpoint(const std::string& text) {
+  const auto wrong = base::Fault{base::Verdict::NotRun, "an address like 10.0.0.1:8080 is wanted, not '" + text + "'"};
+  const auto colon = text.find(':');
+  if (colon == std::string::npos) return wrong;
+  Endpoint out;
+  if (!number(text.substr(colon + 1), out.port) || out.port == 0) return wrong;
+  std::vector<std::string> parts;
+  const auto host = text.substr(0, colon);
+  boost::split(parts, host, boost::is_any_of("."));
+  if (parts.size() != 4) return wrong;
+  for (const auto& part : parts) {
+    std::uint8_t byte = 0;
+    if (!number(part, byte)) return wrong;
+    out.ip = out.ip << 8 | byte;
+  }
+  return out;
+}
+
+base::Result<Settings> parse(const std::string& source) {
+  boost::property_tree::ptree tree;
+  try {
+    std::istringstream in(source);
+    boost::property_tree::read_ini(in, tree);
+  } catch (const boost::property_tree::ini_parser_error& error) {
+    return base::Fault{base::Verdict::NotRun,
+                       fmt::format("line {}: {}", error.line(), error.message())};
+  }
+  Settings out;
+  // Field names hold dots, so the tree is asked with another separator.
+  const auto get = [&](const char* path) {
+    return tree.get_optional<std::string>(boost::property_tree::ptree::path_type(path, '\x1f'));
+  };
+#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                                \
+  {                                                                                                             \
+    const auto given = get(path);                                                                               \
+    if (required && (!given || given->empty()))                                                                 \
+      return base::Fault{base::Verdict::NotRun, std::string(path) + ": missing (" + purpose + ")"};             \
+    const std::string value = given && !given->empty() ? *given : std::string(fallback);                        \
+    if (auto wrong = read_as::reader(value, out.member); !wrong.empty())                                        \
+      return base::Fault{base::Verdict::NotRun, std::string(path) + ": " + wrong};                              \
+  }
+  INDIGOHILL_SETTINGS(INDIGOHILL_READ)
+#undef INDIGOHILL_READ
+  if (auto own = parseEndpoint(out.ipAddress + ":1"); base::fault(own))
+    return base::Fault{base::Verdict::NotRun, "ipAddress: an IPv4 address is wanted, not '" + out.ipAddress + "'"};
+  if (!base::knownLevel(out.logLevel))
+    return base::Fault{base::Verdict::NotRun, "logLevel: debug, info, warn or error is wanted"};
+  return out;
+}
+
+base::Result<Settings> read(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) return base::Fault{base::Verdict::NotRun, path + ": cannot be read"};
+  std::ostringstream all;
+  all << in.rdbuf();
+  return parse(all.str());
+}
+
+std::string missingFor(const Settings& s, const std::string& role) {
+  if (s.address.port == 0) return "cloudApi.address: missing (the platform's list of runners)";
+  if (role == "router") {
+    if (s.frontend.port == 0) return "bindAddresses.frontend: missing (where clients connect)";
+    if (s.readiness.port == 0) return "bindAddresses.readiness: missing (where readiness is asked)";
+  } else {
+    if (s.controlPlane.port == 0) return "bindAddresses.controlPlane: missing (where operators call)";
+    if (s.dataDirectory.empty()) return "dataDirectory: missing (folder on the disk)";
+  }
+  return {};
+}
+
+std::uint16_t cohortPort(const Settings& settings, bool controller) {
+  return static_cast<std::uint16_t>(settings.internalPortRange.first + (controller ? 1 : 0));
+}
+
+}  // namespace indigohill::settings
