--- /dev/null
+++ b/src/cli/fwd.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+namespace indigohill::cli {
+class Cohort;
+}  // namespace indigohill::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,68 @@
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "base/log.hpp"
+#include "cli/roles.hpp"
+#include "settings/settings.hpp"
+
+namespace {
+
+constexpr const char* kSettingsVariable = "INDIGOHILL_NODE_FILE";
+
+// Settings that a role can run with, or a message on standard error and exit status 2.
+std::variant<indigohill::settings::Settings, int> load(const std::string& path, const std::string& role) {
+  if (path.empty()) {
+    std::cerr << "indigohill: no settings file: give --settings or set " << kSettingsVariable << "\n";
+    return 2;
+  }
+  auto read = indigohill::settings::read(path);
+  if (const auto* bad = indigohill::base::fault(read)) {
+    std::cerr << "indigohill: settings: " << bad->what << "\n";
+    return 2;
+  }
+  auto settings = std::get<0>(std::move(read));
+  if (auto missing = indigohill::settings::missingFor(settings, role); !missing.empty()) {
+    std::cerr << "indigohill: settings: " << missing << "\n";
+    return 2;
+  }
+  return settings;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"indigohill: a router fleet for language models"};
+  app.set_version_flag("--version", std::string("indigohill ") + INDIGOHILL_VERSION);
+  app.require_subcommand(1);
+  app.footer(std::string("The settings file is named by --settings or by ") + kSettingsVariable + ".");
+  std::string path;
+  if (const char* named = std::getenv(kSettingsVariable)) path = named;
+  std::string role = "router";
+
+  auto* router = app.add_subcommand("router", "carry clients' requests to the runners");
+  auto* controller = app.add_subcommand("controller", "hold the configuration and take operators' orders");
+  auto* check = app.add_subcommand("check-settings", "read the settings file and say what is wrong with it");
+  for (auto* command : {router, controller, check})
+    command->add_option("--settings", path, "settings file")->capture_default_str();
+  check->add_option("--role", role, "role to check for")->check(CLI::IsMember({"router", "controller"}));
+  CLI11_PARSE(app, argc, argv);
+
+  if (router->parsed()) role = "router";
+  if (controller->parsed()) role = "controller";
+  auto loaded = load(path, role);
+  if (const auto* status = std::get_if<int>(&loaded)) return *status;
+  const auto& settings = std::get<indigohill::settings::Settings>(loaded);
+  if (check->parsed()) {
+    std::cout << path << ": good for " << role << "\n";
+    return 0;
+  }
+  indigohill::base::openLog(settings.nodeName, role, settings.logLevel);
+  try {
+    return role == "router" ? indigohill::cli::runRouter(settings, path)
+                            : indigohill::cli::runController(settings, path);
+  } catch (const std::exception& error) {
+    spdlog::critical("ended: {}", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/cli/process.hpp
@@ -0,0 +1,123 @@
+#pragma once
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <filesystem>
+#include <functional>
+#include <random>
+#include <string>
+
+#include "base/log.hpp"
+#include "feed/feed.hpp"
+#include "http/types.hpp"
+#include "membership/group.hpp"
+#include "settings/settings.hpp"
+
+// What both roles share: signals, ticks, the settings file that may change, where the controllers are.
+namespace indigohill::cli {
+
+inline std::uint64_t randomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) ^ device() ^
+         static_cast<std::uint64_t>(base::Clock::now().time_since_epoch().count());
+}
+
+// Times of the protocols, derived from the deployment's bounds where those bind.
+inline membership::Times groupTimes(const settings::Settings& s) {
+  membership::Times times;
+  // A failure must be agreed on well within the time that an order may take.
+  times.suspect = std::min(times.suspect, s.ackTimeoutMs / 2);
+  return times;
+}
+
+// The cohort addresses of the controllers that the operator has listed.
+inline std::vector<settings::Endpoint> seedAddresses(const settings::Settings& s) {
+  std::vector<settings::Endpoint> out;
+  for (const auto& seed : s.seedNodes) out.push_back({seed.ip, settings::cohortPort(s, true)});
+  return out;
+}
+
+inline settings::Endpoint cohortAddress(const settings::Settings& s, bool controller) {
+  auto own = std::get<settings::Endpoint>(settings::parseEndpoint(s.ipAddress + ":1"));
+  own.port = settings::cohortPort(s, controller);
+  return own;
+}
+
+// The controllers to ask for news: those of the view, the own domain first, else the seeds.
+inline std::vector<settings::Endpoint> controllersToAsk(const membership::Group& group, const settings::Settings& s,
+                                                        std::uint64_t spread) {
+  std::vector<settings::Endpoint> own, others;
+  if (group.view())
+    for (const auto& m : group.view()->members)
+      if (m.role == static_cast<std::uint8_t>(membership::Role::Controller))
+        (m.zone == s.zone ? own : others).push_back({m.ip, m.port});
+  if (!others.empty())
+    std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(spread % others.size()), others.end());
+  own.insert(own.end(), others.begin(), others.end());
+  return own.empty() ? seedAddresses(s) : own;
+}
+
+// Reads the settings again when told to or when the file has changed; bad ones are logged and the old kept.
+class SettingsWatch {
+ public:
+  SettingsWatch(std::string path, std::string role, settings::Settings now)
+      : path_(std::move(path)), role_(std::move(role)), now_(std::move(now)), written_(written()) {}
+
+  // True when other settings are in force now.
+  bool look(bool told) {
+    const auto at = written();
+    if (!told && at == written_) return false;
+    written_ = at;
+    auto read = settings::read(path_);
+    if (const auto* bad = base::fault(read)) {
+      spdlog::error("settings kept as they were: {}", bad->what);
+      return false;
+    }
+    auto next = std::get<0>(std::move(read));
+    if (auto missing = settings::missingFor(next, role_); !missing.empty()) {
+      spdlog::error("settings kept as they were: {}", missing);
+      return false;
+    }
+    if (next.frontend != now_.frontend || next.controlPlane != now_.controlPlane || next.readiness != now_.readiness ||
+        next.dataDirectory != now_.dataDirectory || next.internalPortRange != now_.internalPortRange)
+      spdlog::warn("bindAddresses, internalPortRange and dataDirectory take effect with the next start");
+    spdlog::set_level(spdlog::level::from_str(next.logLevel == "warn" ? "warning" : next.logLevel));
+    now_ = std::move(next);
+    spdlog::info("settings read again");
+    return true;
+  }
+  const settings::Settings& now() const { return now_; }
+
+ private:
+  std::filesystem::file_time_type written() const {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(path_, ignored);
+  }
+  std::string path_, role_;
+  settings::Settings now_;
+  std::filesystem::file_time_type written_;
+};
+
+// Calls `tick` again and again until it says no.
+inline http::asio::awaitable<void> every(http::asio::any_io_executor executor, base::Millis period,
+                                         std::function<bool()> tick) {
+  http::asio::steady_timer timer(executor);
+  while (tick()) {
+    timer.expires_after(period);
+    co_await timer.async_wait(http::kTuple);
+  }
+}
+
+inline http::asio::awaitable<void> onSignals(http::asio::any_io_executor executor, std::function<void()> leave,
+                                             std::function<void()> reread) {
+  http::asio::signal_set signals(executor, SIGTERM, SIGINT, SIGHUP);
+  for (;;) {
+    auto [error, number] = co_await signals.async_wait(http::kTuple);
+    if (error) co_return;
+    if (number == SIGHUP)
+      reread();
+    else
+      leave();
+  }
+}
+
+}  // namespace indigohill::cli
--- /dev/null
+++ b/src/control/calls.hpp
@@ -0,0 +1,82 @@
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control/replica.hpp"
+
+// The operator's calls, found by a tree of matchers: method, then path, then the rest of the path as an argument.
+namespace indigohill::control {
+
+struct Call {
+  enum class Kind { Order, Status } kind = Kind::Order;
+  OrderKind order = OrderKind::Describe;
+  std::string argument;
+};
+
+struct Asked {
+  std::string_view method, path;
+};
+
+// A matcher takes its part of what is asked and hands the rest to its children; the first child that matches wins.
+class Matcher {
+ public:
+  using Test = std::function<bool(Asked&)>;
+  using Make = std::function<std::optional<Call>(const Asked&)>;
+
+  Matcher(Test test, std::vector<Matcher> children) : test_(std::move(test)), children_(std::move(children)) {}
+  Matcher(Test test, Make make) : test_(std::move(test)), make_(std::move(make)) {}
+
+  std::optional<Call> match(Asked asked) const {
+    if (!test_(asked)) return std::nullopt;
+    if (make_) return make_(asked);
+    for (const auto& child : children_)
+      if (auto found = child.match(asked)) return found;
+    return std::nullopt;
+  }
+
+ private:
+  Test test_;
+  Make make_;
+  std::vector<Matcher> children_;
+};
+
+inline Matcher::Test method(std::string_view name) {
+  return [name](Asked& asked) { return asked.method == name; };
+}
+inline Matcher::Test under(std::string_view prefix) {
+  return [prefix](Asked& asked) {
+    if (!asked.path.starts_with(prefix)) return false;
+    asked.path.remove_prefix(prefix.size());
+    return true;
+  };
+}
+inline Matcher exactly(std::string_view name, Call call) {
+  return Matcher([name](Asked& asked) { return asked.path == name; },
+                 Matcher::Make([call](const Asked&) -> std::optional<Call> { return call; }));
+}
+inline Matcher named(std::string_view prefix, OrderKind kind) {
+  return Matcher(under(prefix), Matcher::Make([kind](const Asked& asked) -> std::optional<Call> {
+                   if (asked.path.empty() || asked.path.find('/') != std::string_view::npos) return std::nullopt;
+                   return Call{Call::Kind::Order, kind, std::string(asked.path)};
+                 }));
+}
+
+inline std::optional<Call> findCall(std::string_view method_, std::string_view target) {
+  static const Matcher tree(
+      under("/v1/"),
+      std::vector<Matcher>{
+          Matcher(method("POST"),
+                  std::vector<Matcher>{exactly("Configuration.Replace", {Call::Kind::Order, OrderKind::Replace, {}}),
+                                       exactly("Configuration.Update", {Call::Kind::Order, OrderKind::Update, {}}),
+                                       named("Evacuations.Create/", OrderKind::Evacuate),
+                                       named("Evacuations.Delete/", OrderKind::EndEvacuation)}),
+          Matcher(method("GET"),
+                  std::vector<Matcher>{exactly("Configuration.Describe", {Call::Kind::Order, OrderKind::Describe, {}}),
+                                       exactly("Status", {Call::Kind::Status, {}, {}})})});
+  return tree.match({method_, target.substr(0, target.find('?'))});
+}
+
+}  // namespace indigohill::control
--- /dev/null
+++ b/src/control/configuration.cpp
@@ -0,0 +1,286 @@
+#include "control/configuration.hpp"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <cmath>
+#include <set>
+
+#include "base/hash.hpp"
+
+namespace indigohill::control {
+
+namespace json = boost::json;
+
+namespace {
+
+// Thrown and caught in this file alone, so that a check deep in a document needs no chain of returns.
+struct Wrong {
+  std::string what;
+};
+
+[[noreturn]] void wrong(const std::string& where, const std::string& what) { throw Wrong{where + ": " + what}; }
+
+const json::value* get(const json::object& object, const char* name) {
+  const auto* value = object.if_contains(name);
+  return value == nullptr || value->is_null() ? nullptr : value;
+}
+
+std::string text(const json::object& object, const std::string& where, const char* name, bool required) {
+  const auto* value = get(object, name);
+  if (value == nullptr) {
+    if (required) wrong(where + "." + name, "missing");
+    return {};
+  }
+  if (!value->is_string()) wrong(where + "." + name, "a string is wanted");
+  if (required && value->as_string().empty()) wrong(where + "." + name, "must not be empty");
+  return std::string(value->as_string());
+}
+
+std::uint64_t whole(const json::object& object, const std::string& where, const char* name, std::uint64_t fallback,
+                    bool required = false) {
+  const auto* value = get(object, name);
+  if (value == nullptr) {
+    if (required) wrong(where + name, "missing");
+    return fallback;
+  }
+  if (value->is_uint64()) return value->as_uint64();
+  if (value->is_int64() && value->as_int64() >= 0) return static_cast<std::uint64_t>(value->as_int64());
+  if (value->is_double() && value->as_double() >= 0 && value->as_double() < 9e15 &&
+      std::floor(value->as_double()) == value->as_double())
+    return static_cast<std::uint64_t>(value->as_double());
+  wrong(where + name, "a whole number of 0 or more is wanted");
+}
+
+double fraction(const json::object& object, const std::string& where, const char* name) {
+  const auto* value = get(object, name);
+  if (value == nullptr) return 0;
+  if (!value->is_number()) wrong(where + name, "a number is wanted");
+  const auto number = value->to_number<double>();
+  if (!(number >= 0) || number > 1e12) wrong(where + name, "a number of 0 or more is wanted");
+  return number;
+}
+
+bool flag(const json::object& object, const std::string& where, const char* name) {
+  const auto* value = get(object, name);
+  if (value == nullptr) return false;
+  if (!value->is_bool()) wrong(where + name, "true or false is wanted");
+  return value->as_bool();
+}
+
+base::Millis millis(const json::object& object, const std::string& where, const char* name, std::uint64_t fallback) {
+  const auto value = whole(object, where, name, fallback);
+  if (value > 86'400'000) wrong(where + name, "more than a day");
+  return base::Millis(value);
+}
+
+const json::array& list(const json::object& object, const char* name, bool required) {
+  static const json::array none;
+  const auto* value = get(object, name);
+  if (value == nullptr) {
+    if (required) wrong(name, "missing");
+    return none;
+  }
+  if (!value->is_array()) wrong(name, "a list is wanted");
+  return value->as_array();
+}
+
+const json::object& object(const json::value& value, const std::string& where) {
+  if (!value.is_object()) wrong(where, "an object is wanted");
+  return value.as_object();
+}
+
+json::value parseText(std::string_view document) {
+  json::error_code error;
+  json::parse_options options;
+  options.max_depth = 16;
+  auto value = json::parse(json::string_view(document.data(), document.size()), error, {}, options);
+  if (error) throw Wrong{"not readable as JSON: " + error.message()};
+  return value;
+}
+
+Service readService(const json::object& in, const std::string& where) {
+  Service out;
+  out.name = text(in, where, "name", true);
+  out.healthCheckPath = text(in, where, "healthCheckPath", false);
+  out.maxConnections = static_cast<std::uint32_t>(whole(in, where + ".", "maxConnections", 0));
+  const auto warmup = fraction(in, where + ".", "warmupS");
+  out.warmup = base::Millis(static_cast<std::int64_t>(std::min(warmup, 86400.0) * 1000));
+  out.warmupPerS = fraction(in, where + ".", "warmupPerS");
+  if (const auto* engine = get(in, "engine")) {
+    const auto& e = object(*engine, where + ".engine");
+    out.capacitySlots = static_cast<std::uint32_t>(whole(e, where + ".engine.", "capacitySlots", 0));
+    out.kvCacheTokens = whole(e, where + ".engine.", "kvCacheTokens", 0);
+  }
+  return out;
+}
+
+Route readRoute(const json::object& in, const std::string& where, const std::set<std::string>& services) {
+  Route out;
+  out.name = text(in, where, "name", true);
+  out.host = text(in, where, "hostname", true);
+  for (auto& c : out.host) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  out.prefix = text(in, where, "pathPrefix", true);
+  if (out.prefix.front() != '/' || out.prefix.back() != '/')
+    wrong(where + ".pathPrefix", "must begin and end with a slash");
+  const auto type = text(in, where, "routeType", true);
+  if (type == "idempotent")
+    out.type = RouteType::Idempotent;
+  else if (type == "non_idempotent")
+    out.type = RouteType::NonIdempotent;
+  else if (type == "streaming")
+    out.type = RouteType::Streaming;
+  else
+    wrong(where + ".routeType", "idempotent, non_idempotent or streaming is wanted");
+  if (get(in, "timeoutMs") == nullptr) wrong(where + ".timeoutMs", "missing");
+  out.timeout = millis(in, where + ".", "timeoutMs", 0);
+  if (out.timeout.count() == 0) wrong(where + ".timeoutMs", "must be above 0");
+  out.targetLatency = millis(in, where + ".", "targetLatencyMs", 0);
+  out.tokenGap = millis(in, where + ".", "tokenGapMs", 0);
+  out.priority = static_cast<std::uint32_t>(std::min<std::uint64_t>(whole(in, where + ".", "priority", 0), 1000));
+  out.maxAttempts = static_cast<std::uint32_t>(std::min<std::uint64_t>(whole(in, where + ".", "maxAttempts", 1), 100));
+  if (out.maxAttempts == 0) wrong(where + ".maxAttempts", "must be above 0");
+  out.sessionAffinity = flag(in, where + ".", "sessionAffinity");
+  out.resumable = flag(in, where + ".", "resumable");
+  if (get(in, "trafficSplit") != nullptr) {
+    std::uint64_t sum = 0;
+    const auto& split = list(in, "trafficSplit", true);
+    for (std::size_t i = 0; i < split.size(); ++i) {
+      const auto at = fmt::format("{}.trafficSplit[{}]", where, i);
+      const auto& part = object(split[i], at);
+      const auto service = text(part, at, "targetService", true);
+      if (!services.contains(service)) wrong(at + ".targetService", "names an unknown service '" + service + "'");
+      const auto weight = whole(part, at + ".", "weight", 0, true);
+      if (weight > 1'000'000'000) wrong(at + ".weight", "too large");
+      sum += weight;
+      out.split.emplace_back(service, static_cast<std::uint32_t>(weight));
+    }
+    if (sum == 0) wrong(where + ".trafficSplit", "the weights sum to 0");
+  } else {
+    const auto service = text(in, where, "targetService", true);
+    if (!services.contains(service)) wrong(where + ".targetService", "names an unknown service '" + service + "'");
+    out.split.emplace_back(service, 1);
+  }
+  return out;
+}
+
+Configuration readConfiguration(std::string_view document) {
+  const auto value = parseText(document);
+  const auto& top = object(value, "configuration");
+  Configuration out;
+  out.revision = whole(top, "", "revision", 0, true);
+  std::set<std::string> services, routes;
+  std::set<std::pair<std::string, std::string>> places;
+  const auto& serviceList = list(top, "services", true);
+  for (std::size_t i = 0; i < serviceList.size(); ++i) {
+    const auto where = fmt::format("services[{}]", i);
+    out.services.push_back(readService(object(serviceList[i], where), where));
+    if (!services.insert(out.services.back().name).second) wrong(where + ".name", "is there twice");
+  }
+  const auto& routeList = list(top, "routes", true);
+  for (std::size_t i = 0; i < routeList.size(); ++i) {
+    const auto where = fmt::format("routes[{}]", i);
+    out.routes.push_back(readRoute(object(routeList[i], where), where, services));
+    const auto& route = out.routes.back();
+    if (!routes.insert(route.name).second) wrong(where + ".name", "is there twice");
+    if (!places.emplace(route.host, route.prefix).second)
+      wrong(where + ".pathPrefix", "shares host and prefix with another route");
+  }
+  if (const auto* limits = get(top, "limits")) {
+    const auto& in = object(*limits, "limits");
+    const Limits usual;
+    out.limits.maxHeaderBytes = whole(in, "limits.", "maxHeaderBytes", usual.maxHeaderBytes);
+    out.limits.maxBodyBytes = whole(in, "limits.", "maxBodyBytes", usual.maxBodyBytes);
+    out.limits.headerTimeout = millis(in, "limits.", "headerTimeoutMs", usual.headerTimeout.count());
+    out.limits.idleTimeout = millis(in, "limits.", "idleTimeoutMs", usual.idleTimeout.count());
+    if (out.limits.maxHeaderBytes == 0) wrong("limits.maxHeaderBytes", "must be above 0");
+    if (out.limits.headerTimeout.count() == 0) wrong("limits.headerTimeoutMs", "must be above 0");
+    if (out.limits.idleTimeout.count() == 0) wrong("limits.idleTimeoutMs", "must be above 0");
+  }
+  return out;
+}
+
+std::string nameOf(const json::value& item, const std::string& where) {
+  return text(object(item, where), where, "name", true);
+}
+
+}  // namespace
+
+const Service* Configuration::service(std::string_view name) const {
+  for (const auto& s : services)
+    if (s.name == name) return &s;
+  return nullptr;
+}
+
+base::Result<Configuration> parseConfiguration(std::string_view document) {
+  try {
+    return readConfiguration(document);
+  } catch (const Wrong& e) {
+    return base::Fault{base::Verdict::NotRun, e.what};
+  }
+}
+
+base::Result<std::string> applyUpdate(std::string_view current, std::string_view update) {
+  try {
+    auto base = parseText(current);
+    const auto change = parseText(update);
+    auto& top = base.as_object();
+    const auto& in = object(change, "update");
+    top["revision"] = whole(in, "", "revision", 0, true);
+    if (const auto* remove = get(in, "remove")) {
+      for (const auto& [key, names] : object(*remove, "remove")) {
+        const std::string where = "remove." + std::string(key);
+        if (key != "routes" && key != "services") wrong(where, "unknown list");
+        if (!names.is_array()) wrong(where, "a list of names is wanted");
+        std::set<std::string> gone;
+        for (const auto& name : names.as_array()) {
+          if (!name.is_string()) wrong(where, "a list of names is wanted");
+          gone.emplace(name.as_string());
+        }
+        json::array kept;
+        if (const auto* had = get(top, std::string(key).c_str()))
+          for (const auto& item : had->as_array())
+            if (!gone.contains(nameOf(item, where))) kept.push_back(item);
+        top[key] = std::move(kept);
+      }
+    }
+    if (const auto* upsert = get(in, "upsert")) {
+      for (const auto& [key, items] : object(*upsert, "upsert")) {
+        const std::string where = "upsert." + std::string(key);
+        if (key == "limits") {
+          top[key] = object(items, where);
+          continue;
+        }
+        if (key != "routes" && key != "services") wrong(where, "unknown list");
+        if (!items.is_array()) wrong(where, "a list is wanted");
+        if (get(top, std::string(key).c_str()) == nullptr) top[key] = json::array{};
+        auto& list = top[key].as_array();
+        std::set<std::string> seen;
+        for (const auto& item : items.as_array()) {
+          const auto name = nameOf(item, where);
+          if (!seen.insert(name).second) wrong(where, "'" + name + "' is there twice");
+          auto* place = &item;
+          json::value* found = nullptr;
+          for (auto& old : list)
+            if (nameOf(old, where) == name) found = &old;
+          if (found != nullptr)
+            *found = *place;
+          else
+            list.push_back(*place);
+        }
+      }
+    }
+    return json::serialize(base);
+  } catch (const Wrong& e) {
+    return base::Fault{base::Verdict::NotRun, e.what};
+  }
+}
+
+std::string orderDigest(std::string_view call, std::uint64_t baseVersion, std::string_view body) {
+  const auto head = fmt::format("{} {} {}", call, baseVersion, body.size());
+  const auto one = base::hash(body, base::hash(head));
+  const auto two = base::hash(body, base::hash(head, 0x9e3779b97f4a7c15ULL));
+  return fmt::format("{:016x}{:016x}", one, two);
+}
+
+}  // namespace indigohill::control
--- /dev/null
+++ b/src/control/replica.cpp
@@ -0,0 +1,593 @@
+#include "control/replica.hpp"
+
+#include <algorithm>
+
+namespace indigohill::control {
+
+namespace {
+constexpr std::size_t kDigestsKept = 64;
+constexpr std::size_t kOrdersWaiting = 64;
+constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
+
+bool has(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+bool majority(const std::set<std::string>& said, const std::vector<std::string>& voters) {
+  const auto count = std::count_if(voters.begin(), voters.end(), [&](const auto& v) { return said.contains(v); });
+  return 2 * static_cast<std::size_t>(count) > voters.size();
+}
+}  // namespace
+
+Replica::Replica(Self self, Loaded loaded, ReplicaTimes times, std::uint64_t seed)
+    : self_(std::move(self)), times_(times), random_(seed), record_(std::move(loaded.record)),
+      frame_(std::move(loaded.frame)) {
+  if (loaded.vote) vote_ = *loaded.vote;
+  // Before the first record is replaced nothing can have been acknowledged, so no frame means an empty one.
+  if (!frame_ && record_ && record_->epoch == 1) frame_ = schema::Frame{};
+}
+
+schema::EpochRecord Replica::firstRecord(std::vector<std::string> voters) {
+  std::sort(voters.begin(), voters.end());
+  schema::EpochRecord record;
+  record.epoch = 1;
+  record.primary = voters.front();
+  record.backup = voters.size() > 1 ? voters[1] : voters.front();
+  record.voters = std::move(voters);
+  return record;
+}
+
+const schema::Member* Replica::controller(const std::string& voterId) const {
+  for (const auto& m : around_.controllers)
+    if (m.voterId == voterId) return &m;
+  return nullptr;
+}
+
+std::optional<settings::Endpoint> Replica::addressOf(const std::string& voterId) const {
+  if (const auto* m = controller(voterId)) return settings::Endpoint{m->ip, m->port};
+  if (const auto found = lastAddress_.find(voterId); found != lastAddress_.end()) return found->second;
+  return std::nullopt;
+}
+
+void Replica::send(const std::string& to, schema::Message message, Effects& fx) {
+  if (to == self_.voterId)
+    local_.push_back(std::move(message));
+  else if (const auto address = addressOf(to))
+    fx.out.push_back({*address, std::move(message)});
+}
+
+std::uint64_t Replica::write(Slot slot, std::string bytes, Effects& fx) {
+  const auto token = nextToken_++;
+  fx.writes.push_back({token, slot, std::move(bytes)});
+  return token;
+}
+
+// A witness answers only once its word is on disk.
+void Replica::saveVote(std::optional<Reply> reply, Effects& fx) {
+  const auto token = write(Slot::Vote, net::encodeVote(vote_), fx);
+  if (reply) replies_[token] = std::move(*reply);
+}
+
+bool Replica::primaryFresh(base::TimePoint now) const {
+  return active() || (beatSeen_ && now - beatAt_ < 4 * times_.beat);
+}
+
+std::optional<settings::Endpoint> Replica::primaryAddress() const {
+  if (!record_) return std::nullopt;
+  if (record_->primary == self_.voterId) return self_.address;
+  return addressOf(record_->primary);
+}
+
+void Replica::handOver(net::Outbox& out) {
+  if (!record_ || record_->primary != self_.voterId) return;
+  if (const auto backup = addressOf(record_->backup))
+    out.push_back({*backup, schema::HandOver{self_.voterId, record_->epoch}});
+}
+
+void Replica::stepDown(Effects& fx) {
+  phase_ = Phase::Idle;
+  published_.reset();
+  if (current_ && current_->order) fx.answers.push_back({current_->order->call, 503, "the primary changes", {}});
+  current_.reset();
+  for (const auto& [order, at] : orders_) fx.answers.push_back({order.call, 503, "the primary changes", {}});
+  orders_.clear();
+  for (const auto& reading : readings_) fx.answers.push_back({reading.order.call, 503, "the primary changes", {}});
+  readings_.clear();
+}
+
+// Takes over a record that was decided.
+void Replica::adopt(const schema::EpochRecord& record, base::TimePoint now, Effects& fx) {
+  if (record.epoch == 0 || (record_ && record.epoch <= record_->epoch)) return;
+  record_ = record;
+  write(Slot::Record, net::encodeRecord(record), fx);
+  candidacy_.reset();
+  beatSeen_ = false;
+  handOverAsked_ = false;
+  backupSilent_ = false;
+  leaseSince_ = now;
+  if (record.primary != self_.voterId) {
+    if (phase_ != Phase::Idle) stepDown(fx);
+    return;
+  }
+  if (!frame_) return;
+  // This controller stood for the record (or somebody finished it on its behalf): what it holds is written once more
+  // under the new epoch, at the backup too, before anything of it is shown. Only then is the older epoch shut out
+  // wherever the state lies.
+  if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
+  current_.reset();
+  phase_ = Phase::Activating;
+  auto next = *frame_;
+  next.stamp.epoch = record.epoch;
+  startWrite(std::move(next), std::nullopt, now, fx);
+}
+
+bool Replica::chooseTarget(schema::EpochRecord& target, base::TimePoint now) const {
+  target = *record_;
+  ++target.epoch;
+  target.primary = self_.voterId;
+  const auto usable = [&](const schema::Member& m) {
+    if (m.voterId.empty() || m.voterId == self_.voterId) return false;
+    return !(backupSilent_ && m.voterId == record_->backup && record_->primary == self_.voterId);
+  };
+  // Best first: the backup that is already one, then voters, then standbys; the primary that is being replaced last.
+  const auto rank = [&](const schema::Member& m) {
+    if (record_->primary == self_.voterId && m.voterId == record_->backup) return 0;
+    if (m.voterId == record_->primary) return 3;
+    return has(record_->voters, m.voterId) ? 1 : 2;
+  };
+  const schema::Member* best = nullptr;
+  for (const auto& m : around_.controllers)
+    if (usable(m) && (best == nullptr || rank(m) < rank(*best))) best = &m;
+  if (best == nullptr) return false;
+  target.backup = best->voterId;
+  // A voter that has been missing for long is exchanged, one at a time, best for a controller of its own zone.
+  for (auto& voter : target.voters) {
+    const auto missing = missingSince_.find(voter);
+    if (missing == missingSince_.end() || now - missing->second < times_.exchange) continue;
+    const schema::Member* heir = nullptr;
+    for (const auto& m : around_.controllers)
+      if (!m.voterId.empty() && !has(target.voters, m.voterId) &&
+          (heir == nullptr || (m.voterId == target.backup && heir->voterId != target.backup)))
+        heir = &m;
+    if (heir == nullptr) continue;
+    voter = heir->voterId;
+    std::sort(target.voters.begin(), target.voters.end());
+    break;
+  }
+  return true;
+}
+
+// Stands as primary of the next epoch. From here on this controller neither writes nor takes copies in the present
+// one, whatever becomes of it: another may finish what was proposed here, and a backup chosen now holds nothing that
+// is written later.
+void Replica::stand(base::TimePoint now, Effects& fx) {
+  schema::EpochRecord target;
+  const bool finishing = record_->primary != self_.voterId && record_->backup != self_.voterId;
+  if (finishing)
+    target = vote_.accepted;
+  else if (!chooseTarget(target, now))
+    return;
+  if (phase_ == Phase::Active || phase_ == Phase::Activating) {
+    if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
+    current_.reset();
+  }
+  if (!finishing) phase_ = Phase::Standing;
+  if (vote_.slot != target.epoch) vote_ = {target.epoch, 0, 0, {}, vote_.sealed};
+  vote_.sealed = std::max(vote_.sealed, record_->epoch);
+  Candidacy c;
+  c.target = c.value = target;
+  // Ballots of two candidates never meet: the low bits are drawn by lot.
+  c.ballot = ((std::max(vote_.promised, candidacy_ ? candidacy_->ballot : 0) >> 20) + 1) << 20 | (random_() & 0xfffff);
+  c.installToken = random_();
+  c.startedAt = now;
+  c.patience = times_.retry + base::Millis(random_() % (times_.retry.count() + 1));
+  c.step = finishing ? Candidacy::Step::Preparing : Candidacy::Step::Installing;
+  candidacy_ = c;
+  saveVote(std::nullopt, fx);
+  push(now, fx);
+}
+
+// Sends what the present step of the candidacy still wants an answer to.
+void Replica::push(base::TimePoint now, Effects& fx) {
+  auto& c = *candidacy_;
+  c.sentAt = now;
+  switch (c.step) {
+    case Candidacy::Step::Installing:
+      send(c.target.backup, schema::Copy{self_.voterId, c.installToken, true, *record_, *frame_}, fx);
+      break;
+    case Candidacy::Step::Preparing:
+      for (const auto& voter : record_->voters)
+        if (!c.promised.contains(voter)) {
+          if (now != c.startedAt) send(voter, schema::Decided{*record_}, fx);
+          send(voter, schema::Prepare{self_.voterId, c.target.epoch, c.ballot}, fx);
+        }
+      break;
+    case Candidacy::Step::Accepting: {
+      std::set<std::string> voters(record_->voters.begin(), record_->voters.end());
+      voters.insert(c.value.voters.begin(), c.value.voters.end());
+      for (const auto& voter : voters)
+        if (!c.accepted.contains(voter))
+          send(voter, schema::Accept{self_.voterId, c.target.epoch, c.ballot, c.value}, fx);
+      break;
+    }
+  }
+}
+
+void Replica::considerStanding(base::TimePoint now, Effects& fx) {
+  if (!record_ || !around_.lease || now < standAt_) return;
+  if (candidacy_) {
+    if (now - candidacy_->startedAt > candidacy_->patience)
+      stand(now, fx);
+    else if (now - candidacy_->sentAt >= times_.resend)
+      push(now, fx);
+    return;
+  }
+  if (record_->primary == self_.voterId) {
+    if (!frame_) return;
+    if (phase_ == Phase::Idle) {
+      stand(now, fx);
+    } else if (controller(record_->backup) == nullptr || backupSilent_) {
+      // Without a backup nothing can be acknowledged, and the machine may be the next to be lost: a new one at once.
+      schema::EpochRecord target;
+      if (chooseTarget(target, now) && target.backup != record_->backup) stand(now, fx);
+    }
+    return;
+  }
+  if (record_->backup == self_.voterId && frame_) {
+    const auto heard = beatSeen_ ? std::max(beatAt_, leaseSince_) : leaseSince_;
+    if (handOverAsked_ || controller(record_->primary) == nullptr || now - heard > times_.quiet) stand(now, fx);
+    return;
+  }
+  // A record that some voters accepted and nobody finished: any voter may finish that very value.
+  if (vote_.slot == record_->epoch + 1 && vote_.acceptedBallot != 0 && has(record_->voters, self_.voterId)) {
+    const bool owner = controller(vote_.accepted.primary) != nullptr;
+    if (!owner && now - leaseSince_ > times_.quiet) stand(now, fx);
+  }
+}
+
+void Replica::considerExchange(base::TimePoint now, Effects& fx) {
+  for (const auto& voter : record_->voters) {
+    if (controller(voter) != nullptr)
+      missingSince_.erase(voter);
+    else
+      missingSince_.try_emplace(voter, now);
+  }
+  std::erase_if(missingSince_, [&](const auto& entry) { return !has(record_->voters, entry.first); });
+  if (phase_ != Phase::Active || candidacy_ || !around_.lease) return;
+  schema::EpochRecord target;
+  if (chooseTarget(target, now) && target.voters != record_->voters) stand(now, fx);
+}
+
+void Replica::tick(base::TimePoint now, const Around& around, Effects& fx) {
+  if (around.lease && !around_.lease) leaseSince_ = now;
+  around_ = around;
+  if (record_) {
+    considerExchange(now, fx);
+    considerStanding(now, fx);
+  }
+  if (current_) {
+    auto& w = *current_;
+    if (!w.ownDone && now - w.startedAt > times_.writeStuck && !diskBad_) {
+      // The own disk hangs: the backup has what counts, so it shall lead.
+      diskBad_ = true;
+      standAt_ = now + kDiskRest;
+      handOver(fx.out);
+      stepDown(fx);
+    } else if (!w.copyDone && now - w.startedAt > times_.writeStuck) {
+      backupSilent_ = true;
+    }
+    if (current_ && !current_->copyDone && now - current_->sentAt >= times_.resend) sendCopy(now, fx);
+  }
+  if (diskBad_ && now >= standAt_) diskBad_ = false;
+  while (!orders_.empty() && now - orders_.front().second > times_.orderLife) {
+    fx.answers.push_back({orders_.front().first.call, 503, "not finished in time", {}});
+    orders_.pop_front();
+  }
+  for (auto& reading : readings_) {
+    if (now - reading.startedAt > times_.orderLife) {
+      fx.answers.push_back({reading.order.call, 503, "the backup does not confirm", {}});
+      reading.order.call = 0;
+    } else if (record_ && now - reading.sentAt >= times_.resend) {
+      reading.sentAt = now;
+      send(record_->backup, schema::Confirm{self_.voterId, reading.token, record_->epoch}, fx);
+    }
+  }
+  std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
+  if (active() && now - beatSentAt_ >= times_.beat) {
+    beatSentAt_ = now;
+    for (const auto& m : around_.controllers)
+      if (m.voterId != self_.voterId)
+        fx.out.push_back({{m.ip, m.port}, schema::Beat{self_.voterId, *record_, published_->stamp}});
+  }
+  drainLocal(now, fx);
+}
+
+void Replica::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
+                      Effects& fx) {
+  handle(message, from, now, fx);
+  drainLocal(now, fx);
+}
+
+void Replica::handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
+                     Effects& fx) {
+  std::visit(
+      [&](const auto& m) {
+        if constexpr (requires { on(m, now, fx); }) {
+          if constexpr (requires { m.from; })
+            if (from.port != 0) lastAddress_[m.from] = from;
+          on(m, now, fx);
+        }
+      },
+      message);
+}
+
+void Replica::drainLocal(base::TimePoint now, Effects& fx) {
+  while (!local_.empty()) {
+    const auto message = std::move(local_.front());
+    local_.pop_front();
+    handle(message, {}, now, fx);
+  }
+}
+
+void Replica::synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx) {
+  if (const auto found = replies_.find(token); found != replies_.end()) {
+    auto reply = std::move(found->second);
+    replies_.erase(found);
+    if (ok) send(reply.to, std::move(reply.message), fx);
+  }
+  if (current_ && current_->token == token) {
+    if (ok) {
+      current_->ownDone = true;
+      finishWrite(now, fx);
+    } else {
+      diskBad_ = true;
+      standAt_ = now + kDiskRest;
+      handOver(fx.out);
+      stepDown(fx);
+    }
+  }
+  drainLocal(now, fx);
+}
+
+// The agreement on the next record: one decree for each slot, ballots, the highest accepted value is carried on.
+
+void Replica::on(const schema::Prepare& m, base::TimePoint, Effects& fx) {
+  if (!record_) return;
+  if (m.slot <= record_->epoch) {
+    send(m.from, schema::Decided{*record_}, fx);
+    return;
+  }
+  if (m.slot != record_->epoch + 1 || !has(record_->voters, self_.voterId)) return;
+  if (vote_.slot != m.slot) vote_ = {m.slot, 0, 0, {}, vote_.sealed};
+  if (m.ballot < vote_.promised) {
+    // Tells the candidate what it has to pass.
+    send(m.from, schema::Promise{self_.voterId, m.slot, vote_.promised, 0, {}}, fx);
+    return;
+  }
+  vote_.promised = m.ballot;
+  saveVote(Reply{m.from, schema::Promise{self_.voterId, m.slot, m.ballot, vote_.acceptedBallot, vote_.accepted}}, fx);
+}
+
+void Replica::on(const schema::Promise& m, base::TimePoint now, Effects& fx) {
+  if (!candidacy_ || candidacy_->step != Candidacy::Step::Preparing || m.slot != candidacy_->target.epoch) return;
+  auto& c = *candidacy_;
+  if (m.ballot > c.ballot) {
+    vote_.promised = std::max(vote_.promised, m.ballot);  // the next try goes above it
+    return;
+  }
+  if (m.ballot != c.ballot) return;
+  c.promised.insert(m.from);
+  if (m.acceptedBallot > c.bestBallot) {
+    c.bestBallot = m.acceptedBallot;
+    c.value = m.accepted;
+  }
+  if (!majority(c.promised, record_->voters)) return;
+  c.step = Candidacy::Step::Accepting;
+  push(now, fx);
+}
+
+void Replica::on(const schema::Accept& m, base::TimePoint, Effects& fx) {
+  if (record_ && m.slot <= record_->epoch) {
+    send(m.from, schema::Decided{*record_}, fx);
+    return;
+  }
+  if (vote_.slot > m.slot) return;
+  if (vote_.slot != m.slot) vote_ = {m.slot, 0, 0, {}, vote_.sealed};
+  if (m.ballot < vote_.promised) return;
+  vote_.promised = vote_.acceptedBallot = m.ballot;
+  vote_.accepted = m.record;
+  saveVote(Reply{m.from, schema::Accepted{self_.voterId, m.slot, m.ballot}}, fx);
+}
+
+void Replica::on(const schema::Accepted& m, base::TimePoint now, Effects& fx) {
+  if (!candidacy_ || candidacy_->step != Candidacy::Step::Accepting || m.slot != candidacy_->target.epoch ||
+      m.ballot != candidacy_->ballot)
+    return;
+  auto& c = *candidacy_;
+  c.accepted.insert(m.from);
+  // While voters change, of those that are to come as well: the next record asks them.
+  if (!majority(c.accepted, record_->voters) || !majority(c.accepted, c.value.voters)) return;
+  const auto decided = c.value;
+  for (const auto& m2 : around_.controllers)
+    if (m2.voterId != self_.voterId) fx.out.push_back({{m2.ip, m2.port}, schema::Decided{decided}});
+  adopt(decided, now, fx);
+}
+
+void Replica::on(const schema::Decided& m, base::TimePoint now, Effects& fx) { adopt(m.record, now, fx); }
+
+// Copies of the state.
+
+void Replica::on(const schema::Copy& m, base::TimePoint now, Effects& fx) {
+  const auto refuse = [&] {
+    send(m.from, schema::Copied{self_.voterId, m.token, record_ ? record_->epoch : 0, false}, fx);
+  };
+  if (record_ && m.record.epoch < record_->epoch) {
+    send(m.from, schema::Decided{*record_}, fx);
+    refuse();
+    return;
+  }
+  adopt(m.record, now, fx);
+  if (m.from == self_.voterId || (record_ && record_->primary == self_.voterId && m.from != record_->backup)) return;
+  if (!m.install) {
+    if (m.record.epoch <= vote_.sealed || m.from != record_->primary || record_->backup != self_.voterId) {
+      refuse();
+      return;
+    }
+    if (frame_ && m.frame.stamp < frame_->stamp) return;  // overtaken by a later copy
+  }
+  frame_ = m.frame;
+  const auto token = write(Slot::Frame, net::encodeFrame(m.frame), fx);
+  replies_[token] = {m.from, schema::Copied{self_.voterId, m.token, m.record.epoch, true}};
+}
+
+void Replica::on(const schema::Copied& m, base::TimePoint now, Effects& fx) {
+  if (!m.ok) return;
+  if (candidacy_ && candidacy_->step == Candidacy::Step::Installing && m.token == candidacy_->installToken) {
+    candidacy_->step = Candidacy::Step::Preparing;
+    push(now, fx);
+    return;
+  }
+  if (current_ && current_->token == m.token && record_ && m.epoch == record_->epoch) {
+    current_->copyDone = true;
+    finishWrite(now, fx);
+  }
+}
+
+void Replica::startWrite(schema::Frame frame, std::optional<Order> order, base::TimePoint now, Effects& fx) {
+  frame_ = std::move(frame);
+  Write w;
+  w.frame = *frame_;
+  w.order = std::move(order);
+  w.startedAt = now;
+  w.token = write(Slot::Frame, net::encodeFrame(*frame_), fx);
+  current_ = std::move(w);
+  sendCopy(now, fx);
+}
+
+void Replica::sendCopy(base::TimePoint now, Effects& fx) {
+  current_->sentAt = now;
+  send(record_->backup, schema::Copy{self_.voterId, current_->token, false, *record_, current_->frame}, fx);
+}
+
+// In force only when it is on both disks: then shown, then acknowledged.
+void Replica::finishWrite(base::TimePoint now, Effects& fx) {
+  if (!current_ || !current_->ownDone || !current_->copyDone) return;
+  published_ = current_->frame;
+  backupSilent_ = false;
+  if (phase_ == Phase::Activating) phase_ = Phase::Active;
+  if (current_->order) fx.answers.push_back({current_->order->call, 200, "{}", {}});
+  current_.reset();
+  beatSentAt_ = {};
+  nextOrder(now, fx);
+}
+
+Answer Replica::refusal(std::uint64_t call, base::TimePoint now) const {
+  const auto primary = primaryAddress();
+  if (primary && primaryFresh(now) && record_->primary != self_.voterId) return {call, 307, "", *primary};
+  return {call, 503, "no primary at the moment", {}};
+}
+
+void Replica::order(Order order, base::TimePoint now, Effects& fx) {
+  const bool mine = record_ && record_->primary == self_.voterId &&
+                    (phase_ == Phase::Active || phase_ == Phase::Activating || phase_ == Phase::Standing);
+  if (!mine || orders_.size() >= kOrdersWaiting) {
+    fx.answers.push_back(refusal(order.call, now));
+    return;
+  }
+  orders_.emplace_back(std::move(order), now);
+  nextOrder(now, fx);
+  drainLocal(now, fx);
+}
+
+// Checks an order against the newest state. An answer when there is nothing to write, else the frame to write.
+std::optional<Answer> Replica::prepare(const Order& order, schema::Frame& next) const {
+  next = *frame_;
+  ++next.stamp.serial;
+  if (order.kind == OrderKind::Evacuate || order.kind == OrderKind::EndEvacuation) {
+    const bool there = has(next.evacuated, order.body);
+    if (there == (order.kind == OrderKind::Evacuate)) return Answer{order.call, 200, "{}", {}};
+    if (there)
+      std::erase(next.evacuated, order.body);
+    else
+      next.evacuated.push_back(order.body);
+    return std::nullopt;
+  }
+  const bool update = order.kind == OrderKind::Update;
+  const auto digest = orderDigest(update ? "update" : "replace", order.baseVersion, order.body);
+  if (has(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
+  if (order.baseVersion != next.revision)
+    return Answer{order.call, 412, "the current revision is " + std::to_string(next.revision), {}};
+  std::string document = order.body;
+  if (update) {
+    if (next.document.empty()) return Answer{order.call, 400, "update: there is no configuration yet", {}};
+    auto merged = applyUpdate(next.document, order.body);
+    if (const auto* bad = base::fault(merged)) return Answer{order.call, 400, bad->what, {}};
+    document = std::get<std::string>(std::move(merged));
+  }
+  auto parsed = parseConfiguration(document);
+  if (const auto* bad = base::fault(parsed)) return Answer{order.call, 400, bad->what, {}};
+  const auto revision = std::get<Configuration>(parsed).revision;
+  if (revision <= next.revision)
+    return Answer{order.call, 400, "revision: not above the current one, " + std::to_string(next.revision), {}};
+  next.revision = revision;
+  next.document = std::move(document);
+  next.digests.push_back(digest);
+  if (next.digests.size() > kDigestsKept) next.digests.erase(next.digests.begin());
+  return std::nullopt;
+}
+
+void Replica::nextOrder(base::TimePoint now, Effects& fx) {
+  while (active() && !current_ && !candidacy_ && !orders_.empty()) {
+    auto order = std::move(orders_.front().first);
+    const auto at = orders_.front().second;
+    orders_.pop_front();
+    if (order.kind == OrderKind::Describe) {
+      // Read only once the backup confirms that no later epoch has begun.
+      readings_.push_back({order, random_(), at, now});
+      send(record_->backup, schema::Confirm{self_.voterId, readings_.back().token, record_->epoch}, fx);
+      continue;
+    }
+    schema::Frame next;
+    if (auto answer = prepare(order, next))
+      fx.answers.push_back(std::move(*answer));
+    else
+      startWrite(std::move(next), std::move(order), now, fx);
+  }
+}
+
+void Replica::on(const schema::Confirm& m, base::TimePoint, Effects& fx) {
+  if (!record_ || record_->epoch != m.epoch || vote_.sealed >= m.epoch) return;
+  send(m.from, schema::Confirmed{self_.voterId, m.token, m.epoch}, fx);
+}
+
+void Replica::on(const schema::Confirmed& m, base::TimePoint, Effects& fx) {
+  if (!active() || !record_ || m.epoch != record_->epoch) return;
+  for (auto& reading : readings_) {
+    if (reading.token != m.token) continue;
+    if (published_->document.empty())
+      fx.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
+    else
+      fx.answers.push_back({reading.order.call, 200, published_->document, {}});
+    reading.order.call = 0;
+  }
+  std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
+}
+
+void Replica::on(const schema::Beat& m, base::TimePoint now, Effects& fx) {
+  if (record_ && m.record.epoch < record_->epoch) {
+    send(m.from, schema::Decided{*record_}, fx);
+    return;
+  }
+  adopt(m.record, now, fx);
+  if (m.from != record_->primary) return;
+  beatSeen_ = true;
+  beatAt_ = now;
+  beatStamp_ = m.stamp;
+}
+
+void Replica::on(const schema::HandOver& m, base::TimePoint now, Effects& fx) {
+  if (!record_ || m.epoch != record_->epoch || m.from != record_->primary || record_->backup != self_.voterId) return;
+  handOverAsked_ = true;
+  considerStanding(now, fx);
+}
+
+}  // namespace indigohill::control
--- /dev/null
+++ b/src/http/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace indigohill::http {
+class Client;
+class Server;
+}  // namespace indigohill::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,89 @@
+#include "http/server.hpp"
+
+#include <stdexcept>
+
+namespace indigohill::http {
+
+Response answer(const Request& request, int status, std::string body, const char* type) {
+  Response out(static_cast<wire::status>(status), request.version());
+  out.set(wire::field::content_type, type);
+  out.keep_alive(request.keep_alive());
+  out.body() = std::move(body);
+  out.prepare_payload();
+  return out;
+}
+
+tcp::acceptor listen(asio::any_io_executor executor, const settings::Endpoint& at, const char* what) {
+  try {
+    tcp::acceptor acceptor(executor);
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(tcpEndpoint(at));
+    acceptor.listen(1024);
+    return acceptor;
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(std::string(what) + " " + settings::text(at) + ": " + error.code().message());
+  }
+}
+
+Server::Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler)
+    : executor_(executor), limits_(limits), handler_(std::move(handler)), acceptor_(listen(executor, at, "server at")) {}
+
+void Server::start() { asio::co_spawn(executor_, accept(), asio::detached); }
+
+void Server::stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+asio::awaitable<void> Server::accept() {
+  for (;;) {
+    auto [error, socket] = co_await acceptor_.async_accept(kTuple);
+    if (!acceptor_.is_open()) co_return;
+    if (error) {
+      // Out of descriptors, for example: a pause instead of a spin.
+      asio::steady_timer pause(executor_, base::Millis(50));
+      co_await pause.async_wait(kTuple);
+      continue;
+    }
+    asio::co_spawn(executor_, session(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> Server::session(tcp::socket socket) {
+  tune(socket, limits_.idle);
+  boost::system::error_code ignored;
+  const auto remote = socket.remote_endpoint(ignored);
+  if (ignored) co_return;
+  const settings::Endpoint from{remote.address().to_v4().to_uint(), remote.port()};
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  for (;;) {
+    wire::request_parser<wire::string_body> parser;
+    parser.header_limit(limits_.headerBytes);
+    parser.body_limit(limits_.bodyBytes);
+    stream.expires_after(limits_.idle);
+    auto [error, bytes] = co_await wire::async_read(stream, buffer, parser, kTuple);
+    if (error) {
+      if (error == wire::error::body_limit || error == wire::error::header_limit) {
+        auto reply = answer(parser.get(), error == wire::error::body_limit ? 413 : 431, "too large");
+        reply.keep_alive(false);
+        co_await wire::async_write(stream, reply, kTuple);
+      } else if (error.category() == boost::system::error_code(wire::error::bad_method).category() &&
+                 error != wire::error::end_of_stream && error != wire::error::partial_message) {
+        auto reply = answer(parser.get(), 400, error.message());
+        reply.keep_alive(false);
+        co_await wire::async_write(stream, reply, kTuple);
+      }
+      break;
+    }
+    auto reply = co_await handler_(parser.release(), from);
+    const bool keep = reply.keep_alive();
+    stream.expires_after(limits_.idle);
+    auto [failed, sent] = co_await wire::async_write(stream, reply, kTuple);
+    if (failed || !keep) break;
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+}  // namespace indigohill::http
--- /dev/null
+++ b/src/http/types.hpp
@@ -0,0 +1,41 @@
+#pragma once
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/time.hpp"
+#include "settings/settings.hpp"
+
+// Names for the HTTP library's parts that are used throughout: Boost.Beast on Boost.Asio.
+namespace indigohill::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace wire = boost::beast::http;
+using asio::ip::tcp;
+using Request = wire::request<wire::string_body>;
+using Response = wire::response<wire::string_body>;
+
+// Every asynchronous call gives its error back as a value.
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+inline tcp::endpoint tcpEndpoint(const settings::Endpoint& e) { return {asio::ip::address_v4(e.ip), e.port}; }
+
+// Small messages go out at once, and a peer that has gone silent is noticed although it never resets.
+inline void tune(tcp::socket& socket, base::Millis silent) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, 18 /* TCP_USER_TIMEOUT */>;
+  socket.set_option(UserTimeout(static_cast<int>(silent.count())), ignored);
+}
+
+Response answer(const Request& request, int status, std::string body, const char* type = "text/plain");
+
+}  // namespace indigohill::http
--- /dev/null
+++ b/src/membership/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace indigohill::membership {
+class Group;
+struct Times;
+}  // namespace indigohill::membership
--- /dev/null
+++ b/src/membership/group.cpp
@@ -0,0 +1,661 @@
+#include "membership/group.hpp"
+
+#include <algorithm>
+
+namespace indigohill::membership {
+
+namespace {
+constexpr std::size_t kHistory = 32;
+constexpr std::size_t kOldestWatched = 2;
+// Numbers set aside at each founding. Far more than the views and incarnations of one life of the whole group.
+constexpr std::uint64_t kFoundingBlock = 1u << 20;
+}  // namespace
+
+Group::Group(Self self, std::vector<settings::Endpoint> seeds, Times times, std::uint64_t seed)
+    : self_(std::move(self)), seeds_(std::move(seeds)), times_(times), random_(seed), bootId_(random_()) {}
+
+const schema::Member* Group::find(const schema::View& view, std::uint64_t incarnation) {
+  for (const auto& m : view.members)
+    if (m.incarnation == incarnation) return &m;
+  return nullptr;
+}
+bool Group::in(const schema::View& view, std::uint64_t incarnation) { return find(view, incarnation) != nullptr; }
+
+const schema::Member* Group::member(const std::string& voterId) const {
+  if (view_ && !voterId.empty())
+    for (const auto& m : view_->members)
+      if (m.voterId == voterId) return &m;
+  return nullptr;
+}
+
+std::size_t Group::votersIn(const schema::View& view, const std::vector<std::string>& voters) {
+  std::size_t count = 0;
+  for (const auto& voter : voters)
+    count += std::any_of(view.members.begin(), view.members.end(), [&](const auto& m) { return m.voterId == voter; });
+  return count;
+}
+
+bool Group::quorum(const schema::View& view, const std::vector<std::string>& voters) {
+  return !voters.empty() && 2 * votersIn(view, voters) > voters.size();
+}
+
+// Over the voters alone, and while voters change over both the view's and those that are to come.
+bool Group::quorate(const schema::View& view) const {
+  return quorum(view, view.voters) && (!view_ || quorum(view, view_->voters));
+}
+
+void Group::setVoters(std::uint64_t epoch, const std::vector<std::string>& voters) {
+  if (epoch <= knownEpoch_) return;
+  knownEpoch_ = epoch;
+  knownVoters_ = voters;
+}
+
+std::optional<settings::Endpoint> Group::flushFrom() const {
+  if (!waiting_) return std::nullopt;
+  const auto* holder = find(waiting_->result, waiting_->flushHolder);
+  if (holder == nullptr) return std::nullopt;
+  return addressOf(*holder);
+}
+
+// Everyone exchanges hellos with the voters (the lease needs their echoes) and with the oldest members (one of them
+// manages). Those in turn hear from everybody. All-to-all would cost several times as much and tell no more.
+std::vector<const schema::Member*> Group::watched(base::TimePoint now) const {
+  std::vector<const schema::Member*> out;
+  if (!view_) return out;
+  const bool all = watchesAll(now);
+  std::size_t oldest = 0;
+  for (const auto& m : view_->members) {
+    const bool isVoter = std::find(view_->voters.begin(), view_->voters.end(), m.voterId) != view_->voters.end();
+    const bool isOldest = !suspected_.contains(m.incarnation) && oldest < kOldestWatched;
+    if (isOldest) ++oldest;
+    if (m.incarnation != incarnation_ && (all || isVoter || isOldest)) out.push_back(&m);
+  }
+  return out;
+}
+
+bool Group::watchesAll(base::TimePoint) const {
+  if (!view_) return false;
+  if (!self_.voterId.empty() &&
+      std::find(view_->voters.begin(), view_->voters.end(), self_.voterId) != view_->voters.end())
+    return true;
+  std::size_t oldest = 0;
+  for (const auto& m : view_->members) {
+    if (suspected_.contains(m.incarnation)) continue;
+    if (m.incarnation == incarnation_) return true;
+    if (++oldest >= kOldestWatched) return false;
+  }
+  return false;
+}
+
+bool Group::manages(base::TimePoint) const {
+  if (!view_ || leavingSelf_) return false;
+  for (const auto& m : view_->members) {
+    if (m.incarnation == incarnation_) return true;
+    // A member that leaves in order hands the managing on as if it had failed.
+    if (!suspected_.contains(m.incarnation) && !leaving_.contains(m.incarnation)) return false;
+  }
+  return false;
+}
+
+void Group::suspectSilent(base::TimePoint now) {
+  std::set<std::uint64_t> watchedNow;
+  for (const auto* m : watched(now)) {
+    watchedNow.insert(m->incarnation);
+    const auto since = watchedSince_.try_emplace(m->incarnation, now).first->second;
+    const auto heard = heardAt_.find(m->incarnation);
+    const auto last = heard == heardAt_.end() ? since : std::max(since, heard->second);
+    // Not heard within the time-out: suspected. Heard again: no longer, as long as no proposal rests on it.
+    if (now - last > times_.suspect)
+      suspected_.insert(m->incarnation);
+    else if (!round_ || in(round_->proposal.result, m->incarnation))
+      suspected_.erase(m->incarnation);
+  }
+  std::erase_if(watchedSince_, [&](const auto& entry) { return !watchedNow.contains(entry.first); });
+}
+
+void Group::tick(base::TimePoint now, net::Outbox& out) {
+  if (viewlessSince_ == base::TimePoint{}) viewlessSince_ = now;
+  std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 3 * times_.join; });
+  tryDelivery(now);
+  if (!view_) {
+    if (now - joinAt_ >= times_.join) sendJoin(now, out);
+    considerFounding(now, out);
+  } else {
+    suspectSilent(now);
+    if (now - helloAt_ >= times_.hello) sendHellos(now, out);
+    considerExtension(now, out);
+  }
+  if (round_) {
+    // A founder that does not get everybody's word gives up and starts again with those it still hears.
+    if (round_->proposal.founding && now - round_->startedAt > times_.suspect)
+      round_.reset();
+    else if (now - round_->sentAt >= times_.resend)
+      propose(now, out);
+  }
+  // An unfinished founding that no one completes must not hold a daemon without a view for good.
+  if (pending_ && !view_ && now - pendingAt_ > 2 * times_.suspect) pending_.reset();
+  renewLease(now);
+}
+
+void Group::sendHello(const schema::Member& to, base::TimePoint now, net::Outbox& out) {
+  schema::Hello hello;
+  hello.incarnation = incarnation_;
+  hello.view = view_->number;
+  hello.stampMs = base::toMs(now);
+  if (const auto found = stampOf_.find(to.incarnation); found != stampOf_.end()) hello.echoMs = found->second;
+  if (knownEpoch_ > view_->epoch) {
+    hello.epoch = knownEpoch_;
+    hello.voters = knownVoters_;
+  }
+  out.push_back({addressOf(to), hello});
+}
+
+void Group::sendHellos(base::TimePoint now, net::Outbox& out) {
+  helloAt_ = now;
+  const bool all = watchesAll(now);
+  for (const auto* m : watched(now)) {
+    // Those that watch everybody are asked by everybody and answer; among themselves both sides ask.
+    const bool answersOnly = all && heardAt_.contains(m->incarnation) && stampOf_.contains(m->incarnation) &&
+                             m->voterId.empty() && !suspected_.contains(m->incarnation) &&
+                             now - heardAt_[m->incarnation] < times_.hello + times_.hello / 2;
+    if (!answersOnly) sendHello(*m, now, out);
+  }
+}
+
+void Group::sendJoin(base::TimePoint now, net::Outbox& out) {
+  joinAt_ = now;
+  if (leavingSelf_) return;
+  schema::Join join;
+  join.member.id = self_.id;
+  join.member.voterId = self_.voterId;
+  join.member.zone = self_.zone;
+  join.member.role = static_cast<std::uint8_t>(self_.role);
+  join.member.ip = self_.address.ip;
+  join.member.port = self_.address.port;
+  join.member.bootId = bootId_;
+  join.floor = floor_;
+  std::set<settings::Endpoint> targets(seeds_.begin(), seeds_.end());
+  targets.insert(lastKnown_.begin(), lastKnown_.end());
+  targets.erase(self_.address);
+  for (const auto& to : targets) out.push_back({to, join});
+  // Its own word counts when the group is founded.
+  joiners_[self_.id] = {join.member, now, floor_};
+}
+
+// When nobody has a view, the voters found the group anew: the first of a majority of them that hear each other.
+// Cut off from a majority, a voter waits; an existing view with a quorum would have taken it in.
+void Group::considerFounding(base::TimePoint now, net::Outbox& out) {
+  if (round_ || leavingSelf_ || self_.voterId.empty() || now - viewlessSince_ < times_.found) return;
+  if (std::find(knownVoters_.begin(), knownVoters_.end(), self_.voterId) == knownVoters_.end()) return;
+  if (pending_ && now - pendingAt_ < times_.suspect) return;
+  schema::View view;
+  view.epoch = knownEpoch_;
+  view.voters = knownVoters_;
+  auto base = floor_;
+  std::string first = self_.voterId;
+  for (const auto& [id, joiner] : joiners_) {
+    view.members.push_back(joiner.member);
+    base = std::max(base, joiner.floor);
+    const auto& voter = joiner.member.voterId;
+    if (std::find(knownVoters_.begin(), knownVoters_.end(), voter) != knownVoters_.end()) first = std::min(first, voter);
+  }
+  if (!quorum(view, knownVoters_) || first != self_.voterId) return;
+  // Voters first, so that the oldest are daemons that keep what must last; then by id, as the paper's ties are broken.
+  std::sort(view.members.begin(), view.members.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.voterId.empty(), a.id) < std::pair(b.voterId.empty(), b.id);
+  });
+  view.number = base + kFoundingBlock;
+  auto next = view.number;
+  schema::Propose proposal;
+  for (auto& m : view.members) {
+    m.incarnation = ++next;
+    if (m.id == self_.id) proposal.proposer = m.incarnation;
+    if (view.lister == 0 && m.role == static_cast<std::uint8_t>(Role::Controller)) view.lister = m.incarnation;
+  }
+  view.number = next + 1;  // above every incarnation granted so far: one counter serves both
+  proposal.founding = true;
+  proposal.round = random_();
+  proposal.result = view;
+  round_ = Round{proposal, {}, now, now, {}, 0};
+  propose(now, out);
+}
+
+// The changes that are known and not yet in `result`; true when there are some.
+bool Group::extend(schema::View& result, schema::Step& step, base::TimePoint now) const {
+  bool changed = false;
+  std::vector<std::uint64_t> gone;
+  for (const auto& m : result.members) {
+    if (m.incarnation == incarnation_) continue;
+    const auto again = joiners_.find(m.id);
+    // A known daemon that asks to join with another boot id has started again: its old incarnation has failed.
+    const bool restarted = again != joiners_.end() && again->second.member.bootId != m.bootId;
+    if (suspected_.contains(m.incarnation) || leaving_.contains(m.incarnation) || restarted)
+      gone.push_back(m.incarnation);
+  }
+  for (const auto incarnation : gone) {
+    std::erase_if(result.members, [&](const auto& m) { return m.incarnation == incarnation; });
+    step.faults.push_back(incarnation);
+    changed = true;
+  }
+  auto next = result.number;
+  for (const auto& m : result.members) next = std::max(next, m.incarnation);
+  for (const auto& [id, joiner] : joiners_) {
+    const bool there =
+        std::any_of(result.members.begin(), result.members.end(), [&](const auto& m) { return m.id == joiner.member.id; });
+    if (there || id == self_.id || now - joiner.heardAt > 2 * times_.join) continue;
+    auto m = joiner.member;
+    m.incarnation = ++next;
+    result.members.push_back(m);
+    step.joins.push_back(m);
+    changed = true;
+  }
+  if (knownEpoch_ > result.epoch) {
+    result.epoch = knownEpoch_;
+    result.voters = knownVoters_;
+    changed = true;
+  }
+  if (!changed) return false;
+  // The holder of the duty stays while it is a member. Leaving, it has named its successor; failed, the view (which
+  // a majority of voters commits) names the oldest controller.
+  if (!in(result, result.lister)) {
+    result.lister = 0;
+    for (const auto& m : result.members)
+      if (m.role == static_cast<std::uint8_t>(Role::Controller) &&
+          (result.lister == 0 || m.incarnation == successor_))
+        result.lister = m.incarnation;
+  }
+  result.number = next + 1;
+  return true;
+}
+
+void Group::considerExtension(base::TimePoint now, net::Outbox& out) {
+  if (!manages(now)) {
+    // Somebody older is back: the round is its to run.
+    round_.reset();
+    return;
+  }
+  schema::Propose proposal;
+  if (round_) {
+    proposal = round_->proposal;
+  } else {
+    proposal.result = *view_;
+    // Taking over from a failed manager: an uncommitted extension may have been committed elsewhere, so it is kept
+    // and the failure appended (paper, 4.2, rule 4). Without one, the last committed view is extended (rule 5).
+    if (pending_ && pending_->result.number > view_->number && in(pending_->result, incarnation_)) {
+      proposal.result = pending_->result;
+      proposal.steps = pending_->steps;
+    }
+  }
+  schema::Step step;
+  auto result = proposal.result;
+  if (!extend(result, step, now)) {
+    if (round_ || result.number == view_->number) return;
+  } else {
+    proposal.steps.push_back(step);
+  }
+  // Never proposed without a quorum of voters: on the small side of a cut a proposal would only bind daemons that
+  // the other side needs (exception 1).
+  proposal.result = result;
+  if (!quorate(result)) {
+    if (round_ && !quorate(round_->proposal.result)) round_.reset();
+    return;
+  }
+  proposal.base = view_->number;
+  proposal.proposer = incarnation_;
+  proposal.round = random_();
+  proposal.insist = false;
+  round_ = Round{proposal, {}, now, now, {}, 0};
+  propose(now, out);
+}
+
+void Group::propose(base::TimePoint now, net::Outbox& out) {
+  round_->sentAt = now;
+  const auto& result = round_->proposal.result;
+  // The manager is the first to acknowledge, and from now on hears only those in the extension.
+  if (!round_->acked.contains(round_->proposal.proposer)) {
+    pending_ = round_->proposal;
+    pendingAt_ = now;
+    round_->acked.insert(round_->proposal.proposer);
+    round_->flushed = held_;
+    round_->holder = round_->proposal.proposer;
+  }
+  for (const auto& m : result.members)
+    if (!round_->acked.contains(m.incarnation)) out.push_back({addressOf(m), round_->proposal});
+  considerCommit(now, out);
+}
+
+schema::Commit Group::commitMessage() const {
+  schema::Commit commit;
+  commit.result = *view_;
+  for (const auto& [number, step] : history_) commit.steps.push_back(step);
+  return commit;
+}
+
+void Group::considerCommit(base::TimePoint now, net::Outbox& out) {
+  const auto& result = round_->proposal.result;
+  for (const auto& m : result.members)
+    if (!round_->acked.contains(m.incarnation)) return;
+  if (!quorate(result)) return;
+  schema::Commit commit;
+  commit.result = result;
+  commit.steps = round_->proposal.steps;
+  commit.flushed = round_->flushed;
+  commit.flushHolder = round_->holder;
+  for (const auto& m : result.members)
+    if (m.incarnation != round_->proposal.proposer) out.push_back({addressOf(m), commit});
+  if (round_->proposal.founding) incarnation_ = round_->proposal.proposer;
+  round_.reset();
+  deliver(commit, now);
+}
+
+void Group::deliver(const schema::Commit& commit, base::TimePoint now) {
+  if (view_ && commit.result.number <= view_->number) return;
+  if (waiting_ && commit.result.number <= waiting_->result.number) return;
+  waiting_ = commit;
+  tryDelivery(now);
+}
+
+// The flush: a view is delivered only once all that any survivor had from the failed daemons has arrived here too.
+// The application fetches it from the holder (flushFrom). A later view takes the place of one that still waits.
+void Group::tryDelivery(base::TimePoint now) {
+  if (!waiting_ || (waiting_->flushed > held_ && waiting_->flushHolder != incarnation_ &&
+                    in(waiting_->result, waiting_->flushHolder)))
+    return;
+  install(*std::exchange(waiting_, std::nullopt), now);
+}
+
+void Group::install(const schema::Commit& commit, base::TimePoint now) {
+  const auto& next = commit.result;
+  for (const auto& step : commit.steps) {
+    history_.emplace_back(next.number, step);
+    if (history_.size() > kHistory) history_.pop_front();
+  }
+  view_ = next;
+  if (pending_ && pending_->result.number <= next.number) pending_.reset();
+  floor_ = std::max(floor_, next.number);
+  if (next.epoch > knownEpoch_) {
+    knownEpoch_ = next.epoch;
+    knownVoters_ = next.voters;
+  }
+  const auto absent = [&](const auto& entry) { return !in(next, entry.first); };
+  std::erase_if(heardAt_, absent);
+  std::erase_if(stampOf_, absent);
+  std::erase_if(echoAt_, absent);
+  std::erase_if(suspected_, [&](auto i) { return !in(next, i); });
+  std::erase_if(leaving_, [&](auto i) { return !in(next, i); });
+  for (const auto& m : next.members) {
+    // One that has just been taken in has just been heard.
+    heardAt_.try_emplace(m.incarnation, now);
+    if (const auto j = joiners_.find(m.id); j != joiners_.end() && j->second.member.bootId == m.bootId)
+      joiners_.erase(j);
+  }
+  lastKnown_.clear();
+  for (const auto& m : next.members)
+    if (m.role == static_cast<std::uint8_t>(Role::Controller)) lastKnown_.push_back(addressOf(m));
+  helloAt_ = {};  // the others shall see the new number at once
+  delivered_.push_back({view_});
+}
+
+// Killed: it leaves the group without ending its process and comes back as somebody new. What it holds of requests
+// and streams belongs to it alone and goes on (exception 4).
+void Group::die(const char*, base::TimePoint now) {
+  ++deaths_;
+  view_.reset();
+  pending_.reset();
+  waiting_.reset();
+  round_.reset();
+  incarnation_ = 0;
+  bootId_ = random_();
+  heardAt_.clear();
+  stampOf_.clear();
+  echoAt_.clear();
+  suspected_.clear();
+  leaving_.clear();
+  watchedSince_.clear();
+  joiners_.clear();
+  history_.clear();
+  leaseUntil_ = {};
+  viewlessSince_ = now;
+  joinAt_ = {};
+  delivered_.push_back({std::nullopt});
+}
+
+// The lease: a majority of the voters has shown, after this daemon's own stamp, a view that holds this daemon.
+void Group::renewLease(base::TimePoint now) {
+  if (!view_) {
+    leaseUntil_ = {};
+    return;
+  }
+  std::vector<base::TimePoint> echoes;
+  for (const auto& voter : view_->voters) {
+    if (voter == self_.voterId) {
+      echoes.push_back(now);
+      continue;
+    }
+    const auto* m = member(voter);
+    if (m == nullptr) continue;
+    if (const auto echo = echoAt_.find(m->incarnation); echo != echoAt_.end()) echoes.push_back(echo->second);
+  }
+  const auto majority = view_->voters.size() / 2 + 1;
+  if (echoes.size() < majority) return;
+  std::sort(echoes.rbegin(), echoes.rend());
+  leaseUntil_ = std::max(leaseUntil_, echoes[majority - 1] + times_.lease);
+}
+
+void Group::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
+                    net::Outbox& out) {
+  std::visit(
+      [&](const auto& m) {
+        if constexpr (requires { on(m, from, now, out); }) on(m, from, now, out);
+      },
+      message);
+}
+
+void Group::on(const schema::Hello& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+  if (!view_) return;
+  const auto* sender = find(*view_, m.incarnation);
+  if (sender == nullptr) {
+    ++rejected_;
+    // A newer view that this daemon has not yet: it shows its own number and is sent the newer one. Otherwise the
+    // sender is a failed incarnation and is told so, by those alone that hold the lease: without it this daemon may
+    // itself be the one that was left out.
+    if (m.view > view_->number)
+      out.push_back({from, schema::Hello{incarnation_, view_->number, base::toMs(now), 0, 0, {}}});
+    else if (leaseHeld(now))
+      out.push_back({from, schema::YouAreDead{m.incarnation, view_->number}});
+    return;
+  }
+  // An extension that has been acknowledged shuts its failed incarnations out already.
+  if (pending_ && !in(pending_->result, m.incarnation)) {
+    ++rejected_;
+    return;
+  }
+  heardAt_[m.incarnation] = now;
+  if (m.view < view_->number) {
+    // Stale: rejected, and the newer view is sent again.
+    ++rejected_;
+    out.push_back({addressOf(*sender), commitMessage()});
+    return;
+  }
+  if (m.view > view_->number) {
+    sendHello(*sender, now, out);
+    return;
+  }
+  if (m.epoch > knownEpoch_) setVoters(m.epoch, m.voters);
+  const bool fresh = stampOf_[m.incarnation] != m.stampMs;
+  stampOf_[m.incarnation] = m.stampMs;
+  if (m.echoMs != 0) {
+    const base::TimePoint echoed{base::Millis(m.echoMs)};
+    if (echoed <= now) echoAt_[m.incarnation] = std::max(echoAt_[m.incarnation], echoed);
+    renewLease(now);
+  }
+  // A member that only asks (it is no voter and none of the oldest) is answered at once.
+  if (fresh && m.incarnation != incarnation_ && watchesAll(now)) {
+    const bool askerAnswers =
+        std::find(view_->voters.begin(), view_->voters.end(), sender->voterId) != view_->voters.end();
+    if (!askerAnswers) sendHello(*sender, now, out);
+  }
+}
+
+void Group::on(const schema::Join& m, const settings::Endpoint&, base::TimePoint now, net::Outbox& out) {
+  if (view_) {
+    for (const auto& known : view_->members)
+      if (known.id == m.member.id && known.bootId == m.member.bootId) {
+        // Taken in already; it has missed the commit.
+        out.push_back({addressOf(known), commitMessage()});
+        return;
+      }
+    if (m.member.id == self_.id) return;
+    if (!manages(now)) {
+      // Passed on to the manager, as the joiner cannot know who that is.
+      for (const auto& known : view_->members)
+        if (!suspected_.contains(known.incarnation) && !leaving_.contains(known.incarnation)) {
+          if (!joiners_.contains(m.member.id) || joiners_[m.member.id].heardAt != now)
+            out.push_back({addressOf(known), m});
+          break;
+        }
+    }
+  }
+  joiners_[m.member.id] = {m.member, now, m.floor};
+  if (view_) considerExtension(now, out);
+}
+
+void Group::on(const schema::Propose& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+  const schema::Member* self = nullptr;
+  for (const auto& member : m.result.members)
+    if (member.id == self_.id && member.bootId == bootId_) self = &member;
+  if (self == nullptr || leavingSelf_) {
+    ++rejected_;
+    return;
+  }
+  if (view_ && m.result.number <= view_->number) {
+    // Stale: the proposer has missed a commit.
+    ++rejected_;
+    out.push_back({from, commitMessage()});
+    return;
+  }
+  if (view_ && m.founding) return;
+  if (pending_ && pending_->round != m.round && !m.insist) {
+    schema::Nack nack;
+    nack.round = m.round;
+    nack.incarnation = self->incarnation;
+    for (const auto& step : pending_->steps) {
+      for (const auto f : step.faults)
+        if (in(m.result, f)) nack.faults.push_back(f);
+      for (const auto& join : step.joins) {
+        const bool has = std::any_of(m.result.members.begin(), m.result.members.end(), [&](const auto& member) {
+          return member.id == join.id && member.bootId == join.bootId;
+        });
+        const bool failedSince = std::any_of(m.steps.begin(), m.steps.end(), [&](const auto& s) {
+          return std::find(s.faults.begin(), s.faults.end(), join.incarnation) != s.faults.end();
+        });
+        // A joiner that has since started again has failed in the meantime as well.
+        if (!has && !failedSince && join.id != self_.id) nack.joins.push_back(join);
+      }
+    }
+    // Joins alone are no reason to stop a failure being agreed: the joiner asks again.
+    if (!nack.faults.empty()) {
+      out.push_back({from, nack});
+      return;
+    }
+  }
+  if (pending_ && pending_->founding && m.founding && pending_->round != m.round && now - pendingAt_ < times_.suspect)
+    return;  // one founding at a time
+  pending_ = m;
+  pendingAt_ = now;
+  if (m.founding || !view_) floor_ = std::max(floor_, m.result.number);
+  out.push_back({from, schema::Ack{m.round, self->incarnation, bootId_, held_}});
+}
+
+void Group::on(const schema::Ack& m, const settings::Endpoint&, base::TimePoint now, net::Outbox& out) {
+  if (!round_ || round_->proposal.round != m.round) return;
+  const auto* sender = find(round_->proposal.result, m.incarnation);
+  if (sender == nullptr || sender->bootId != m.bootId) return;
+  round_->acked.insert(m.incarnation);
+  heardAt_[m.incarnation] = now;
+  if (m.held > round_->flushed) {
+    round_->flushed = m.held;
+    round_->holder = m.incarnation;
+  }
+  considerCommit(now, out);
+}
+
+void Group::on(const schema::Nack& m, const settings::Endpoint&, base::TimePoint now, net::Outbox& out) {
+  if (!round_ || round_->proposal.round != m.round || !view_) return;
+  const auto* sender = find(round_->proposal.result, m.incarnation);
+  if (sender == nullptr) return;
+  heardAt_[m.incarnation] = now;
+  const bool senderVotes =
+      std::find(view_->voters.begin(), view_->voters.end(), sender->voterId) != view_->voters.end();
+  auto trial = round_->proposal.result;
+  std::erase_if(trial.members, [&](const auto& member) {
+    return std::find(m.faults.begin(), m.faults.end(), member.incarnation) != m.faults.end();
+  });
+  const bool namesMe = !in(trial, incarnation_);
+  if (!senderVotes && (namesMe || !quorate(trial))) {
+    // The missing events come from a manager on the small side of a cut: with them no quorum would be left. Once a
+    // majority of the voters has acknowledged without them they cannot have been committed, and the members that are
+    // no voters are told to let them go.
+    std::size_t acked = 0;
+    for (const auto& voter : view_->voters)
+      for (const auto& member : round_->proposal.result.members)
+        acked += member.voterId == voter && round_->acked.contains(member.incarnation);
+    if (2 * acked > view_->voters.size() && !round_->proposal.insist) {
+      round_->proposal.insist = true;
+      propose(now, out);
+    }
+    return;
+  }
+  if (namesMe) {
+    die("a voter holds an extension without this daemon", now);
+    return;
+  }
+  for (const auto f : m.faults) suspected_.insert(f);
+  considerExtension(now, out);
+}
+
+void Group::on(const schema::Commit& m, const settings::Endpoint&, base::TimePoint now, net::Outbox&) {
+  const schema::Member* self = nullptr;
+  for (const auto& member : m.result.members)
+    if (member.id == self_.id && member.bootId == bootId_) self = &member;
+  if (self == nullptr) {
+    // Somebody's newer view without this daemon.
+    if (view_ && m.result.number > view_->number && quorum(m.result, m.result.voters) && !leaseHeld(now))
+      die("left out of a newer view", now);
+    return;
+  }
+  if (!view_) incarnation_ = self->incarnation;
+  if (incarnation_ != self->incarnation) return;
+  if (round_ && round_->proposal.result.number <= m.result.number) round_.reset();
+  deliver(m, now);
+}
+
+void Group::on(const schema::YouAreDead& m, const settings::Endpoint&, base::TimePoint now, net::Outbox&) {
+  if (!view_ || m.incarnation != incarnation_) return;
+  die("told so", now);
+}
+
+void Group::on(const schema::Leave& m, const settings::Endpoint&, base::TimePoint now, net::Outbox& out) {
+  if (!view_ || !in(*view_, m.incarnation)) return;
+  leaving_.insert(m.incarnation);
+  if (m.successor != 0) successor_ = m.successor;
+  considerExtension(now, out);
+}
+
+void Group::leave(net::Outbox& out) {
+  if (leavingSelf_) return;
+  leavingSelf_ = true;
+  if (!view_) return;
+  schema::Leave leave;
+  leave.incarnation = incarnation_;
+  if (isLister())
+    for (const auto& m : view_->members)
+      if (m.incarnation != incarnation_ && m.role == static_cast<std::uint8_t>(Role::Controller) &&
+          !suspected_.contains(m.incarnation) && leave.successor == 0)
+        leave.successor = m.incarnation;
+  leaving_.insert(incarnation_);
+  // To the members that watch: whichever of them manages takes it up.
+  for (const auto* m : watched(base::TimePoint{})) out.push_back({addressOf(*m), leave});
+}
+
+}  // namespace indigohill::membership
--- /dev/null
+++ b/src/net/codec.hpp
@@ -0,0 +1,37 @@
+#pragma once
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.hpp"
+#include "schema/messages.hpp"
+#include "settings/settings.hpp"
+
+namespace indigohill::net {
+
+// A message on its way: state machines fill boxes of these, the link (or the simulator) empties them.
+struct Outgoing {
+  settings::Endpoint to;
+  schema::Message message;
+};
+using Outbox = std::vector<Outgoing>;
+
+constexpr std::uint8_t kWireVersion = 1;
+constexpr std::size_t kMaxMessageBytes = 16u << 20;
+
+// version, number of the message, checksum of the rest, then the Boost.Serialization archive. The checksum is looked
+// at before the archive is: a spoilt length inside it must not make the reader reserve memory for it.
+std::string encode(const schema::Message& message);
+base::Result<schema::Message> decode(std::string_view bytes);
+
+// Parts of messages are kept on disk in the same encoding.
+std::string encodeRecord(const schema::EpochRecord& record);
+std::string encodeFrame(const schema::Frame& frame);
+std::string encodeVote(const schema::Vote& vote);
+base::Result<schema::EpochRecord> decodeRecord(std::string_view bytes);
+base::Result<schema::Frame> decodeFrame(std::string_view bytes);
+base::Result<schema::Vote> decodeVote(std::string_view bytes);
+
+std::uint32_t checksum(std::string_view bytes);
+
+}  // namespace indigohill::net
--- /dev/null
+++ b/src/net/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace indigohill::net {
+class Link;
+struct Outgoing;
+}  // namespace indigohill::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,96 @@
+#include "net/link.hpp"
+
+#include <array>
+#include <charconv>
+
+#include "base/log.hpp"
+
+namespace indigohill::net {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+constexpr std::size_t kDatagram = 8000;
+constexpr std::size_t kChannelBacklog = 16;
+constexpr base::Millis kCallLimit{2000};
+constexpr const char* kPortHeader = "Indigohill-Cohort-Port";
+}  // namespace
+
+Link::Link(asio::any_io_executor strand, settings::Endpoint self, Receive receive)
+    : strand_(strand), self_(self), receive_(std::move(receive)), socket_(strand),
+      server_(strand, self, {16384, kMaxMessageBytes, base::Millis(60000)},
+              [this](http::Request request, settings::Endpoint from) -> asio::awaitable<http::Response> {
+                const auto port = request[kPortHeader];
+                std::uint16_t number = 0;
+                std::from_chars(port.data(), port.data() + port.size(), number);
+                from.port = number;
+                take(request.body(), from);
+                co_return http::answer(request, 204, "");
+              }) {
+  socket_.open(udp::v4());
+  socket_.bind({asio::ip::address_v4(self.ip), self.port});
+}
+
+void Link::start() {
+  server_.start();
+  asio::co_spawn(strand_, receiveLoop(), asio::detached);
+}
+
+void Link::take(std::string_view bytes, const settings::Endpoint& from) {
+  auto message = decode(bytes);
+  if (const auto* bad = base::fault(message)) {
+    ++dropped_;
+    spdlog::warn("message from {} dropped: {}", settings::text(from), bad->what);
+    return;
+  }
+  receive_(std::get<schema::Message>(message), from);
+}
+
+asio::awaitable<void> Link::receiveLoop() {
+  std::vector<char> buffer(65536);
+  udp::endpoint from;
+  for (;;) {
+    auto [error, bytes] = co_await socket_.async_receive_from(asio::buffer(buffer), from, http::kTuple);
+    if (error == asio::error::operation_aborted) co_return;
+    // A datagram to a port without a listener comes back as an error of the next receive: no reason to stop.
+    if (error) continue;
+    take({buffer.data(), bytes}, {from.address().to_v4().to_uint(), from.port()});
+  }
+}
+
+void Link::send(const Outbox& out) {
+  for (const auto& item : out) {
+    auto bytes = encode(item.message);
+    if (bytes.size() <= kDatagram) {
+      boost::system::error_code ignored;
+      socket_.send_to(asio::buffer(bytes), {asio::ip::address_v4(item.to.ip), item.to.port}, 0, ignored);
+      continue;
+    }
+    auto& channel = channels_[item.to];
+    if (!channel) channel = std::make_shared<Channel>(strand_, item.to);
+    channel->waiting.push_back(std::move(bytes));
+    if (channel->waiting.size() > kChannelBacklog) channel->waiting.pop_front();
+    if (!channel->busy) {
+      channel->busy = true;
+      asio::co_spawn(strand_, run(item.to, channel), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> Link::run(settings::Endpoint to, std::shared_ptr<Channel> channel) {
+  while (!channel->waiting.empty()) {
+    http::Request request(http::wire::verb::post, "/cohort", 11);
+    request.set(kPortHeader, std::to_string(self_.port));
+    request.body() = std::move(channel->waiting.front());
+    channel->waiting.pop_front();
+    auto result = co_await channel->client.call(std::move(request), kCallLimit);
+    if (const auto* bad = base::fault(result)) {
+      spdlog::debug("message to {} lost: {}", settings::text(to), bad->what);
+      channel->waiting.clear();
+    }
+  }
+  channel->busy = false;
+}
+
+}  // namespace indigohill::net
--- /dev/null
+++ b/src/pass/events.cpp
@@ -0,0 +1,45 @@
+#include "pass/events.hpp"
+
+#include <algorithm>
+
+namespace indigohill::pass {
+
+namespace {
+// The end of the last whole event: behind its blank line.
+std::size_t lastEnd(std::string_view text) {
+  const auto lf = text.rfind("\n\n");
+  const auto crlf = text.rfind("\r\n\r\n");
+  std::size_t end = 0;
+  if (lf != std::string_view::npos) end = lf + 2;
+  if (crlf != std::string_view::npos) end = std::max(end, crlf + 4);
+  return end;
+}
+}  // namespace
+
+std::string EventCutter::take(std::string_view bytes) {
+  rest_.append(bytes);
+  const auto end = lastEnd(rest_);
+  if (end == 0) return {};
+  auto whole = rest_.substr(0, end);
+  rest_.erase(0, end);
+  noteIds(whole);
+  return whole;
+}
+
+void EventCutter::noteIds(std::string_view events) {
+  std::size_t at = 0;
+  while (at < events.size()) {
+    auto end = events.find('\n', at);
+    if (end == std::string_view::npos) end = events.size();
+    auto line = events.substr(at, end - at);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      if (line.starts_with(' ')) line.remove_prefix(1);
+      lastId_ = line;
+    }
+    at = end + 1;
+  }
+}
+
+}  // namespace indigohill::pass
--- /dev/null
+++ b/src/pass/events.hpp
@@ -0,0 +1,23 @@
+#pragma once
+#include <string>
+#include <string_view>
+
+// The events of a stream (text/event-stream), cut at their ends.
+namespace indigohill::pass {
+
+class EventCutter {
+ public:
+  // Takes bytes as they come and gives back those that make whole events; the rest waits.
+  std::string take(std::string_view bytes);
+  // The id of the newest whole event, empty before the first.
+  const std::string& lastId() const { return lastId_; }
+  const std::string& rest() const { return rest_; }
+  std::size_t waiting() const { return rest_.size(); }
+  void drop() { rest_.clear(); }
+
+ private:
+  void noteIds(std::string_view events);
+  std::string rest_, lastId_;
+};
+
+}  // namespace indigohill::pass
--- /dev/null
+++ b/src/pass/executor.cpp
@@ -0,0 +1,539 @@
+#include "pass/executor.hpp"
+
+#include <array>
+#include <boost/algorithm/string.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <sstream>
+
+#include "base/log.hpp"
+
+namespace indigohill::pass {
+
+namespace asio = http::asio;
+namespace beast = http::beast;
+namespace wire = http::wire;
+using base::Millis;
+using base::Verdict;
+
+namespace {
+
+constexpr const char* kAttemptId = "Indigohill-Attempt-Id";
+constexpr const char* kTimeRemaining = "Indigohill-Time-Remaining";
+constexpr const char* kTarget = "Indigohill-Target-Instance";
+constexpr const char* kSeal = "Indigohill-Response-Seal";
+constexpr const char* kNotExecuted = "Indigohill-Not-Executed";
+constexpr const char* kLoad = "Indigohill-Instance-Load";
+constexpr const char* kPrompt = "Indigohill-Prompt-Prefix";
+constexpr const char* kUsage = "Indigohill-Token-Usage";
+constexpr const char* kLastEventId = "Last-Event-Id";
+
+constexpr std::size_t kBodyBuffered = 32u << 20;
+constexpr std::size_t kEventMost = 1u << 20;
+constexpr Millis kRunnerIdle{60000};
+
+template <class T>
+T number(std::string_view text, T fallback) {
+  T out{};
+  const auto [at, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc{} && at == text.data() + text.size() ? out : fallback;
+}
+
+std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+
+// Heads of answers are copied by this list: what a runner may tell a client, and nothing that concerns a connection.
+constexpr std::array kAnswerHeads{
+    "Content-Type",     "Content-Language", "Content-Encoding", "Content-Disposition", "Content-Range",
+    "Cache-Control",    "ETag",             "Expires",          "Last-Modified",       "Location",
+    "Vary",             "Date",             "Set-Cookie",       "Retry-After",         "Accept-Ranges",
+    "WWW-Authenticate", "X-Request-Id",     kAttemptId,         kSeal,                 kLoad,
+    "Indigohill-Instance-Id", "Indigohill-Weight-Versions", "Indigohill-Token-Usage"};
+
+bool concernsConnection(const wire::fields::value_type& field, const std::vector<std::string>& named) {
+  switch (field.name()) {
+    case wire::field::connection:
+    case wire::field::keep_alive:
+    case wire::field::proxy_connection:
+    case wire::field::proxy_authenticate:
+    case wire::field::proxy_authorization:
+    case wire::field::te:
+    case wire::field::trailer:
+    case wire::field::transfer_encoding:
+    case wire::field::upgrade:
+    case wire::field::expect:
+    case wire::field::content_length:
+      return true;
+    default:
+      break;
+  }
+  for (const auto& name : named)
+    if (beast::iequals(name, field.name_string())) return true;
+  return false;
+}
+
+Millis idleOf(const wire::fields& head) {
+  const auto text = view(head[wire::field::keep_alive]);
+  const auto at = text.find("timeout=");
+  if (at == std::string_view::npos) return kRunnerIdle;
+  auto rest = text.substr(at + 8);
+  rest = rest.substr(0, rest.find_first_not_of("0123456789"));
+  // A second early: the runner must not close it just as the next request is on its way.
+  return std::max(Millis(0), Millis(1000 * number<std::int64_t>(rest, 60) - 1000));
+}
+
+}  // namespace
+
+// One request under way and what the client has of its answer.
+struct Executor::Exchange {
+  beast::tcp_stream& client;
+  const http::Request& request;
+  const control::Route& route;
+  std::string attemptId;
+  base::TimePoint deadline;
+  bool stream = false;      // answered as events come
+  bool started = false;     // the client has bytes of the answer
+  bool keep = true;         // the client's connection can be used further
+  EventCutter events;
+  std::string resumeFrom;   // Last-Event-Id for the next runner
+  std::string notRunBody;   // what the runner said when it turned the request away
+};
+
+struct Executor::Outcome {
+  enum class End {
+    Answered,    // the client has its whole answer
+    ClientGone,  // nobody to answer any more
+    Refused,     // the runner said that it did not run it
+    Fault        // the runner broke off; `verdict` says whether it may have run
+  } end = End::Fault;
+  Verdict verdict = Verdict::MayHaveRun;
+  std::string what;
+};
+
+std::vector<std::pair<std::uint64_t, std::uint32_t>> parsePrompt(std::string_view text) {
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> out;
+  while (!text.empty() && out.size() < 64) {
+    const auto comma = text.find(',');
+    auto part = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    while (part.starts_with(' ')) part.remove_prefix(1);
+    const auto colon = part.find(':');
+    if (colon == std::string_view::npos) continue;
+    std::uint64_t id = 0;
+    const auto hex = part.substr(0, colon);
+    const auto [at, error] = std::from_chars(hex.data(), hex.data() + hex.size(), id, 16);
+    if (error != std::errc{} || at != hex.data() + hex.size()) continue;
+    out.emplace_back(id, number<std::uint32_t>(part.substr(colon + 1), 0));
+  }
+  return out;
+}
+
+http::Request forRunner(const http::Request& in, const std::string& instanceId, Millis left,
+                        const std::string& lastEventId) {
+  http::Request out;
+  out.version(11);
+  out.method_string(in.method_string());
+  out.target(in.target());
+  std::vector<std::string> named;
+  for (const auto& token : wire::token_list(in[wire::field::connection])) named.emplace_back(token);
+  for (const auto& field : in)
+    if (!concernsConnection(field, named)) out.insert(field.name(), field.name_string(), field.value());
+  out.set(kTimeRemaining, std::to_string(std::max<std::int64_t>(0, left.count())));
+  out.set(kTarget, instanceId);
+  if (!lastEventId.empty()) out.set(kLastEventId, lastEventId);
+  out.body() = in.body();
+  const bool bodiless = in.body().empty() && !in.has_content_length() && !in.chunked();
+  if (!bodiless) out.content_length(out.body().size());
+  return out;
+}
+
+void copyAnswerHead(const wire::fields& from, wire::fields& to) {
+  for (const auto* name : kAnswerHeads) {
+    const auto range = from.equal_range(name);
+    for (auto it = range.first; it != range.second; ++it) to.insert(it->name(), it->name_string(), it->value());
+  }
+}
+
+asio::awaitable<void> Executor::accept(http::tcp::acceptor& acceptor) {
+  for (;;) {
+    auto [error, socket] = co_await acceptor.async_accept(asio::make_strand(executor_), http::kTuple);
+    if (!acceptor.is_open()) co_return;
+    if (error) {
+      asio::steady_timer pause(executor_, Millis(50));
+      co_await pause.async_wait(http::kTuple);
+      continue;
+    }
+    auto strand = socket.get_executor();
+    asio::co_spawn(strand, session(std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> Executor::session(http::tcp::socket socket) {
+  http::tune(socket, Millis(10000));
+  beast::tcp_stream client(std::move(socket));
+  beast::flat_buffer buffer;
+  const auto simple = [&](int status, std::string text) -> asio::awaitable<void> {
+    http::Response out(static_cast<wire::status>(status), 11);
+    out.set(wire::field::content_type, "text/plain");
+    out.keep_alive(false);
+    out.body() = std::move(text);
+    out.prepare_payload();
+    client.expires_after(Millis(2000));
+    co_await wire::async_write(client, out, http::kTuple);
+  };
+  for (;;) {
+    const auto picture = table_.picture();
+    const auto limits = picture->configuration ? picture->configuration->limits : control::Limits{};
+    if (buffer.size() == 0) {
+      client.expires_after(limits.idleTimeout);
+      auto [error, bytes] = co_await client.async_read_some(buffer.prepare(8192), http::kTuple);
+      if (error) break;
+      buffer.commit(bytes);
+    }
+    wire::request_parser<wire::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(limits.maxHeaderBytes, 1u << 20)));
+    parser.body_limit(limits.maxBodyBytes);
+    client.expires_after(limits.headerTimeout);
+    auto [headError, headBytes] = co_await wire::async_read_header(client, buffer, parser, http::kTuple);
+    if (headError) {
+      if (headError == wire::error::header_limit || headError == wire::error::buffer_overflow)
+        co_await simple(431, "the head is too large");
+      else if (headError == wire::error::body_limit)
+        co_await simple(413, "the body is too large");
+      else if (headError == beast::error::timeout)
+        co_await simple(408, "the head took too long");
+      else if (headError.category() == boost::system::error_code(wire::error::bad_method).category() &&
+               headError != wire::error::end_of_stream && headError != wire::error::partial_message)
+        co_await simple(400, "the head is not HTTP: " + headError.message());
+      break;
+    }
+    const auto& head = parser.get();
+    // Anything that another reader of the same bytes might frame differently is turned away.
+    const auto transfer = head[wire::field::transfer_encoding];
+    if (head.count(wire::field::transfer_encoding) > 1 || (!transfer.empty() && !beast::iequals(transfer, "chunked")) ||
+        head.count(wire::field::content_length) > 1 ||
+        (!transfer.empty() && head.count(wire::field::content_length) > 0)) {
+      co_await simple(400, "the length of the body is not clear");
+      break;
+    }
+    if (head.count(wire::field::host) != 1 && head.version() >= 11) {
+      co_await simple(400, "one Host is wanted");
+      break;
+    }
+    if (beast::iequals(head[wire::field::expect], "100-continue")) {
+      static constexpr std::string_view go = "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(client, asio::buffer(go), http::kTuple);
+    }
+    if (!parser.is_done()) {
+      client.expires_after(std::max(limits.headerTimeout, limits.idleTimeout));
+      auto [error, bytes] = co_await wire::async_read(client, buffer, parser, http::kTuple);
+      if (error) {
+        if (error == wire::error::body_limit)
+          co_await simple(413, "the body is too large");
+        else if (error == beast::error::timeout)
+          co_await simple(408, "the body took too long");
+        else if (error.category() == boost::system::error_code(wire::error::bad_method).category() &&
+                 error != wire::error::end_of_stream && error != wire::error::partial_message)
+          co_await simple(400, "the body is not HTTP: " + error.message());
+        break;
+      }
+    }
+    auto request = parser.release();
+    ++counters_.requests;
+    ++counters_.active;
+    const bool keep = co_await serve(client, request, base::Clock::now());
+    --counters_.active;
+    if (!keep) break;
+  }
+  boost::system::error_code ignored;
+  client.socket().shutdown(http::tcp::socket::shutdown_send, ignored);
+  // What the client still sends is read for a moment: closing with unread bytes would reset the answer away.
+  client.expires_after(Millis(500));
+  std::array<char, 1024> rest;
+  for (;;) {
+    auto [error, bytes] = co_await client.async_read_some(asio::buffer(rest), http::kTuple);
+    if (error) break;
+  }
+}
+
+asio::awaitable<bool> Executor::reply(Exchange& x, int status, std::string body, double retryAfterS) {
+  http::Response out(static_cast<wire::status>(status), 11);
+  out.set(wire::field::content_type, "text/plain");
+  if (!x.attemptId.empty()) out.set(kAttemptId, x.attemptId);
+  if (retryAfterS > 0) out.set(wire::field::retry_after, fmt::format("{:.2f}", retryAfterS));
+  out.keep_alive(keepAlive(x.request));
+  out.body() = std::move(body);
+  out.prepare_payload();
+  x.client.expires_after(Millis(5000));
+  auto [error, bytes] = co_await wire::async_write(x.client, out, http::kTuple);
+  co_return !error && out.keep_alive();
+}
+
+asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
+  const auto picture = table_.picture();
+  const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
+  static const control::Route kNoRoute;
+  Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
+             true, {}, {}, {}};
+  if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
+  if (route == nullptr) co_return co_await reply(x, 404, "no route");
+
+  // The client's time, capped by what the operator wants a request held.
+  const auto told = number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000);
+  x.deadline = arrivedAt + std::min(route->timeout, Millis(std::clamp<std::int64_t>(told, 0, 86'400'000)));
+  x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
+  x.resumeFrom = std::string(request[kLastEventId]);
+
+  routing::Asked asked;
+  asked.route = route;
+  asked.service = routing::Table::pick(*route, x.attemptId);
+  asked.prompt = parsePrompt(view(request[kPrompt]));
+  const auto usage = view(request[kUsage]);
+  asked.promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
+  asked.arrivedAt = arrivedAt;
+  asked.deadline = x.deadline;
+  table_.arrived(asked.service, arrivedAt);
+
+  bool mayHaveRun = false;
+  std::string last = "not tried";
+  for (;;) {
+    const auto now = base::Clock::now();
+    if (now >= x.deadline) break;
+    auto decision = table_.decide(asked, now);
+    if (auto* shed = std::get_if<routing::Shed>(&decision)) {
+      last = shed->why;
+      if (mayHaveRun || x.started) break;
+      ++counters_.shed;
+      co_return co_await reply(x, shed->status, shed->why, shed->retryAfterS);
+    }
+    if (const auto* wait = std::get_if<routing::Wait>(&decision)) {
+      // Woken when a place comes free; looked at again anyway, since a cold runner's rate fills with time alone.
+      if (!co_await waitlist_.wait(route->priority, std::min(wait->until, now + Millis(25)))) {
+        if (mayHaveRun || x.started) break;
+        ++counters_.shed;
+        co_return co_await reply(x, 503, "too many wait", 0.5);
+      }
+      continue;
+    }
+    auto& to = std::get<routing::PassTo>(decision);
+    if (asked.tries > 0) ++counters_.retried;
+    ++asked.tries;
+    asked.tried.insert(to.instanceId);
+    auto outcome = co_await attempt(x, to);
+    to.taking.release();
+    waitlist_.wake();
+    if (outcome.end == Outcome::End::Answered) {
+      ++counters_.passed;
+      co_return x.keep && keepAlive(request);
+    }
+    if (outcome.end == Outcome::End::ClientGone) co_return false;
+    last = outcome.what;
+    if (outcome.verdict != Verdict::NotRun) mayHaveRun = true;
+    // What may have run is tried again only if it may run twice; a started stream only if it can be taken up.
+    if (outcome.verdict != Verdict::NotRun && !route->repeatable()) break;
+    if (x.started) {
+      if (!route->resumable || x.events.lastId().empty()) break;
+      ++counters_.resumed;
+    }
+    if (!x.events.lastId().empty()) x.resumeFrom = x.events.lastId();
+    x.events.drop();
+    if (asked.tries >= route->maxAttempts || !table_.drawRetry(asked.service, base::Clock::now())) break;
+  }
+
+  if (x.started) {
+    // Cut visibly: without the last chunk, nobody takes this for a whole answer.
+    ++counters_.cut;
+    spdlog::debug("stream {} cut: {}", x.attemptId, last);
+    boost::system::error_code ignored;
+    client.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    client.close();
+    co_return false;
+  }
+  ++counters_.failed;
+  spdlog::debug("request {} failed: {}", x.attemptId, last);
+  // Not run, and it never will be: said so, with when to come back. Otherwise nothing is promised.
+  if (!mayHaveRun) co_return co_await reply(x, 503, last, 0.2);
+  co_return co_await reply(x, base::Clock::now() >= x.deadline ? 504 : 502, last);
+}
+
+asio::awaitable<Executor::Outcome> Executor::attempt(Exchange& x, routing::PassTo& to) {
+  using End = Outcome::End;
+  auto taken = co_await pool_.take(to.instanceId, to.address, x.deadline);
+  if (const auto* bad = base::fault(taken)) {
+    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    co_return Outcome{End::Fault, Verdict::NotRun, bad->what};
+  }
+  auto connection = std::get<0>(std::move(taken));
+  auto& stream = connection->stream;
+  stream.expires_at(x.deadline);
+  const auto left = std::chrono::duration_cast<Millis>(x.deadline - base::Clock::now());
+  if (left.count() <= 0) co_return Outcome{End::Fault, Verdict::NotRun, "out of time"};
+  const auto outgoing = forRunner(x.request, to.instanceId, left, x.resumeFrom);
+  auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
+  if (writeError) {
+    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    co_return Outcome{End::Fault, Verdict::MayHaveRun, "sending: " + writeError.message()};
+  }
+
+  std::unique_ptr<wire::response_parser<wire::buffer_body>> parser;
+  bool strayed = false;
+  for (;;) {
+    parser = std::make_unique<wire::response_parser<wire::buffer_body>>();
+    parser->body_limit(boost::none);
+    if (x.request.method() == wire::verb::head) parser->skip(true);
+    auto [error, bytes] = co_await wire::async_read_header(stream, connection->buffer, *parser, http::kTuple);
+    if (error) {
+      const auto now = base::Clock::now();
+      if (error != beast::error::timeout) table_.mark(to.instanceId, routing::Mark::Fault, now);
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "waiting for the answer: " + error.message()};
+    }
+    const auto echoed = parser->get()[kAttemptId];
+    if (echoed.empty() || view(echoed) == x.attemptId) break;
+    // The late answer to another request, in the place of this one's: read past once; the connection is not used
+    // again afterwards.
+    if (strayed) co_return Outcome{End::Fault, Verdict::MayHaveRun, "answers of other requests"};
+    strayed = true;
+    std::array<char, 4096> waste;
+    while (!parser->is_done()) {
+      parser->get().body().data = waste.data();
+      parser->get().body().size = waste.size();
+      auto [skipError, skipped] = co_await wire::async_read_some(stream, connection->buffer, *parser, http::kTuple);
+      if (skipError && skipError != wire::error::need_buffer)
+        co_return Outcome{End::Fault, Verdict::MayHaveRun, "answer of another request: " + skipError.message()};
+    }
+  }
+  const auto& head = parser->get();
+  const auto status = static_cast<int>(head.result_int());
+  if (const auto load = view(head[kLoad]); !load.empty()) {
+    const auto first = load.find(','), second = load.find(',', first == std::string_view::npos ? first : first + 1);
+    if (second != std::string_view::npos)
+      table_.load(to.instanceId, number<std::uint32_t>(load.substr(0, first), 0),
+                  number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
+                  number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
+  }
+  const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
+  const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
+  Outcome outcome;
+  const auto idle = idleOf(head);
+  const bool reusable = head.keep_alive();
+  if (notRun) {
+    table_.mark(to.instanceId, routing::Mark::Refused, base::Clock::now());
+    std::array<char, 4096> waste;
+    bool whole = true;
+    while (whole && !parser->is_done()) {
+      parser->get().body().data = waste.data();
+      parser->get().body().size = waste.size();
+      auto [error, bytes] = co_await wire::async_read_some(stream, connection->buffer, *parser, http::kTuple);
+      if (error && error != wire::error::need_buffer) whole = false;
+    }
+    outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
+    if (!whole) co_return outcome;
+  } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
+    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    co_return Outcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
+  } else if (x.stream && status == 200) {
+    outcome = co_await relayEvents(x, *connection, *parser);
+  } else {
+    outcome = co_await answerWhole(x, *connection, *parser, to.instanceId);
+  }
+  const auto now = base::Clock::now();
+  if (outcome.end == End::Answered) table_.mark(to.instanceId, routing::Mark::Good, now);
+  if (outcome.end == End::Fault && now < x.deadline) table_.mark(to.instanceId, routing::Mark::Fault, now);
+  if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
+    pool_.giveBack(to.instanceId, std::move(connection), idle);
+  co_return outcome;
+}
+
+// An answer that is no stream: read whole before a byte of it is passed on, so that the client gets all or nothing.
+asio::awaitable<Executor::Outcome> Executor::answerWhole(Exchange& x, Connection& connection,
+                                                         wire::response_parser<wire::buffer_body>& parser,
+                                                         const std::string& instanceId) {
+  using End = Outcome::End;
+  http::Response out(parser.get().result(), 11);
+  copyAnswerHead(parser.get(), out);
+  std::array<char, 16384> part;
+  while (!parser.is_done()) {
+    parser.get().body().data = part.data();
+    parser.get().body().size = part.size();
+    auto [error, bytes] = co_await wire::async_read_some(connection.stream, connection.buffer, parser, http::kTuple);
+    if (error && error != wire::error::need_buffer)
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer breaks off: " + error.message()};
+    out.body().append(part.data(), part.size() - parser.get().body().size);
+    if (out.body().size() > kBodyBuffered) co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer is too large"};
+  }
+  const auto status = out.result_int();
+  // To a client these statuses promise that the request has not run. The runner gave no such word.
+  if (status == 429 || status == 503 || status == 408)
+    co_return Outcome{End::Fault, Verdict::MayHaveRun, instanceId + " answered " + std::to_string(status)};
+  if (x.started) co_return Outcome{End::Fault, Verdict::MayHaveRun, "answered " + std::to_string(status)};
+  out.keep_alive(keepAlive(x.request));
+  if (x.request.method() == wire::verb::head)
+    out.content_length(boost::none);
+  else
+    out.prepare_payload();
+  x.client.expires_after(Millis(10000));
+  auto [error, bytes] = co_await wire::async_write(x.client, out, http::kTuple);
+  if (error) co_return Outcome{End::ClientGone, Verdict::Ran, error.message()};
+  co_return Outcome{End::Answered, Verdict::Ran, {}};
+}
+
+// A stream: each event is passed on as it comes, and only whole ones, so that another runner can take it up behind
+// the last. The head goes out with the first event; until then another runner may still answer.
+asio::awaitable<Executor::Outcome> Executor::relayEvents(Exchange& x, Connection& connection,
+                                                         wire::response_parser<wire::buffer_body>& parser) {
+  using End = Outcome::End;
+  std::string text;
+  const auto pass = [&](std::string events, bool last) -> asio::awaitable<bool> {
+    text.clear();
+    if (!x.started) {
+      wire::response<wire::empty_body> head(parser.get().result(), 11);
+      copyAnswerHead(parser.get(), head);
+      head.keep_alive(keepAlive(x.request));
+      head.chunked(true);
+      x.keep = head.keep_alive();
+      std::ostringstream lines;
+      lines << head.base();
+      text = std::move(lines).str();
+      x.started = true;
+    }
+    // Head, chunk and last chunk leave in one write.
+    std::vector<asio::const_buffer> parts{asio::buffer(text)};
+    const auto chunk = wire::make_chunk(asio::buffer(events));
+    if (!events.empty())
+      for (auto it = asio::buffer_sequence_begin(chunk); it != asio::buffer_sequence_end(chunk); ++it)
+        parts.push_back(*it);
+    const auto end = wire::make_chunk_last();
+    if (last)
+      for (auto it = asio::buffer_sequence_begin(end); it != asio::buffer_sequence_end(end); ++it) parts.push_back(*it);
+    // A client that does not read holds the runner up for as long as its deadline lasts.
+    x.client.expires_at(x.deadline + Millis(500));
+    auto [error, bytes] = co_await asio::async_write(x.client, parts, http::kTuple);
+    co_return !error;
+  };
+  std::array<char, 16384> part;
+  // An empty body is whole with its head.
+  if (parser.is_done() && !co_await pass({}, true)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+  while (!parser.is_done()) {
+    parser.get().body().data = part.data();
+    parser.get().body().size = part.size();
+    auto [error, bytes] = co_await wire::async_read_some(connection.stream, connection.buffer, parser, http::kTuple);
+    const std::size_t got = part.size() - parser.get().body().size;
+    auto whole = x.events.take({part.data(), got});
+    if (error && error != wire::error::need_buffer) {
+      if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the stream breaks off: " + error.message()};
+    }
+    if (x.events.waiting() > kEventMost) co_return Outcome{End::Fault, Verdict::MayHaveRun, "an event is too large"};
+    const bool last = parser.is_done();
+    if (last) {
+      // The runner's body is whole: what is left of it is passed on even if no blank line ends it.
+      whole += x.events.rest();
+      x.events.drop();
+    }
+    if ((last || !whole.empty()) && !co_await pass(std::move(whole), last))
+      co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+  }
+  co_return Outcome{End::Answered, Verdict::Ran, {}};
+}
+
+}  // namespace indigohill::pass
--- /dev/null
+++ b/src/pass/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace indigohill::pass {
+class EventCutter;
+class Executor;
+class Pool;
+}  // namespace indigohill::pass
--- /dev/null
+++ b/src/pass/waitlist.hpp
@@ -0,0 +1,59 @@
+#pragma once
+#include <boost/asio/post.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "http/types.hpp"
+
+namespace indigohill::pass {
+
+// Requests that wait for a place at a runner: the most urgent first, among equals the oldest. Bounded, so that what
+// waits can still be served within its aim.
+class Waitlist {
+ public:
+  explicit Waitlist(std::size_t most) : most_(most) {}
+
+  // Waits until woken or until `until`; false at once when the list is full.
+  http::asio::awaitable<bool> wait(std::uint32_t priority, base::TimePoint until) {
+    auto timer = std::make_shared<http::asio::steady_timer>(co_await http::asio::this_coro::executor, until);
+    {
+      const std::lock_guard lock(mutex_);
+      if (waiting_.size() >= most_) co_return false;
+      waiting_.emplace(priority, timer);
+    }
+    co_await timer->async_wait(http::kTuple);
+    const std::lock_guard lock(mutex_);
+    for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
+      if (it->second == timer) {
+        waiting_.erase(it);
+        break;
+      }
+    co_return true;
+  }
+
+  // A place has come free: the first in line asks again.
+  void wake() {
+    std::shared_ptr<http::asio::steady_timer> first;
+    {
+      const std::lock_guard lock(mutex_);
+      if (waiting_.empty()) return;
+      first = std::move(waiting_.begin()->second);
+      waiting_.erase(waiting_.begin());
+    }
+    // Timers belong to their strand; cancelling goes through it.
+    http::asio::post(first->get_executor(), [first] { first->cancel(); });
+  }
+
+  std::size_t size() const {
+    const std::lock_guard lock(mutex_);
+    return waiting_.size();
+  }
+
+ private:
+  std::size_t most_;
+  mutable std::mutex mutex_;
+  std::multimap<std::uint32_t, std::shared_ptr<http::asio::steady_timer>> waiting_;
+};
+
+}  // namespace indigohill::pass
--- /dev/null
+++ b/src/routing/table.cpp
@@ -0,0 +1,300 @@
+#include "routing/table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.hpp"
+#include "membership/group.hpp"
+
+namespace indigohill::routing {
+
+namespace {
+constexpr base::Millis kBucket{250};
+constexpr base::Millis kReportLife{2000};  // a told load counts less and less over this
+constexpr std::uint32_t kFaultsToEject = 2;
+constexpr base::Millis kEject{1000}, kEjectMost{8000};
+}  // namespace
+
+const control::Route* Picture::route(std::string_view host, std::string_view path) const {
+  std::string name(host.substr(0, host.find(':')));
+  for (auto& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  const auto found = byHost.find(name);
+  if (found == byHost.end()) return nullptr;
+  path = path.substr(0, path.find('?'));
+  for (const auto* route : found->second)
+    if (path.starts_with(route->prefix)) return route;
+  return nullptr;
+}
+
+void fold(Picture& picture, const Event& event) {
+  if (const auto* frame = std::get_if<FrameCame>(&event)) {
+    if (frame->stamp <= picture.frameStamp) return;
+    picture.frameStamp = frame->stamp;
+    picture.configuration = frame->configuration;
+    picture.evacuated = {frame->evacuated.begin(), frame->evacuated.end()};
+    picture.byHost.clear();
+    if (!picture.configuration) return;
+    for (const auto& route : picture.configuration->routes) picture.byHost[route.host].push_back(&route);
+    for (auto& [host, routes] : picture.byHost)
+      std::stable_sort(routes.begin(), routes.end(),
+                       [](const auto* a, const auto* b) { return a->prefix.size() > b->prefix.size(); });
+  } else if (const auto* runners = std::get_if<RunnersCame>(&event)) {
+    if (picture.hasRunners && runners->stamp < picture.runnersStamp) return;
+    picture.runnersStamp = runners->stamp;
+    picture.runners = runners->runners;
+    picture.listedAt = runners->listedAt;
+    picture.hasRunners = true;
+  } else if (const auto* view = std::get_if<ViewCame>(&event)) {
+    picture.view = view->view;
+  }
+}
+
+void Taking::release() {
+  if (auto* table = std::exchange(table_, nullptr)) table->giveBack(instanceId_, prompt_);
+}
+
+Table::Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt)
+    : zone_(std::move(zone)), bounds_(bounds), picture_(std::make_shared<const Picture>()), startedAt_(startedAt),
+      random_(seed) {}
+
+std::shared_ptr<const Picture> Table::picture() const {
+  const std::lock_guard lock(mutex_);
+  return picture_;
+}
+
+void Table::setLease(base::TimePoint until) {
+  const std::lock_guard lock(mutex_);
+  leaseUntil_ = until;
+}
+
+void Table::setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto before = std::exchange(picture_, std::move(picture));
+  if (picture_->view) {
+    const auto routers = static_cast<std::size_t>(
+        std::count_if(picture_->view->members.begin(), picture_->view->members.end(), [](const auto& m) {
+          return m.role == static_cast<std::uint8_t>(membership::Role::Router);
+        }));
+    if (routerCounts_.empty() || routerCounts_.back().second != routers) routerCounts_.emplace_back(now, routers);
+  }
+  for (auto& [id, runner] : runners_) runner.listed = false;
+  for (const auto& entry : picture_->runners) {
+    auto& runner = runners_[entry.instanceId];
+    runner.listed = true;
+    const bool newsOfIt = picture_->runnersStamp != before->runnersStamp;
+    runner.entry = entry;
+    // The list was read before it came here and lags by itself; what is left is counted from now, on the safe side.
+    if (newsOfIt && entry.warmupLeftMs > 0)
+      runner.coldUntil = std::max(runner.coldUntil, now + base::Millis(entry.warmupLeftMs));
+    // Taken back from an evacuation, runners may have turned cold.
+    if (before->evacuated.contains(entry.zone) && !picture_->evacuated.contains(entry.zone) && picture_->configuration)
+      if (const auto* service = picture_->configuration->service(entry.service))
+        runner.coldUntil = std::max(runner.coldUntil, now + service->warmup);
+  }
+  std::erase_if(runners_, [](const auto& item) { return !item.second.listed && item.second.own == 0; });
+}
+
+void Table::Window::expire(base::TimePoint now, base::Millis window) {
+  while (!buckets.empty() && now - buckets.front().first >= window) {
+    sum -= buckets.front().second;
+    buckets.pop_front();
+  }
+}
+
+void Table::Window::add(base::TimePoint now, base::Millis window) {
+  expire(now, window);
+  if (buckets.empty() || now - buckets.back().first >= kBucket) buckets.emplace_back(now, 0);
+  ++buckets.back().second;
+  ++sum;
+}
+
+void Table::arrived(const std::string& service, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  budgets_[service].requests.add(now, bounds_.retryWindow);
+}
+
+std::string Table::pick(const control::Route& route, std::string_view attemptId) {
+  if (route.split.size() == 1) return route.split.front().first;
+  std::uint64_t sum = 0;
+  for (const auto& [service, weight] : route.split) sum += weight;
+  auto at = base::hash(attemptId) % sum;
+  for (const auto& [service, weight] : route.split) {
+    if (at < weight) return service;
+    at -= weight;
+  }
+  return route.split.back().first;
+}
+
+// The largest number of routers that any view of the last `memory` held. A daemon's share thus shrinks at once when
+// the group grows, and grows only after every daemon that was left out has lost its lease.
+std::size_t Table::routersLocked(base::TimePoint now, base::Millis memory) const {
+  if (routerCounts_.empty()) return 0;
+  std::size_t most = routerCounts_.back().second;
+  for (std::size_t i = 0; i + 1 < routerCounts_.size(); ++i)
+    if (now - routerCounts_[i + 1].first < memory) most = std::max(most, routerCounts_[i].second);
+  return std::max<std::size_t>(1, most);
+}
+
+std::size_t Table::routers(base::TimePoint now, base::Millis memory) const {
+  const std::lock_guard lock(mutex_);
+  return routersLocked(now, memory);
+}
+
+bool Table::drawRetry(const std::string& service, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  // Further tries rest on the view: none without a lease.
+  if (now >= leaseUntil_) return false;
+  auto& budget = budgets_[service];
+  budget.requests.expire(now, bounds_.retryWindow);
+  budget.tries.expire(now, bounds_.retryWindow);
+  const auto routers = routersLocked(now, bounds_.retryWindow + bounds_.lease);
+  if (routers == 0) return false;
+  // The ratio counts this daemon's own requests, which adds up over daemons by itself. The slack is split. A process
+  // that has just started cannot know what its last life used of it, and leaves it alone for one window.
+  const bool seasoned = now - startedAt_ >= bounds_.retryWindow;
+  const double slack = seasoned ? 0.8 * bounds_.retrySlack / static_cast<double>(routers) : 0;
+  const double allowed = 0.9 * bounds_.retryRatio * static_cast<double>(budget.requests.sum) + slack;
+  if (static_cast<double>(budget.tries.sum) + 1 > allowed) return false;
+  budget.tries.add(now, bounds_.retryWindow);
+  return true;
+}
+
+double Table::demand(const Runner& runner, base::TimePoint now) const {
+  const double fresh = 1 - std::min(1.0, base::seconds(now - runner.reportedAt) / base::seconds(kReportLife));
+  return runner.own + runner.reported * std::max(0.0, fresh);
+}
+
+// A cold runner's rate is shared by all routers of the view; each keeps to its part of the rate with one in hand.
+bool Table::takeWarm(Runner& runner, const control::Service& service, base::TimePoint now) {
+  if (service.warmupPerS <= 0) return true;
+  if (now >= leaseUntil_) return false;
+  const auto routers = static_cast<double>(routersLocked(now, bounds_.lease + base::Millis(1000)));
+  if (routers == 0) return false;
+  const double most = 0.9 * (service.warmupPerS * bounds_.warmupOvershoot + bounds_.warmupSlack);
+  const double rate = std::min(service.warmupPerS, most - routers) / routers;
+  if (rate <= 0) return false;
+  if (runner.warmAt == base::TimePoint{}) runner.warmAt = now;
+  runner.warmTokens = std::min(1.0, runner.warmTokens + rate * base::seconds(now - runner.warmAt));
+  runner.warmAt = now;
+  if (runner.warmTokens < 1) return false;
+  runner.warmTokens -= 1;
+  return true;
+}
+
+Decision Table::decide(const Asked& asked, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
+  if (service == nullptr) return Shed{503, 0.5, "service unknown"};
+  struct Choice {
+    Runner* runner;
+    double demand;
+    std::uint64_t rank;
+  };
+  std::vector<Choice> choices, ejected;
+  double sum = 0;
+  std::size_t there = 0;
+  const bool engine = service->kvCacheTokens > 0;
+  std::uint64_t key = 0;
+  // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
+  for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i)
+    key = base::hash({reinterpret_cast<const char*>(&asked.prompt[i].first), sizeof(std::uint64_t)}, key + 1);
+  const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
+  const auto connections =
+      std::max<std::uint32_t>(1, service->maxConnections == 0
+                                     ? 64
+                                     : static_cast<std::uint32_t>(service->maxConnections / routersNow));
+  for (auto& [id, runner] : runners_) {
+    const auto& e = runner.entry;
+    if (!runner.listed || e.service != asked.service || e.draining || picture_->evacuated.contains(e.zone)) continue;
+    ++there;
+    if (asked.tried.contains(id) || runner.own >= connections) continue;
+    const double d = demand(runner, now);
+    sum += d;
+    Choice choice{&runner, d, base::hash(id, key + 1)};
+    if (runner.ejectedUntil > now || runner.trial)
+      ejected.push_back(choice);
+    else
+      choices.push_back(choice);
+  }
+  // When every runner looks ill, the daemon's own sight is the likelier fault: all are used again.
+  if (choices.empty()) choices = std::move(ejected);
+  const auto waitUntil = [&] {
+    const auto quarter = asked.route->targetLatency.count() > 0 ? asked.route->targetLatency / 4 : base::Millis(250);
+    return std::min(asked.arrivedAt + quarter, asked.deadline);
+  };
+  const auto none = [&](const char* why) -> Decision {
+    if (now >= waitUntil()) return Shed{503, 0.3, why};
+    return Wait{waitUntil()};
+  };
+  if (choices.empty()) return none(there == 0 ? "no runner" : "no runner left to try");
+  const double mean = sum / static_cast<double>(choices.size());
+  for (auto& choice : choices) choice.demand += std::uniform_real_distribution<double>(0, 0.5)(random_);
+  if (engine && key != 0) {
+    // Rendezvous order, but past runners that have clearly more to do than the others.
+    const double bound = 1.3 * mean + 4;
+    std::sort(choices.begin(), choices.end(), [&](const Choice& a, const Choice& b) {
+      const bool overA = a.demand > bound, overB = b.demand > bound;
+      if (overA != overB) return overB;
+      return overA ? a.demand < b.demand : a.rank > b.rank;
+    });
+  } else {
+    // Least demand for its slots; the own domain when that makes no difference.
+    const auto cost = [&](const Choice& c) {
+      return c.demand / c.runner->entry.slots + (c.runner->entry.zone == zone_ ? 0 : 0.12);
+    };
+    std::sort(choices.begin(), choices.end(), [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
+  }
+  for (auto& choice : choices) {
+    auto& runner = *choice.runner;
+    const double most = engine ? 1.25 * runner.entry.slots : 2.0 * runner.entry.slots;
+    if (choice.demand >= most) continue;
+    if (runner.coldUntil > now && !takeWarm(runner, *service, now)) continue;
+    runner.own += 1;
+    runner.ownPrompt += asked.promptTokens;
+    if (runner.ejectedUntil != base::TimePoint{} && runner.ejectedUntil <= now) runner.trial = true;
+    return PassTo{runner.entry.instanceId,
+                  {runner.entry.ip, runner.entry.port},
+                  runner.entry.zone,
+                  connections,
+                  Taking(this, runner.entry.instanceId, asked.promptTokens)};
+  }
+  return none("every runner is full");
+}
+
+void Table::giveBack(const std::string& instanceId, std::uint32_t prompt) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end()) return;
+  auto& runner = found->second;
+  if (runner.own > 0) --runner.own;
+  runner.ownPrompt -= std::min<std::uint64_t>(runner.ownPrompt, prompt);
+}
+
+void Table::mark(const std::string& instanceId, Mark mark, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end()) return;
+  auto& runner = found->second;
+  runner.trial = false;
+  if (mark == Mark::Fault) {
+    if (++runner.faults < kFaultsToEject && runner.ejectedUntil == base::TimePoint{}) return;
+    const auto over = std::min<std::uint32_t>(3, runner.faults - std::min(runner.faults, kFaultsToEject));
+    runner.ejectedUntil = now + std::min(kEject * (1u << over), kEjectMost);
+  } else {
+    runner.faults = 0;
+    runner.ejectedUntil = {};
+  }
+}
+
+void Table::load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t,
+                 base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end()) return;
+  auto& runner = found->second;
+  const double others = static_cast<double>(running) + waiting - runner.own;
+  runner.reported = std::max(0.0, others);
+  runner.reportedAt = now;
+}
+
+}  // namespace indigohill::routing
--- /dev/null
+++ b/src/routing/table.hpp
@@ -0,0 +1,179 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/time.hpp"
+#include "control/configuration.hpp"
+#include "schema/messages.hpp"
+#include "settings/settings.hpp"
+
+// Where a request goes. The Decision is asked; the executor (src/pass) obeys. No I/O, the time is an argument.
+namespace indigohill::routing {
+
+// What traffic reads of the control side: one immutable value, folded from the journal of news and views.
+struct Picture {
+  schema::Stamp frameStamp, runnersStamp;
+  std::shared_ptr<const control::Configuration> configuration;
+  std::unordered_map<std::string, std::vector<const control::Route*>> byHost;  // longest prefix first
+  std::set<std::string> evacuated;
+  std::vector<schema::RunnerEntry> runners;
+  base::TimePoint listedAt{};
+  bool hasRunners = false;
+  std::optional<schema::View> view;
+
+  const control::Route* route(std::string_view host, std::string_view path) const;
+};
+
+// The events the picture is folded from.
+struct FrameCame {
+  schema::Stamp stamp;
+  std::shared_ptr<const control::Configuration> configuration;
+  std::vector<std::string> evacuated;
+};
+struct RunnersCame {
+  schema::Stamp stamp;
+  std::vector<schema::RunnerEntry> runners;
+  base::TimePoint listedAt;
+};
+struct ViewCame {
+  std::optional<schema::View> view;
+};
+using Event = std::variant<FrameCame, RunnersCame, ViewCame>;
+void fold(Picture& picture, const Event& event);
+
+struct Asked {
+  const control::Route* route = nullptr;
+  std::string service;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt;  // parts: id, tokens
+  std::uint32_t promptTokens = 0, outTokens = 0;
+  std::uint32_t tries = 0;
+  std::set<std::string> tried;  // runners that had it already
+  base::TimePoint arrivedAt, deadline;
+};
+
+class Table;
+
+// A place taken at a runner; given back when this goes.
+class Taking {
+ public:
+  Taking() = default;
+  Taking(Table* table, std::string instanceId, std::uint32_t prompt) noexcept
+      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt) {}
+  Taking(Taking&& other) noexcept
+      : table_(std::exchange(other.table_, nullptr)), instanceId_(std::move(other.instanceId_)), prompt_(other.prompt_) {}
+  Taking& operator=(Taking&& other) noexcept {
+    if (this != &other) {
+      release();
+      table_ = std::exchange(other.table_, nullptr);
+      instanceId_ = std::move(other.instanceId_);
+      prompt_ = other.prompt_;
+    }
+    return *this;
+  }
+  ~Taking() { release(); }
+  void release();
+
+ private:
+  Table* table_ = nullptr;
+  std::string instanceId_;
+  std::uint32_t prompt_ = 0;
+};
+
+struct PassTo {
+  std::string instanceId;
+  settings::Endpoint address;
+  std::string zone;
+  std::uint32_t connections = 1;  // how many this daemon may hold to it
+  Taking taking;
+};
+struct Wait {
+  base::TimePoint until;
+};
+struct Shed {
+  int status = 503;
+  double retryAfterS = 0;
+  std::string why;
+};
+using Decision = std::variant<PassTo, Wait, Shed>;
+
+// How a try at a runner went, as far as the runner's health is concerned.
+enum class Mark { Good, Refused, Fault };
+
+struct Bounds {
+  double retryRatio = 0.2, retrySlack = 0, warmupOvershoot = 1.5, warmupSlack = 5;
+  base::Millis retryWindow{10000}, lease{1500};
+};
+
+class Table {
+ public:
+  Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt);
+
+  // Every change of the picture goes through here; the table keeps its own state of each runner beside it.
+  void setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now);
+  std::shared_ptr<const Picture> picture() const;
+  void setLease(base::TimePoint until);
+
+  // A request has come in for a service: the base of the retry budget.
+  void arrived(const std::string& service, base::TimePoint now);
+  // Which service of a split a request goes to; the same for the same id.
+  static std::string pick(const control::Route& route, std::string_view attemptId);
+  Decision decide(const Asked& asked, base::TimePoint now);
+  // Whether one further try may be made now; it is counted if so.
+  bool drawRetry(const std::string& service, base::TimePoint now);
+  void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
+  void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
+            base::TimePoint now);
+  std::size_t routers(base::TimePoint now, base::Millis memory) const;
+
+ private:
+  friend class Taking;
+  struct Runner {
+    schema::RunnerEntry entry;
+    std::uint32_t own = 0;        // own requests there
+    std::uint64_t ownPrompt = 0;  // prompt tokens of those
+    double reported = 0;          // running and waiting as last told, less those own
+    base::TimePoint reportedAt{};
+    base::TimePoint coldUntil{};
+    double warmTokens = 1;
+    base::TimePoint warmAt{};
+    std::uint32_t faults = 0;
+    base::TimePoint ejectedUntil{};
+    bool trial = false;
+    bool listed = true;
+  };
+  struct Window {
+    std::deque<std::pair<base::TimePoint, std::uint32_t>> buckets;
+    std::uint64_t sum = 0;
+    void add(base::TimePoint now, base::Millis window);
+    void expire(base::TimePoint now, base::Millis window);
+  };
+  struct Budget {
+    Window requests, tries;
+  };
+
+  double demand(const Runner& runner, base::TimePoint now) const;
+  bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
+  std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
+  void giveBack(const std::string& instanceId, std::uint32_t prompt);
+
+  std::string zone_;
+  Bounds bounds_;
+  mutable std::mutex mutex_;  // lock order: docs/design.md, "Threads and locks"
+  std::shared_ptr<const Picture> picture_;
+  std::map<std::string, Runner> runners_;
+  std::map<std::string, Budget> budgets_;
+  std::deque<std::pair<base::TimePoint, std::size_t>> routerCounts_;
+  base::TimePoint leaseUntil_{}, startedAt_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace indigohill::routing
--- /dev/null
+++ b/src/runners/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace indigohill::runners {
+struct Page;
+class Lister;
+}  // namespace indigohill::runners
--- /dev/null
+++ b/src/runners/list.cpp
@@ -0,0 +1,70 @@
+#include "runners/list.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace indigohill::runners {
+
+namespace json = boost::json;
+
+namespace {
+template <class T>
+T wholeOr(const json::object& o, const char* name, T fallback) {
+  const auto* v = o.if_contains(name);
+  if (v == nullptr || !v->is_number()) return fallback;
+  const auto number = v->to_number<double>();
+  return number < 0 || number > 4e9 ? fallback : static_cast<T>(number);
+}
+std::string textOr(const json::object& o, const char* name) {
+  const auto* v = o.if_contains(name);
+  return v != nullptr && v->is_string() ? std::string(v->as_string()) : std::string();
+}
+}  // namespace
+
+base::Result<Page> parsePage(std::string_view body) {
+  json::error_code error;
+  const auto value = json::parse(json::string_view(body.data(), body.size()), error);
+  const auto wrong = [](const std::string& what) { return base::Fault{base::Verdict::NotRun, what}; };
+  if (error) return wrong("list of runners: " + error.message());
+  if (!value.is_object()) return wrong("list of runners: an object is wanted");
+  const auto* instances = value.as_object().if_contains("instances");
+  if (instances == nullptr || !instances->is_array()) return wrong("instances: a list is wanted");
+  Page page;
+  page.nextPageToken = textOr(value.as_object(), "nextPageToken");
+  for (const auto& item : instances->as_array()) {
+    if (!item.is_object()) return wrong("instances: an object is wanted");
+    const auto& o = item.as_object();
+    schema::RunnerEntry e;
+    e.instanceId = textOr(o, "instanceId");
+    e.service = textOr(o, "targetService");
+    e.zone = textOr(o, "zone");
+    auto address = settings::parseEndpoint(textOr(o, "address"));
+    if (e.instanceId.empty() || e.service.empty() || base::fault(address)) return wrong("instances: incomplete entry");
+    e.ip = std::get<settings::Endpoint>(address).ip;
+    e.port = std::get<settings::Endpoint>(address).port;
+    e.slots = std::max<std::uint32_t>(1, wholeOr<std::uint32_t>(o, "capacitySlots", 1));
+    // Anything but ready is treated as leaving: nothing new is passed to what is not known to be well.
+    e.draining = textOr(o, "state") != "ready";
+    e.warmupLeftMs = wholeOr<std::uint32_t>(o, "warmupLeftMs", 0);
+    page.runners.push_back(std::move(e));
+  }
+  return page;
+}
+
+base::Millis listPeriod(const settings::Settings& s) {
+  const auto wanted = std::clamp(s.drainTimeoutMs / 6, base::Millis(100), base::Millis(1000));
+  const base::Millis least(static_cast<std::int64_t>(8000.0 / std::max(1.0, s.ratePerS)));
+  return std::max(wanted, least);
+}
+
+bool sameRunners(const std::vector<schema::RunnerEntry>& a, const std::vector<schema::RunnerEntry>& b,
+                 base::Millis between) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [&](auto x, const auto& y) {
+    const auto left = std::max<std::int64_t>(0, static_cast<std::int64_t>(x.warmupLeftMs) - between.count());
+    const bool warmSame = std::abs(left - static_cast<std::int64_t>(y.warmupLeftMs)) < 400;
+    x.warmupLeftMs = y.warmupLeftMs;
+    return warmSame && x == y;
+  });
+}
+
+}  // namespace indigohill::runners
--- /dev/null
+++ b/src/store/fwd.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+namespace indigohill::store {
+class Store;
+}  // namespace indigohill::store
