--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -171,7 +171,7 @@
   // spreads the routers that do so.
   void considerReading(base::TimePoint now) {
     const auto& s = watch_.now();
-    const auto patience = s.drainTimeoutMs / 2 + Millis(seed_ % 500);
+    const auto patience = s.drainTimeoutMs * 4 / 5 + Millis(seed_ % 400);
     if (reading_ || now - source_.listedAt() < patience || now - readAt_ < Millis(1000)) return;
     if (!source_.hasRunners() && now - startedAt_ < 3 * patience) return;
     reading_ = true;
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -11,7 +11,7 @@
 namespace indigohill::feed {
 
 struct Times {
-  base::Millis hold{900};    // an ask without news is answered after this
+  base::Millis hold{700};    // an ask without news is answered after this
   base::Millis again{1500};  // an ask without an answer is sent again after this, to another daemon
 };
 
