--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -82,6 +82,33 @@
   return std::max(Millis(0), Millis(1000 * number<std::int64_t>(rest, 60) - 1000));
 }
 
+// Bounds a read without closing the connection, which the stream's own time-out would: the client is still to be
+// told 408.
+class Bound {
+ public:
+  Bound(beast::tcp_stream& stream, Millis limit) : timer_(stream.get_executor(), limit), state_(std::make_shared<State>()) {
+    stream.expires_never();
+    state_->stream = &stream;
+    timer_.async_wait([state = state_](boost::system::error_code error) {
+      if (error || state->stream == nullptr) return;
+      state->fired = true;
+      state->stream->cancel();
+    });
+  }
+  ~Bound() { state_->stream = nullptr; }
+  Bound(const Bound&) = delete;
+  Bound& operator=(const Bound&) = delete;
+  bool fired() const { return state_->fired; }
+
+ private:
+  struct State {
+    beast::tcp_stream* stream = nullptr;
+    bool fired = false;
+  };
+  asio::steady_timer timer_;
+  std::shared_ptr<State> state_;
+};
+
 }  // namespace
 
 // One request under way and what the client has of its answer.
@@ -193,15 +220,21 @@
     wire::request_parser<wire::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(limits.maxHeaderBytes, 1u << 20)));
     parser.body_limit(limits.maxBodyBytes);
-    client.expires_after(limits.headerTimeout);
-    auto [headError, headBytes] = co_await wire::async_read_header(client, buffer, parser, http::kTuple);
+    boost::system::error_code headError;
+    bool headLate = false;
+    {
+      const Bound bound(client, limits.headerTimeout);
+      auto [error, bytes] = co_await wire::async_read_header(client, buffer, parser, http::kTuple);
+      headError = error;
+      headLate = bound.fired();
+    }
     if (headError) {
-      if (headError == wire::error::header_limit || headError == wire::error::buffer_overflow)
+      if (headLate)
+        co_await simple(408, "the head took too long");
+      else if (headError == wire::error::header_limit || headError == wire::error::buffer_overflow)
         co_await simple(431, "the head is too large");
       else if (headError == wire::error::body_limit)
         co_await simple(413, "the body is too large");
-      else if (headError == beast::error::timeout)
-        co_await simple(408, "the head took too long");
       else if (headError.category() == boost::system::error_code(wire::error::bad_method).category() &&
                headError != wire::error::end_of_stream && headError != wire::error::partial_message)
         co_await simple(400, "the head is not HTTP: " + headError.message());
@@ -225,12 +258,12 @@
       co_await asio::async_write(client, asio::buffer(go), http::kTuple);
     }
     if (!parser.is_done()) {
-      client.expires_after(std::max(limits.headerTimeout, limits.idleTimeout));
+      const Bound bound(client, std::max(limits.headerTimeout, limits.idleTimeout));
       auto [error, bytes] = co_await wire::async_read(client, buffer, parser, http::kTuple);
       if (error) {
         if (error == wire::error::body_limit)
           co_await simple(413, "the body is too large");
-        else if (error == beast::error::timeout)
+        else if (bound.fired())
           co_await simple(408, "the body took too long");
         else if (error.category() == boost::system::error_code(wire::error::bad_method).category() &&
                  error != wire::error::end_of_stream && error != wire::error::partial_message)
--- /dev/null
+++ b/tests/test_pass.cpp
@@ -0,0 +1,334 @@
+// The path of a request against stand-ins for clients and runners, over loopback sockets. The stand-ins write their
+// answers byte by byte as they like, so that a runner's misbehaviour can be played. Nothing here depends on how long
+// something takes: each exchange ends by its own bytes or by a bound of the configuration.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <thread>
+
+#include "documents.hpp"
+#include "http/server.hpp"
+#include "membership/group.hpp"
+#include "pass/executor.hpp"
+#include "routing/table.hpp"
+// Criterion's macros get in the way of Boost's headers, so it comes last.
+#include <criterion/criterion.h>
+
+using namespace indigohill;
+using base::Millis;
+namespace asio = http::asio;
+using http::tcp;
+
+namespace {
+
+constexpr const char* kSeal = "Indigohill-Response-Seal: s.1\r\n";
+
+// A runner that answers the n-th request it gets with the n-th script (the last for all further ones) and keeps what
+// it was sent. A script gives the bytes to write; an empty one closes without a word.
+struct Runner {
+  struct Step {
+    std::string bytes;
+    bool close = false;
+  };
+  using Script = std::function<Step(const http::Request&)>;
+
+  explicit Runner(std::vector<Script> scripts)
+      : scripts(std::move(scripts)), acceptor(http::listen(io.get_executor(), {0x7f000001, 0}, "runner")) {
+    asio::co_spawn(io, accept(), asio::detached);
+    thread = std::thread([this] { io.run(); });
+  }
+  ~Runner() {
+    io.stop();
+    thread.join();
+  }
+  std::uint16_t port() { return acceptor.local_endpoint().port(); }
+  std::size_t count() {
+    const std::lock_guard lock(mutex);
+    return seen.size();
+  }
+  http::Request request(std::size_t i) {
+    const std::lock_guard lock(mutex);
+    return seen.at(i);
+  }
+
+  asio::awaitable<void> accept() {
+    for (;;) {
+      auto [error, socket] = co_await acceptor.async_accept(http::kTuple);
+      if (error) co_return;
+      {
+        const std::lock_guard lock(mutex);
+        ++connections;
+      }
+      asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+    }
+  }
+  asio::awaitable<void> serve(tcp::socket socket) {
+    http::beast::flat_buffer buffer;
+    for (;;) {
+      http::Request request;
+      auto [error, n] = co_await http::wire::async_read(socket, buffer, request, http::kTuple);
+      if (error) co_return;
+      Script script;
+      {
+        const std::lock_guard lock(mutex);
+        script = scripts[std::min(seen.size(), scripts.size() - 1)];
+        seen.push_back(request);
+      }
+      const auto step = script(request);
+      co_await asio::async_write(socket, asio::buffer(step.bytes), http::kTuple);
+      if (step.close) co_return;
+    }
+  }
+
+  std::vector<Script> scripts;
+  asio::io_context io;
+  tcp::acceptor acceptor;
+  std::mutex mutex;
+  std::vector<http::Request> seen;
+  std::size_t connections = 0;
+  std::thread thread;
+};
+
+std::string idLine(const http::Request& r) {
+  return "Indigohill-Attempt-Id: " + std::string(r["Indigohill-Attempt-Id"]) + "\r\n";
+}
+Runner::Script whole(const std::string& body) {
+  return [body](const http::Request& r) {
+    return Runner::Step{"HTTP/1.1 200 OK\r\n" + idLine(r) + kSeal + "X-Inner: secret\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body};
+  };
+}
+Runner::Script raw(const std::string& text, bool close = false) {
+  return [text, close](const http::Request& r) {
+    auto out = text;
+    if (const auto at = out.find("{id}"); at != std::string::npos) out.replace(at, 4, idLine(r));
+    if (const auto at = out.find("{seal}"); at != std::string::npos) out.replace(at, 6, kSeal);
+    return Runner::Step{out, close};
+  };
+}
+std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
+std::string event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\n{id}{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// A router's traffic side: table and executor, without group or news.
+struct Front {
+  asio::io_context io;
+  routing::Table table{"z0", {0.2, 100, 1.5, 5, Millis(10000), Millis(1500)}, 1, base::Clock::now() - Millis(60000)};
+  pass::Executor executor{io.get_executor(), table};
+  tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
+  std::thread thread;
+  routing::Picture picture;
+
+  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain") {
+    const auto past = base::Clock::now() - Millis(30000);
+    routing::fold(picture, routing::FrameCame{{1, 1}, std::make_shared<const control::Configuration>(std::get<0>(
+                                                          control::parseConfiguration(tests::document(1)))), {}});
+    schema::View view;
+    schema::Member m;
+    m.role = static_cast<std::uint8_t>(membership::Role::Router);
+    view.members = {m};
+    routing::fold(picture, routing::ViewCame{view});
+    std::vector<schema::RunnerEntry> list;
+    for (std::size_t i = 0; i < runners.size(); ++i)
+      list.push_back({"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
+    routing::fold(picture, routing::RunnersCame{{1, 1}, list, past});
+    table.setPicture(std::make_shared<const routing::Picture>(picture), past);
+    table.setLease(base::Clock::now() + std::chrono::hours(1));
+    asio::co_spawn(io, executor.accept(acceptor), asio::detached);
+    thread = std::thread([this] { io.run(); });
+  }
+  ~Front() {
+    io.stop();
+    thread.join();
+  }
+
+  // Sends bytes and reads to the end of the connection; the configuration's bounds close it in any case.
+  std::string exchange(const std::string& bytes, bool finish = true) {
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect(acceptor.local_endpoint());
+    asio::write(socket, asio::buffer(bytes));
+    if (finish) socket.shutdown(tcp::socket::shutdown_send);
+    std::string out;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(out), error);
+    return out;
+  }
+};
+
+std::string get(const std::string& path, const std::string& more = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\n" + more + "\r\n";
+}
+bool starts(const std::string& text, const std::string& head) { return text.compare(0, head.size(), head) == 0; }
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}  // namespace
+
+Test(pass, an_answer_is_returned_with_its_seal_and_the_heads_on_the_list) {
+  Runner runner({whole("hello")});
+  Front front({&runner});
+  const auto out = front.exchange(get("/check/1"));
+  cr_assert(starts(out, "HTTP/1.1 200"), "%s", out.c_str());
+  cr_assert(has(out, kSeal) && has(out, "\r\n\r\nhello") && has(out, "Indigohill-Attempt-Id: abc"));
+  cr_assert(!has(out, "X-Inner"));
+  cr_assert(runner.request(0)["Indigohill-Target-Instance"] == "r0");
+}
+
+Test(pass, two_requests_use_one_connection_each_way) {
+  Runner runner({whole("one"), whole("two")});
+  Front front({&runner});
+  const auto out = front.exchange(get("/check/1") + get("/check/2"));
+  cr_assert(has(out, "one") && has(out, "two"));
+  cr_assert_eq(runner.connections, 1u);
+}
+
+Test(pass, bodies_in_chunks_arrive_whole) {
+  Runner runner({whole("ok")});
+  Front front({&runner});
+  const auto out = front.exchange(
+      "POST /check/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      chunk("first ") + chunk("second") + "0\r\n\r\n");
+  cr_assert(starts(out, "HTTP/1.1 200"));
+  cr_assert(runner.request(0).body() == "first second");
+}
+
+Test(pass, what_is_not_clear_is_turned_away_and_smuggles_nothing) {
+  Runner runner({whole("ok")});
+  Front front({&runner});
+  const std::string smuggled = get("/check/smuggled");
+  const std::vector<std::pair<std::string, std::string>> cases{
+      {"NONSENSE\r\n\r\n", "400"},
+      {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nbroken line\r\n\r\n", "400"},
+      {"GET /check/1 HTTP/1.1\r\n\r\n", "400"},
+      {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\n\r\n", "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+           smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" +
+           smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: xchunked\r\n\r\n" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: -4\r\n\r\n" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled, "400"},
+      {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", "431"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 70000\r\n\r\n", "413"},
+      {"GET /none/1 HTTP/1.1\r\nHost: a.example\r\n\r\n", "404"},
+      {"GET /check/1 HTTP/1.1\r\nHost: b.example\r\n\r\n", "404"}};
+  for (const auto& [bytes, status] : cases) {
+    const auto out = front.exchange(bytes);
+    cr_assert(starts(out, "HTTP/1.1 " + status), "wanted %s for %s, got %s", status.c_str(),
+              bytes.substr(0, 90).c_str(), out.c_str());
+  }
+  // A head that never ends is answered when its time is over.
+  cr_assert(starts(front.exchange("GET /check/1 HTTP/1.1\r\nHost: a.exam", false), "HTTP/1.1 408"));
+  cr_assert_eq(runner.count(), 0u);
+}
+
+Test(pass, a_runner_that_turns_it_away_costs_a_further_try_and_nothing_more) {
+  const auto full = raw("HTTP/1.1 503 Service Unavailable\r\nIndigohill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  Runner one({full}), two({full});
+  Front front({&one, &two});
+  for (int i = 0; i < 100; ++i) front.table.arrived("plain", base::Clock::now());
+  const auto out = front.exchange(get("/check/1"));
+  cr_assert(starts(out, "HTTP/1.1 503"), "%s", out.c_str());
+  cr_assert(has(out, "Retry-After:"));
+  cr_assert_eq(one.count() + two.count(), 2u);
+}
+
+Test(pass, what_may_have_run_is_never_promised_not_to_have) {
+  // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
+  const std::vector<std::string> answers{
+      "HTTP/1.1 503 Service Unavailable\r\n{id}Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 429 Too Many\r\n{id}Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n{id}{seal}Content-Length: 50\r\n\r\nshort",
+      "HTTP/1.1 200 OK\r\n{id}Content-Length: 2\r\n\r\nno",
+      "HTTP/1.1 200 OK\r\n{seal}Content-Length: 2\r\n\r\nno",
+      "this is no answer\r\n\r\n",
+      ""};
+  for (const auto& text : answers) {
+    Runner runner({raw(text, true)});
+    Front front({&runner}, "plain");
+    const auto out = front.exchange(get("/check/1"));
+    cr_assert(starts(out, "HTTP/1.1 502"), "for %s: %s", text.c_str(), out.c_str());
+  }
+}
+
+Test(pass, the_late_answer_to_another_request_is_no_answer_to_this_one) {
+  const std::string stray =
+      "HTTP/1.1 200 OK\r\nIndigohill-Attempt-Id: other\r\n{seal}Content-Length: 5\r\n\r\nstray";
+  {
+    // In the place of the answer: read past, and the connection is not used again.
+    Runner runner({raw(stray + "HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.2\r\nContent-Length: 3\r\n\r\nown"),
+                   whole("next")});
+    Front front({&runner});
+    const auto out = front.exchange(get("/check/1") + get("/check/2"));
+    cr_assert(!has(out, "stray") && has(out, "own") && has(out, "next"), "%s", out.c_str());
+    cr_assert_eq(runner.connections, 2u);
+  }
+  {
+    // Behind the answer: the connection is dropped, and the next request gets its own.
+    Runner runner({raw("HTTP/1.1 200 OK\r\n{id}{seal}Content-Length: 3\r\n\r\nown" + stray), whole("next")});
+    Front front({&runner});
+    const auto out = front.exchange(get("/check/1") + get("/check/2"));
+    cr_assert(!has(out, "stray") && has(out, "own") && has(out, "next"), "%s", out.c_str());
+    cr_assert_eq(runner.connections, 2u);
+  }
+}
+
+Test(pass, a_stream_is_passed_event_by_event_to_its_end) {
+  Runner runner({raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\nda") + chunk("ta: x\n\n") + "0\r\n\r\n")});
+  Front front({&runner}, "engine");
+  const auto out = front.exchange(get("/text/1", "Connection: close\r\n"));
+  cr_assert(starts(out, "HTTP/1.1 200"));
+  cr_assert(has(out, kSeal) && has(out, event(1)) && has(out, event(2)) && has(out, "id: 3\ndata: x\n\n"));
+  cr_assert(out.ends_with("0\r\n\r\n"), "%s", out.c_str());
+}
+
+Test(pass, a_broken_stream_is_taken_up_behind_its_last_event) {
+  const auto broken = raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\ndata: half"), true);
+  const auto rest = raw("HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.other\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        chunk(event(3)) + "0\r\n\r\n");
+  const auto either = [&](const http::Request& r) { return r["Last-Event-Id"].empty() ? broken(r) : rest(r); };
+  Runner one({either}), two({either});
+  Front front({&one, &two}, "engine");
+  for (int i = 0; i < 100; ++i) front.table.arrived("engine", base::Clock::now());
+  const auto out = front.exchange(get("/text/1", "Connection: close\r\n"));
+  cr_assert(has(out, event(1)) && has(out, event(2)) && has(out, event(3)), "%s", out.c_str());
+  cr_assert(!has(out, "half") && !has(out, "s.other") && has(out, kSeal) && out.ends_with("0\r\n\r\n"));
+  auto& second = one.count() > 0 && !one.request(0)["Last-Event-Id"].empty() ? one : two;
+  cr_assert(second.request(0)["Last-Event-Id"] == "2");
+}
+
+Test(pass, a_stream_that_nobody_takes_up_never_looks_complete) {
+  Runner runner({raw(kStreamHead + chunk(event(1)), true)});
+  Front front({&runner}, "engine");
+  const auto out = front.exchange(get("/text/1"));
+  cr_assert(!has(out, "\r\n0\r\n\r\n") && !out.ends_with("0\r\n\r\n"), "%s", out.c_str());
+}
+
+Test(pass, time_that_is_over_is_answered_504_when_the_runner_had_it) {
+  // A runner that never answers: reading from it ends with the client's time.
+  Runner runner({raw("HTTP/1.1 200 OK\r\n")});
+  Front front({&runner});
+  const auto out = front.exchange(get("/check/1", "Indigohill-Time-Remaining: 120\r\n"));
+  cr_assert(starts(out, "HTTP/1.1 504"), "%s", out.c_str());
+  const auto left = std::stoi(std::string(runner.request(0)["Indigohill-Time-Remaining"]));
+  cr_assert(left > 0 && left <= 120);
+}
+
+Test(pass, without_a_configuration_it_sheds_and_when_leaving_it_closes) {
+  Runner runner({whole("ok")});
+  {
+    Front front({&runner});
+    front.table.setPicture(std::make_shared<const routing::Picture>(), base::Clock::now());
+    cr_assert(starts(front.exchange(get("/check/1")), "HTTP/1.1 503"));
+  }
+  Front front({&runner});
+  front.executor.leave();
+  const auto out = front.exchange(get("/check/1") + get("/check/2"));
+  cr_assert(has(out, "Connection: close"), "%s", out.c_str());
+  cr_assert_eq(runner.count(), 1u);
+}
