--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -123,7 +123,7 @@
   bool keep = true;         // the client's connection can be used further
   EventCutter events;
   std::string resumeFrom;   // Last-Event-Id for the next runner
-  std::string notRunBody;   // what the runner said when it turned the request away
+  routing::Taking* taking = nullptr;  // the place at the runner that has it now
 };
 
 struct Executor::Outcome {
@@ -307,7 +307,7 @@
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, {}};
+             true, {}, {}, nullptr};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 1.0);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -352,6 +352,7 @@
     if (asked.tries > 0) ++counters_.retried;
     ++asked.tries;
     asked.tried.insert(to.instanceId);
+    x.taking = &to.taking;
     auto outcome = co_await attempt(x, to);
     to.taking.release();
     waitlist_.wake();
@@ -518,6 +519,7 @@
   std::string text;
   const auto pass = [&](std::string events, bool last) -> asio::awaitable<bool> {
     text.clear();
+    x.taking->begun();
     if (!x.started) {
       wire::response<wire::empty_body> head(parser.get().result(), 11);
       copyAnswerHead(parser.get(), head);
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -12,6 +12,8 @@
 constexpr base::Millis kBucket{250};
 constexpr base::Millis kReportLife{2000};  // a told load counts less and less over this
 constexpr std::uint32_t kFaultsToEject = 2;
+constexpr double kMissed = 2;        // weight of a shared part that has to be read again
+constexpr double kPerRequest = 150;  // prompt tokens that one more running request weighs as much as
 constexpr base::Millis kEject{1000}, kEjectMost{8000};
 }  // namespace
 
@@ -57,6 +59,10 @@
   }));
 }
 
+void Taking::begun() {
+  if (table_ != nullptr) table_->promptRead(instanceId_, std::exchange(prompt_, 0));
+}
+
 void Taking::release() {
   if (auto* table = std::exchange(table_, nullptr)) table->giveBack(instanceId_, prompt_);
 }
@@ -197,9 +203,9 @@
     Runner* runner;
     double demand;
     std::uint64_t rank;
+    double cost = 0;
   };
   std::vector<Choice> choices, ejected;
-  double sum = 0;
   std::size_t there = 0;
   const bool engine = service->kvCacheTokens > 0;
   std::uint64_t key = 0;
@@ -217,7 +223,6 @@
     ++there;
     if (asked.tried.contains(id) || runner.own >= connections) continue;
     const double d = demand(runner, now);
-    sum += d;
     Choice choice{&runner, d, base::hash(id, key + 1)};
     if (runner.ejectedUntil > now || runner.trial)
       ejected.push_back(choice);
@@ -235,16 +240,20 @@
     return Wait{waitUntil()};
   };
   if (choices.empty()) return none(there == 0 ? "no runner" : "no runner left to try");
-  const double mean = sum / static_cast<double>(choices.size());
   for (auto& choice : choices) choice.demand += std::uniform_real_distribution<double>(0, 0.5)(random_);
   if (engine && key != 0) {
-    // Rendezvous order, but past runners that have clearly more to do than the others.
-    const double bound = 1.3 * mean + 4;
-    std::sort(choices.begin(), choices.end(), [&](const Choice& a, const Choice& b) {
-      const bool overA = a.demand > bound, overB = b.demand > bound;
-      if (overA != overB) return overB;
-      return overA ? a.demand < b.demand : a.rank > b.rank;
-    });
+    // In prompt tokens: what has to be read there before the first token, and what is already going on. The first in
+    // rendezvous order is where every router expects the shared parts to be kept, the second where they spill to. A
+    // part read again delays this request and takes the runner from others, so it counts double.
+    std::uint64_t shared = 0;
+    for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i) shared += asked.prompt[i].second;
+    std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.rank > b.rank; });
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+      const double missing = i == 0 ? 0 : i == 1 ? 0.5 : 1;
+      choices[i].cost = kMissed * missing * static_cast<double>(shared) + kPerRequest * choices[i].demand +
+                        static_cast<double>(choices[i].runner->ownPrompt);
+    }
+    std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
   } else {
     // Least demand for its slots; the own domain when that makes no difference.
     const auto cost = [&](const Choice& c) {
@@ -269,6 +278,12 @@
   return none("every runner is full");
 }
 
+void Table::promptRead(const std::string& instanceId, std::uint32_t prompt) {
+  const std::lock_guard lock(mutex_);
+  if (const auto found = runners_.find(instanceId); found != runners_.end())
+    found->second.ownPrompt -= std::min<std::uint64_t>(found->second.ownPrompt, prompt);
+}
+
 void Table::giveBack(const std::string& instanceId, std::uint32_t prompt) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -86,6 +86,8 @@
   }
   ~Taking() { release(); }
   void release();
+  // The first token is there: the prompt has been read and holds nobody up any more.
+  void begun();
 
  private:
   Table* table_ = nullptr;
@@ -144,7 +146,7 @@
   struct Runner {
     schema::RunnerEntry entry;
     std::uint32_t own = 0;        // own requests there
-    std::uint64_t ownPrompt = 0;  // prompt tokens of those
+    std::uint64_t ownPrompt = 0;  // prompt tokens of those that have no first token yet
     double reported = 0;          // running and waiting as last told, less those own
     base::TimePoint reportedAt{};
     base::TimePoint coldUntil{};
@@ -168,6 +170,7 @@
   double demand(const Runner& runner, base::TimePoint now) const;
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
+  void promptRead(const std::string& instanceId, std::uint32_t prompt);
   void giveBack(const std::string& instanceId, std::uint32_t prompt);
 
   std::string zone_;
