Let requests wait for a process's first configuration; weigh missed parts by 4

Cause: after the closing faults requests that reached a router in its first 0.4 s were sent away and came back too late for their aim.

--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -85,7 +85,7 @@
     const auto now = base::Clock::now();
     for (const auto& note : fx.notes) spdlog::info("{}", note);
     for (auto& event : fx.events) table_.setPicture(journal_.append(std::move(event)), now);
-    if (!fx.events.empty()) executor_.waitlist().wake();
+    if (!fx.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
     isReady_ = core_.informed() && !leaving_;
     link_.send(fx.out);
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr std::size_t kEventMost = 1u << 20;
 constexpr Millis kRunnerIdle{60000};
+constexpr Millis kFirstNews{600};  // how long a request waits for the first configuration of a process
 
 template <class T>
 T number(std::string_view text, T fallback) {
@@ -303,16 +304,23 @@
 }
 
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
-  const auto picture = table_.picture();
+  auto picture = table_.picture();
+  const auto told = number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000);
+  // Just started: a configuration comes within moments, and a request that waits for it is served sooner than one
+  // that is sent away. Bounded, so that a client sent away has most of its time left.
+  const auto patience = arrivedAt + std::min(kFirstNews, Millis(std::clamp<std::int64_t>(told / 4, 0, 86'400'000)));
+  while (!picture->configuration && base::Clock::now() < patience) {
+    if (!co_await waitlist_.wait(0, std::min(patience, base::Clock::now() + Millis(50)))) break;
+    picture = table_.picture();
+  }
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
              true, {}, {}, nullptr};
-  if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 1.0);
+  if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
   // The client's time, capped by what the operator wants a request held.
-  const auto told = number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000);
   x.deadline = arrivedAt + std::min(route->timeout, Millis(std::clamp<std::int64_t>(told, 0, 86'400'000)));
   x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
   x.resumeFrom = std::string(request[kLastEventId]);
--- a/src/pass/waitlist.hpp
+++ b/src/pass/waitlist.hpp
@@ -45,6 +45,12 @@
     http::asio::post(first->get_executor(), [first] { first->cancel(); });
   }
 
+  // Something has changed for all: a configuration, runners.
+  void wakeAll() {
+    std::size_t most = size();
+    while (most-- > 0) wake();
+  }
+
   std::size_t size() const {
     const std::lock_guard lock(mutex_);
     return waiting_.size();
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -12,7 +12,7 @@
 constexpr base::Millis kBucket{250};
 constexpr base::Millis kReportLife{2000};  // a told load counts less and less over this
 constexpr std::uint32_t kFaultsToEject = 2;
-constexpr double kMissed = 2;        // weight of a shared part that has to be read again
+constexpr double kMissed = 4;        // weight of a shared part that has to be read again
 constexpr double kPerRequest = 150;  // prompt tokens that one more running request weighs as much as
 constexpr base::Millis kEject{1000}, kEjectMost{8000};
 }  // namespace
