Replay recorded traffic against a changed routing policy

Routers record their requests (trafficLog=true); indigohill replay plays them against modelled runners with the routers' own decisions and shows which would be late, missing or doubled under the changed policy or configuration. The decisions about one request are now apart from its sockets (routing::Conduct).

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -47,6 +47,12 @@
   return out + "\"";
 }
 
+std::shared_ptr<spdlog::logger> openRecords() {
+  auto logger = std::make_shared<spdlog::logger>("records", std::make_shared<spdlog::sinks::stdout_sink_mt>());
+  logger->set_pattern("%v");
+  return logger;
+}
+
 bool knownLevel(const std::string& level) {
   return level == "debug" || level == "info" || level == "warn" || level == "error";
 }
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "base/log.hpp"
+#include "cli/replay.hpp"
 #include "cli/roles.hpp"
 #include "settings/settings.hpp"
 
@@ -46,7 +47,20 @@
   for (auto* command : {router, controller, check})
     command->add_option("--settings", path, "settings file")->capture_default_str();
   check->add_option("--role", role, "role to check for")->check(CLI::IsMember({"router", "controller"}));
+  auto* replay = app.add_subcommand("replay", "play recorded traffic against a changed routing policy and compare");
+  indigohill::cli::ReplayArguments played;
+  replay->add_option("--traffic", played.traffic, "logs of routers with trafficLog=true")->required();
+  replay->add_option("--configuration", played.configuration, "configuration in force (JSON)")->required();
+  replay->add_option("--fleet", played.fleet, "runners, routers and troubles to play (JSON)")->required();
+  replay->add_option("--current", played.currentPolicy, "policy in force (policy.* lines); default: the built-in one");
+  replay->add_option("--changed", played.changedPolicy, "policy to compare with it");
+  replay->add_option("--changed-configuration", played.changedConfiguration, "configuration to compare with");
+  replay->add_option("--seed", played.seed, "seed of everything drawn by lot")->capture_default_str();
+  replay->add_option("--most", played.most, "changed requests to list")->capture_default_str();
+  replay->add_flag("--json", played.json, "the result as JSON");
+  replay->footer("Exit status: 0 nothing is worse, 1 something is, 2 an input cannot be used.");
   CLI11_PARSE(app, argc, argv);
+  if (replay->parsed()) return indigohill::cli::runReplay(played);
 
   if (router->parsed()) role = "router";
   if (controller->parsed()) role = "controller";
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -24,7 +24,7 @@
 
 routing::Bounds boundsOf(const settings::Settings& s) {
   return {s.retryBudgetRatio, s.retryBudgetSlack, s.warmupOvershoot, s.warmupSlack, s.retryWindowS,
-          groupTimes(s).lease};
+          groupTimes(s).lease, s.policy};
 }
 
 class Router {
@@ -46,6 +46,7 @@
         reader_(cohort_, settings.address) {}
 
   int run() {
+    if (watch_.now().trafficLog) executor_.setTrafficLog(base::openRecords());
     readiness_.start();
     link_.start();
     asio::co_spawn(io_, executor_.accept(acceptor_), asio::detached);
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -124,6 +124,7 @@
   bool keep = true;         // the client's connection can be used further
   EventCutter events;
   std::string resumeFrom;   // Last-Event-Id for the next runner
+  base::TimePoint firstAt{};          // when the first event left
   routing::Taking* taking = nullptr;  // the place at the runner that has it now
 };
 
@@ -138,24 +139,6 @@
   std::string what;
 };
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> parsePrompt(std::string_view text) {
-  std::vector<std::pair<std::uint64_t, std::uint32_t>> out;
-  while (!text.empty() && out.size() < 64) {
-    const auto comma = text.find(',');
-    auto part = text.substr(0, comma);
-    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
-    while (part.starts_with(' ')) part.remove_prefix(1);
-    const auto colon = part.find(':');
-    if (colon == std::string_view::npos) continue;
-    std::uint64_t id = 0;
-    const auto hex = part.substr(0, colon);
-    const auto [at, error] = std::from_chars(hex.data(), hex.data() + hex.size(), id, 16);
-    if (error != std::errc{} || at != hex.data() + hex.size()) continue;
-    out.emplace_back(id, number<std::uint32_t>(part.substr(colon + 1), 0));
-  }
-  return out;
-}
-
 http::Request forRunner(const http::Request& in, const std::string& instanceId, Millis left,
                         const std::string& lastEventId) {
   http::Request out;
@@ -316,7 +299,7 @@
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, nullptr};
+             true, {}, {}, {}, nullptr};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -325,77 +308,72 @@
   x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
   x.resumeFrom = std::string(request[kLastEventId]);
 
-  routing::Asked asked;
-  asked.route = route;
-  asked.service = routing::Table::pick(*route, x.attemptId);
-  asked.prompt = parsePrompt(view(request[kPrompt]));
+  routing::Conduct conduct(table_, *route, x.attemptId, arrivedAt, x.deadline);
+  conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
   const auto usage = view(request[kUsage]);
-  asked.promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
-  asked.arrivedAt = arrivedAt;
-  asked.deadline = x.deadline;
-  table_.arrived(asked.service, arrivedAt);
+  conduct.asked().promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
+  conduct.arrived(arrivedAt);
 
-  bool mayHaveRun = false;
-  std::string last = "not tried";
-  for (;;) {
+  std::optional<routing::Ending> ending;
+  while (!ending) {
     const auto now = base::Clock::now();
-    if (now >= x.deadline) break;
-    auto decision = table_.decide(asked, now);
-    if (auto* shed = std::get_if<routing::Shed>(&decision)) {
-      last = shed->why;
-      if (mayHaveRun || x.started) break;
-      ++counters_.shed;
-      co_return co_await reply(x, shed->status, shed->why, shed->retryAfterS);
+    auto next = conduct.next(now);
+    if (auto* end = std::get_if<routing::Ending>(&next)) {
+      ending = std::move(*end);
+      break;
     }
-    if (const auto* wait = std::get_if<routing::Wait>(&decision)) {
+    if (const auto* wait = std::get_if<routing::Wait>(&next)) {
       // Woken when a place comes free; looked at again anyway, since a cold runner's rate fills with time alone.
-      if (!co_await waitlist_.wait(route->priority, std::min(wait->until, now + Millis(25)))) {
-        if (mayHaveRun || x.started) break;
-        ++counters_.shed;
-        co_return co_await reply(x, 503, "too many wait", 0.5);
-      }
+      if (!co_await waitlist_.wait(route->priority, std::min(wait->until, now + Millis(25)))) ending = conduct.ending(now);
       continue;
     }
-    auto& to = std::get<routing::PassTo>(decision);
-    if (asked.tries > 0) ++counters_.retried;
-    ++asked.tries;
-    asked.tried.insert(to.instanceId);
+    auto& to = std::get<routing::PassTo>(next);
+    if (conduct.asked().tries > 1) ++(x.started ? counters_.resumed : counters_.retried);
     x.taking = &to.taking;
-    auto outcome = co_await attempt(x, to);
+    const auto outcome = co_await attempt(x, to);
     to.taking.release();
     waitlist_.wake();
     if (outcome.end == Outcome::End::Answered) {
       ++counters_.passed;
+      record(x, arrivedAt, 200, conduct.asked().tries);
       co_return x.keep && keepAlive(request);
     }
     if (outcome.end == Outcome::End::ClientGone) co_return false;
-    last = outcome.what;
-    if (outcome.verdict != Verdict::NotRun) mayHaveRun = true;
-    // What may have run is tried again only if it may run twice; a started stream only if it can be taken up.
-    if (outcome.verdict != Verdict::NotRun && !route->repeatable()) break;
-    if (x.started) {
-      if (!route->resumable || x.events.lastId().empty()) break;
-      ++counters_.resumed;
-    }
+    const auto after = base::Clock::now();
+    if (!conduct.again({outcome.verdict, outcome.what}, x.started, !x.events.lastId().empty(), after))
+      ending = conduct.ending(after);
     if (!x.events.lastId().empty()) x.resumeFrom = x.events.lastId();
     x.events.drop();
-    if (asked.tries >= route->maxAttempts || !table_.drawRetry(asked.service, base::Clock::now())) break;
   }
 
-  if (x.started) {
+  record(x, arrivedAt, ending->status, conduct.asked().tries);
+  if (ending->cut) {
     // Cut visibly: without the last chunk, nobody takes this for a whole answer.
     ++counters_.cut;
-    spdlog::debug("stream {} cut: {}", x.attemptId, last);
+    spdlog::debug("stream {} cut: {}", x.attemptId, ending->why);
     boost::system::error_code ignored;
     client.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     client.close();
     co_return false;
   }
-  ++counters_.failed;
-  spdlog::debug("request {} failed: {}", x.attemptId, last);
-  // Not run, and it never will be: said so, with when to come back. Otherwise nothing is promised.
-  if (!mayHaveRun) co_return co_await reply(x, 503, last, 0.2);
-  co_return co_await reply(x, base::Clock::now() >= x.deadline ? 504 : 502, last);
+  ++(ending->status == 503 ? counters_.shed : counters_.failed);
+  spdlog::debug("request {} ends with {}: {}", x.attemptId, ending->status, ending->why);
+  co_return co_await reply(x, ending->status, ending->why, ending->retryAfterS);
+}
+
+// One line for each request that was routed, in the form that `indigohill replay` reads.
+void Executor::record(const Exchange& x, base::TimePoint arrivedAt, int status, std::uint32_t tries) const {
+  if (!trafficLog_) return;
+  const auto now = base::Clock::now();
+  const auto since = [&](base::TimePoint at) {
+    return at == base::TimePoint{} ? -1 : std::chrono::duration_cast<Millis>(at - arrivedAt).count();
+  };
+  const auto text = [&](const char* name) { return base::quoted(view(x.request[name])); };
+  trafficLog_->info(
+      R"({{"kind":"request","atMs":{},"host":{},"path":{},"id":{},"leftMs":{},"prompt":{},"tokens":{},"status":{},"tries":{},"firstMs":{},"totalMs":{}}})",
+      base::toMs(arrivedAt), text("Host"), base::quoted(view(x.request.target())), base::quoted(x.attemptId),
+      std::chrono::duration_cast<Millis>(x.deadline - arrivedAt).count(), text(kPrompt), text(kUsage), status, tries,
+      since(x.firstAt), since(now));
 }
 
 asio::awaitable<Executor::Outcome> Executor::attempt(Exchange& x, routing::PassTo& to) {
@@ -528,6 +506,7 @@
   const auto pass = [&](std::string events, bool last) -> asio::awaitable<bool> {
     text.clear();
     x.taking->begun();
+    if (x.firstAt == base::TimePoint{}) x.firstAt = base::Clock::now();
     if (!x.started) {
       wire::response<wire::empty_body> head(parser.get().result(), 11);
       copyAnswerHead(parser.get(), head);
--- a/src/pass/executor.hpp
+++ b/src/pass/executor.hpp
@@ -6,8 +6,10 @@
 #include "http/types.hpp"
 #include "pass/events.hpp"
 #include "pass/pool.hpp"
+#include "pass/prompt.hpp"
 #include "pass/waitlist.hpp"
-#include "routing/table.hpp"
+#include "base/log.hpp"
+#include "routing/conduct.hpp"
 
 namespace indigohill::pass {
 
@@ -23,6 +25,8 @@
       : executor_(pool), table_(table), pool_(pool), waitlist_(512) {}
 
   http::asio::awaitable<void> accept(http::tcp::acceptor& acceptor);
+  // Where a line about each request goes; nowhere at first.
+  void setTrafficLog(std::shared_ptr<spdlog::logger> log) { trafficLog_ = std::move(log); }
   // From now on every answer says that the connection closes.
   void leave() { leaving_ = true; }
   const Counters& counters() const { return counters_; }
@@ -43,6 +47,7 @@
   http::asio::awaitable<Outcome> relayEvents(Exchange& x, Connection& connection,
                                              http::wire::response_parser<http::wire::buffer_body>& parser);
   http::asio::awaitable<bool> reply(Exchange& x, int status, std::string body, double retryAfterS = 0);
+  void record(const Exchange& x, base::TimePoint arrivedAt, int status, std::uint32_t tries) const;
   bool keepAlive(const http::Request& request) const { return request.keep_alive() && !leaving_; }
 
   http::asio::any_io_executor executor_;
@@ -50,12 +55,10 @@
   Pool pool_;
   Waitlist waitlist_;
   Counters counters_;
+  std::shared_ptr<spdlog::logger> trafficLog_;
   std::atomic<bool> leaving_{false};
 };
 
-// Parts of `Indigohill-Prompt-Prefix`: ID:TOKENS joined by commas, the ID in hex. What cannot be read is left out.
-std::vector<std::pair<std::uint64_t, std::uint32_t>> parsePrompt(std::string_view text);
-
 // The request as the runner gets it: all end-to-end headers, the time that is left, the instance that is meant.
 http::Request forRunner(const http::Request& in, const std::string& instanceId, base::Millis left,
                         const std::string& lastEventId);
--- /dev/null
+++ b/src/routing/conduct.cpp
@@ -0,0 +1,48 @@
+#include "routing/conduct.hpp"
+
+namespace indigohill::routing {
+
+Conduct::Conduct(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
+                 base::TimePoint deadline)
+    : table_(table), route_(route) {
+  asked_.route = &route_;
+  asked_.service = Table::pick(route_, attemptId);
+  asked_.arrivedAt = arrivedAt;
+  asked_.deadline = deadline;
+}
+
+std::variant<PassTo, Wait, Ending> Conduct::next(base::TimePoint now) {
+  if (now >= asked_.deadline) return ending(now);
+  auto decision = table_.decide(asked_, now);
+  if (auto* shed = std::get_if<Shed>(&decision)) {
+    last_ = shed->why;
+    if (mayHaveRun_ || started_) return ending(now);
+    return Ending{false, shed->status, shed->retryAfterS, shed->why};
+  }
+  if (auto* wait = std::get_if<Wait>(&decision)) return *wait;
+  auto& to = std::get<PassTo>(decision);
+  ++asked_.tries;
+  asked_.tried.insert(to.instanceId);
+  return std::move(to);
+}
+
+bool Conduct::again(const base::Fault& fault, bool started, bool resumable, base::TimePoint now) {
+  last_ = fault.what;
+  started_ = started;
+  if (fault.verdict != base::Verdict::NotRun) {
+    mayHaveRun_ = true;
+    // What may have run is tried again only if it may run twice.
+    if (!route_.repeatable()) return false;
+  }
+  if (started && !(route_.resumable && resumable)) return false;
+  return asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
+}
+
+Ending Conduct::ending(base::TimePoint now) const {
+  if (started_) return {true, 0, 0, last_};
+  // Not run, and it never will be: said so, with when to come back. Otherwise nothing is promised.
+  if (!mayHaveRun_) return {false, 503, 0.2, last_};
+  return {false, now >= asked_.deadline ? 504 : 502, 0, last_};
+}
+
+}  // namespace indigohill::routing
--- /dev/null
+++ b/src/routing/conduct.hpp
@@ -0,0 +1,44 @@
+#pragma once
+#include <string>
+
+#include "base/result.hpp"
+#include "routing/table.hpp"
+
+// What is done with one request from its arrival to its end, as far as that is decided and not carried out. The
+// executor obeys it with sockets; the replay of recorded traffic with modelled runners.
+namespace indigohill::routing {
+
+// How a request ends when no runner answered it.
+struct Ending {
+  bool cut = false;  // the client has part of an answer: its connection ends without the rest
+  int status = 503;
+  double retryAfterS = 0;
+  std::string why;
+};
+
+class Conduct {
+ public:
+  Conduct(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
+          base::TimePoint deadline);
+
+  Asked& asked() { return asked_; }
+  // Counts the request towards the budget of its service.
+  void arrived(base::TimePoint now) { table_.arrived(asked_.service, now); }
+
+  // Pass, wait, or end.
+  std::variant<PassTo, Wait, Ending> next(base::TimePoint now);
+
+  // A try at a runner has ended without a whole answer: whether another may follow. `started`: the client has bytes of
+  // the answer; `resumable`: and a whole event behind which another runner could go on.
+  bool again(const base::Fault& fault, bool started, bool resumable, base::TimePoint now);
+  Ending ending(base::TimePoint now) const;
+
+ private:
+  Table& table_;
+  const control::Route& route_;
+  Asked asked_;
+  bool mayHaveRun_ = false, started_ = false;
+  std::string last_ = "not tried";
+};
+
+}  // namespace indigohill::routing
--- a/src/routing/fwd.hpp
+++ b/src/routing/fwd.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 namespace indigohill::routing {
+class Conduct;
 class Table;
 class Taking;
 struct Asked;
+struct Ending;
 struct PassTo;
 struct Picture;
 struct Shed;
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -12,9 +12,7 @@
 constexpr base::Millis kBucket{250};
 constexpr base::Millis kReportLife{2000};  // a told load counts less and less over this
 constexpr std::uint32_t kFaultsToEject = 2;
-constexpr double kMissed = 4;        // weight of a shared part that has to be read again
-constexpr double kPerRequest = 150;  // prompt tokens that one more running request weighs as much as
-constexpr base::Millis kEject{1000}, kEjectMost{8000};
+constexpr std::uint32_t kEjectDoublings = 3;
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -205,6 +203,7 @@
     std::uint64_t rank;
     double cost = 0;
   };
+  const auto& policy = bounds_.policy;
   std::vector<Choice> choices, ejected;
   std::size_t there = 0;
   const bool engine = service->kvCacheTokens > 0;
@@ -232,11 +231,12 @@
   // When every runner looks ill, the daemon's own sight is the likelier fault: all are used again.
   if (choices.empty()) choices = std::move(ejected);
   const auto waitUntil = [&] {
-    const auto quarter = asked.route->targetLatency.count() > 0 ? asked.route->targetLatency / 4 : base::Millis(250);
-    return std::min(asked.arrivedAt + quarter, asked.deadline);
+    const auto aim = asked.route->targetLatency.count() > 0 ? asked.route->targetLatency : base::Millis(1000);
+    const base::Millis part(static_cast<std::int64_t>(policy.waitShare * static_cast<double>(aim.count())));
+    return std::min(asked.arrivedAt + part, asked.deadline);
   };
   const auto none = [&](const char* why) -> Decision {
-    if (now >= waitUntil()) return Shed{503, 0.3, why};
+    if (now >= waitUntil()) return Shed{503, policy.retryAfterS, why};
     return Wait{waitUntil()};
   };
   if (choices.empty()) return none(there == 0 ? "no runner" : "no runner left to try");
@@ -250,20 +250,20 @@
     std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.rank > b.rank; });
     for (std::size_t i = 0; i < choices.size(); ++i) {
       const double missing = i == 0 ? 0 : i == 1 ? 0.5 : 1;
-      choices[i].cost = kMissed * missing * static_cast<double>(shared) + kPerRequest * choices[i].demand +
+      choices[i].cost = policy.missedWeight * missing * static_cast<double>(shared) + policy.requestTokens * choices[i].demand +
                         static_cast<double>(choices[i].runner->ownPrompt);
     }
     std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
   } else {
     // Least demand for its slots; the own domain when that makes no difference.
     const auto cost = [&](const Choice& c) {
-      return c.demand / c.runner->entry.slots + (c.runner->entry.zone == zone_ ? 0 : 0.12);
+      return c.demand / c.runner->entry.slots + (c.runner->entry.zone == zone_ ? 0 : policy.otherZone);
     };
     std::sort(choices.begin(), choices.end(), [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
   }
   for (auto& choice : choices) {
     auto& runner = *choice.runner;
-    const double most = engine ? 1.25 * runner.entry.slots : 2.0 * runner.entry.slots;
+    const double most = (engine ? policy.engineFill : policy.plainFill) * runner.entry.slots;
     if (choice.demand >= most) continue;
     if (runner.coldUntil > now && !takeWarm(runner, *service, now)) continue;
     runner.own += 1;
@@ -301,8 +301,8 @@
   runner.trial = false;
   if (mark == Mark::Fault) {
     if (++runner.faults < kFaultsToEject && runner.ejectedUntil == base::TimePoint{}) return;
-    const auto over = std::min<std::uint32_t>(3, runner.faults - std::min(runner.faults, kFaultsToEject));
-    runner.ejectedUntil = now + std::min(kEject * (1u << over), kEjectMost);
+    const auto over = std::min(kEjectDoublings, runner.faults - std::min(runner.faults, kFaultsToEject));
+    runner.ejectedUntil = now + bounds_.policy.ejectMs * (1u << over);
   } else {
     runner.faults = 0;
     runner.ejectedUntil = {};
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -118,6 +118,7 @@
 struct Bounds {
   double retryRatio = 0.2, retrySlack = 0, warmupOvershoot = 1.5, warmupSlack = 5;
   base::Millis retryWindow{10000}, lease{1500};
+  settings::Policy policy = settings::defaultPolicy();
 };
 
 class Table {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -103,31 +103,69 @@
   return out;
 }
 
-base::Result<Settings> parse(const std::string& source) {
-  boost::property_tree::ptree tree;
+namespace {
+
+using Tree = boost::property_tree::ptree;
+
+base::Result<Tree> parseTree(const std::string& source) {
+  Tree tree;
   try {
     std::istringstream in(source);
     boost::property_tree::read_ini(in, tree);
   } catch (const boost::property_tree::ini_parser_error& error) {
-    return base::Fault{base::Verdict::NotRun,
-                       fmt::format("line {}: {}", error.line(), error.message())};
-  }
-  Settings out;
-  // Field names hold dots, so the tree is asked with another separator.
-  const auto get = [&](const char* path) {
-    return tree.get_optional<std::string>(boost::property_tree::ptree::path_type(path, '\x1f'));
-  };
-#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                                \
-  {                                                                                                             \
-    const auto given = get(path);                                                                               \
-    if (required && (!given || given->empty()))                                                                 \
-      return base::Fault{base::Verdict::NotRun, std::string(path) + ": missing (" + purpose + ")"};             \
-    const std::string value = given && !given->empty() ? *given : std::string(fallback);                        \
-    if (auto wrong = read_as::reader(value, out.member); !wrong.empty())                                        \
-      return base::Fault{base::Verdict::NotRun, std::string(path) + ": " + wrong};                              \
+    return base::Fault{base::Verdict::NotRun, fmt::format("line {}: {}", error.line(), error.message())};
   }
+  return tree;
+}
+
+// One field; what is wrong with it, or nothing. Field names hold dots, so the tree is asked with another separator.
+template <class Reader, class T>
+std::string readField(const Tree& tree, const char* path, Reader reader, bool required, const char* fallback,
+                      const char* purpose, T& out) {
+  const auto given = tree.get_optional<std::string>(Tree::path_type(path, '\x1f'));
+  const bool there = given && !given->empty();
+  if (required && !there) return std::string(path) + ": missing (" + purpose + ")";
+  auto wrong = reader(there ? *given : std::string(fallback), out);
+  return wrong.empty() ? wrong : std::string(path) + ": " + wrong;
+}
+
+std::string readPolicy(const Tree& tree, Policy& out) {
+#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                               \
+  if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
+    return wrong;
+  INDIGOHILL_POLICY(INDIGOHILL_READ)
+#undef INDIGOHILL_READ
+  return {};
+}
+
+std::string readSettings(const Tree& tree, Settings& out) {
+#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                               \
+  if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
+    return wrong;
   INDIGOHILL_SETTINGS(INDIGOHILL_READ)
 #undef INDIGOHILL_READ
+  return readPolicy(tree, out.policy);
+}
+
+}  // namespace
+
+base::Result<Policy> parsePolicy(const std::string& source) {
+  auto tree = parseTree(source);
+  if (const auto* bad = base::fault(tree)) return *bad;
+  Policy out;
+  if (auto wrong = readPolicy(std::get<Tree>(tree), out); !wrong.empty())
+    return base::Fault{base::Verdict::NotRun, wrong};
+  return out;
+}
+
+Policy defaultPolicy() { return std::get<Policy>(parsePolicy("")); }
+
+base::Result<Settings> parse(const std::string& source) {
+  auto tree = parseTree(source);
+  if (const auto* bad = base::fault(tree)) return *bad;
+  Settings out;
+  if (auto wrong = readSettings(std::get<Tree>(tree), out); !wrong.empty())
+    return base::Fault{base::Verdict::NotRun, wrong};
   if (auto own = parseEndpoint(out.ipAddress + ":1"); base::fault(own))
     return base::Fault{base::Verdict::NotRun, "ipAddress: an IPv4 address is wanted, not '" + out.ipAddress + "'"};
   if (!base::knownLevel(out.logLevel))
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/result.hpp"
+#include "schema/policy.hpp"
 #include "schema/settings.hpp"
 
 namespace indigohill::settings {
@@ -23,7 +24,15 @@
   bool operator==(const Ports&) const = default;
 };
 
+// How a router weighs runners against each other.
+struct Policy {
+#define INDIGOHILL_FIELD(type, member, path, reader, required, fallback, purpose) type member{};
+  INDIGOHILL_POLICY(INDIGOHILL_FIELD)
+#undef INDIGOHILL_FIELD
+};
+
 struct Settings {
+  Policy policy;
 #define INDIGOHILL_FIELD(type, member, path, reader, required, fallback, purpose) type member{};
   INDIGOHILL_SETTINGS(INDIGOHILL_FIELD)
 #undef INDIGOHILL_FIELD
@@ -32,6 +41,9 @@
 // Reads `a.b=value` lines. Unknown fields are ignored; a fault names the field.
 base::Result<Settings> parse(const std::string& text);
 base::Result<Settings> read(const std::string& path);
+// The policy fields alone, from a file that need hold nothing else; what is not there has its default.
+base::Result<Policy> parsePolicy(const std::string& text);
+Policy defaultPolicy();
 // What the role needs beyond what every role needs; empty when nothing is missing.
 std::string missingFor(const Settings& settings, const std::string& role);
 
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -249,7 +249,7 @@
   routing::Picture picture;
   routing::Table table;
 
-  explicit Routed(routing::Bounds bounds = {0.2, 40, 1.5, 5, Millis(10000), Millis(1500)}, std::size_t routers = 4)
+  explicit Routed(routing::Bounds bounds = {0.2, 40, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()}, std::size_t routers = 4)
       : table("z0", bounds, 1, now - std::chrono::hours(1)) {
     auto configuration = std::make_shared<const control::Configuration>(
         std::get<0>(control::parseConfiguration(document(1))));
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -13,7 +13,9 @@
 #include "http/server.hpp"
 #include "membership/group.hpp"
 #include "pass/executor.hpp"
+#include "replay/recording.hpp"
 #include "routing/table.hpp"
+#include <spdlog/sinks/ostream_sink.h>
 // Criterion's macros get in the way of Boost's headers, so it comes last.
 #include <criterion/criterion.h>
 
@@ -117,7 +119,7 @@
 // A router's traffic side: table and executor, without group or news.
 struct Front {
   asio::io_context io;
-  routing::Table table{"z0", {0.2, 100, 1.5, 5, Millis(10000), Millis(1500)}, 1, base::Clock::now() - Millis(60000)};
+  routing::Table table{"z0", {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()}, 1, base::Clock::now() - Millis(60000)};
   pass::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
@@ -319,6 +321,23 @@
   cr_assert(left > 0 && left <= 120);
 }
 
+Test(pass, recorded_requests_are_what_the_replay_reads) {
+  std::ostringstream lines;
+  auto log = std::make_shared<spdlog::logger>("t", std::make_shared<spdlog::sinks::ostream_sink_mt>(lines));
+  log->set_pattern("%v");
+  Runner runner({whole("ok")});
+  {
+    Front front({&runner});
+    front.executor.setTrafficLog(log);
+    front.exchange(get("/check/1?q=\"x\"", "Indigohill-Prompt-Prefix: a:5,b:6\r\nIndigohill-Token-Usage: 11,3\r\n"));
+  }
+  auto parsed = replay::parseRecording(lines.str());
+  cr_assert(base::fault(parsed) == nullptr, "%s", base::fault(parsed) ? base::fault(parsed)->what.c_str() : "");
+  const auto& r = std::get<0>(parsed).at(0);
+  cr_assert(r.id == "abc" && r.host == "a.example" && r.path == "/check/1?q=\"x\"" && r.status == 200);
+  cr_assert(r.prompt == "a:5,b:6" && r.tokens == "11,3");
+}
+
 Test(pass, without_a_configuration_it_sheds_and_when_leaving_it_closes) {
   Runner runner({whole("ok")});
   {
--- a/tools/schemagen.cpp
+++ b/tools/schemagen.cpp
@@ -84,15 +84,15 @@
   return 0;
 }
 
-int settings(std::istream& in, std::ostream& out) {
+int fields(std::istream& in, std::ostream& out, const std::string& schema, const std::string& macro) {
   static const std::map<std::string, std::string> types{
       {"text", "std::string"},          {"list", "std::vector<std::string>"}, {"whole", "std::uint64_t"},
       {"fraction", "double"},           {"flag", "bool"},                     {"millis", "std::chrono::milliseconds"},
       {"seconds", "std::chrono::milliseconds"}, {"endpoint", "Endpoint"},     {"endpoints", "std::vector<Endpoint>"},
       {"ports", "Ports"}};
-  out << "// Generated from schema/settings.schema.\n#pragma once\n\n"
+  out << "// Generated from schema/" << schema << ".schema.\n#pragma once\n\n"
          "// One line for each field: type in C++, member, path in the file, reader, whether it must be there,\n"
-         "// default as text, what it is for.\n#define INDIGOHILL_SETTINGS(X)";
+         "// default as text, what it is for.\n#define " << macro << "(X)";
   std::string line;
   for (std::size_t number = 1; std::getline(in, line); ++number) {
     const auto text = trim(line.substr(0, line.find('#')));
@@ -118,7 +118,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 4) {
-    std::cerr << "usage: schemagen messages|settings IN OUT\n";
+    std::cerr << "usage: schemagen messages|settings|policy IN OUT\n";
     return 2;
   }
   std::ifstream in(argv[2]);
@@ -127,7 +127,10 @@
     std::cerr << "schemagen: cannot open " << (in ? argv[3] : argv[2]) << "\n";
     return 1;
   }
-  const int rc = std::string(argv[1]) == "messages" ? messages(in, out) : settings(in, out);
+  const std::string kind = argv[1];
+  const int rc = kind == "messages"   ? messages(in, out)
+                 : kind == "settings" ? fields(in, out, kind, "INDIGOHILL_SETTINGS")
+                                      : fields(in, out, kind, "INDIGOHILL_POLICY");
   out.flush();
   return out ? rc : 1;
 }
