--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -1,3 +1,4 @@
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <csignal>
 #include <thread>
@@ -47,6 +48,13 @@
 
   int run() {
     if (watch_.now().trafficLog) executor_.setTrafficLog(base::openRecords());
+    table_.setTell([this](const schema::Demand& demand) {
+      asio::post(cohort_, [this, demand] {
+        net::Outbox out;
+        core_.tell(demand, out);
+        link_.send(out);
+      });
+    });
     readiness_.start();
     link_.start();
     asio::co_spawn(io_, executor_.accept(acceptor_), asio::detached);
@@ -85,6 +93,7 @@
   void apply(feed::Followed& fx) {
     const auto now = base::Clock::now();
     for (const auto& note : fx.notes) spdlog::info("{}", note);
+    for (const auto& demand : fx.demands) table_.heard(demand, now);
     for (auto& event : fx.events) table_.setPicture(journal_.append(std::move(event)), now);
     if (!fx.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -31,6 +31,9 @@
     const bool asked = sink_.receive(*news, from, now);
     take(*news, asked, now, fx);
     if (asked) askForNews(now, fx.out);
+  } else if (const auto* demand = std::get_if<schema::Demand>(&message)) {
+    fx.demands.push_back(*demand);
+    return;
   } else {
     group_.receive(message, from, now, fx.out);
   }
@@ -88,6 +91,13 @@
     fx.out.push_back({*holder, schema::Ask{0, frameStamp(), {~0ULL, ~0ULL}}});
 }
 
+void Follower::tell(const schema::Demand& demand, net::Outbox& out) const {
+  if (!group_.view()) return;
+  for (const auto& m : group_.view()->members)
+    if (m.role == static_cast<std::uint8_t>(membership::Role::Router) && m.incarnation != group_.incarnation())
+      out.push_back({{m.ip, m.port}, demand});
+}
+
 void Follower::leave(Followed& fx) {
   group_.leave(fx.out);
   fx.notes.push_back("leaving in order");
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -14,6 +14,7 @@
   net::Outbox out;
   std::vector<routing::Event> events;
   std::vector<std::string> notes;
+  std::vector<schema::Demand> demands;  // told by other routers
 };
 
 class Follower {
@@ -28,6 +29,8 @@
 
   void tick(base::TimePoint now, Followed& fx);
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Followed& fx);
+  // Tells the other routers of the view.
+  void tell(const schema::Demand& demand, net::Outbox& out) const;
   void leave(Followed& fx);
   void setSeeds(std::vector<settings::Endpoint> seeds) {
     seeds_ = seeds;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -60,8 +60,12 @@
 }
 
 void Link::send(const Outbox& out) {
+  std::string bytes;
+  const schema::Message* encoded = nullptr;
   for (const auto& item : out) {
-    auto bytes = encode(item.message);
+    // The same message to many is encoded once.
+    if (encoded == nullptr || !(item.message == *encoded)) bytes = encode(item.message);
+    encoded = &item.message;
     if (bytes.size() <= kDatagram) {
       boost::system::error_code ignored;
       socket_.send_to(asio::buffer(bytes), {asio::ip::address_v4(item.to.ip), item.to.port}, 0, ignored);
@@ -69,7 +73,7 @@
     }
     auto& channel = channels_[item.to];
     if (!channel) channel = std::make_shared<Channel>(strand_, item.to);
-    channel->waiting.push_back(std::move(bytes));
+    channel->waiting.push_back(bytes);
     if (channel->waiting.size() > kChannelBacklog) channel->waiting.pop_front();
     if (!channel->busy) {
       channel->busy = true;
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -125,6 +125,7 @@
   EventCutter events;
   std::string resumeFrom;   // Last-Event-Id for the next runner
   base::TimePoint firstAt{};          // when the first event left
+  base::TimePoint sentAt{};           // when it went to the runner that has it now
   routing::Taking* taking = nullptr;  // the place at the runner that has it now
 };
 
@@ -299,7 +300,7 @@
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, {}, nullptr};
+             true, {}, {}, {}, {}, nullptr};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -330,6 +331,7 @@
     auto& to = std::get<routing::PassTo>(next);
     if (conduct.asked().tries > 1) ++(x.started ? counters_.resumed : counters_.retried);
     x.taking = &to.taking;
+    x.sentAt = now;
     const auto outcome = co_await attempt(x, to);
     to.taking.release();
     waitlist_.wake();
@@ -505,7 +507,7 @@
   std::string text;
   const auto pass = [&](std::string events, bool last) -> asio::awaitable<bool> {
     text.clear();
-    x.taking->begun();
+    x.taking->begun(base::Clock::now() - x.sentAt);
     if (x.firstAt == base::TimePoint{}) x.firstAt = base::Clock::now();
     if (!x.started) {
       wire::response<wire::empty_body> head(parser.get().result(), 11);
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -24,7 +24,7 @@
   std::uint32_t clientTry = 0;
   std::size_t router = 0;
   std::uint64_t routerLife = 0;
-  base::TimePoint arrivedAt, deadline;
+  base::TimePoint arrivedAt, deadline, sentAt;
   const control::Route* route = nullptr;
   std::unique_ptr<routing::Conduct> conduct;
   std::optional<routing::Taking> taking;
@@ -65,6 +65,12 @@
     routing::fold(*router.picture, routing::FrameCame{{1, 1}, configuration_, {}});
     routing::fold(*router.picture, routing::ViewCame{view});
     router.table->setPicture(std::make_shared<const routing::Picture>(*router.picture), past);
+    router.table->setTell([this, i](const schema::Demand& demand) {
+      after(kHop, [this, i, demand] {
+        for (std::uint32_t other = 0; other < routers_.size(); ++other)
+          if (other != i && routers_[other].up) routers_[other].table->heard(demand, now_);
+      });
+    });
     routers_.push_back(std::move(router));
   }
   show();
@@ -163,6 +169,7 @@
   ++outcomes_[job->index].tries;
   job->taking.emplace(std::move(to.taking));
   const auto sending = ++job->sending;
+  job->sentAt = now_;
   const auto found = std::find_if(runners_.begin(), runners_.end(),
                                   [&](const auto& r) { return r->instanceId == to.instanceId; });
   if (found == runners_.end() || !(*found)->up) {
@@ -250,7 +257,7 @@
     if (job->done || job->sending != sending || runner.life != life) return;
     routers_[job->router].table->load(runner.instanceId, runner.running, static_cast<std::uint32_t>(runner.queue.size()),
                                       runner.group->slots, now_);
-    if (job->taking) job->taking->begun();
+    if (job->taking) job->taking->begun(now_ - job->sentAt);
     if (job->route->type != control::RouteType::Streaming) return;
     if (!job->started) {
       outcomes_[job->index].took = std::chrono::duration_cast<Millis>(now_ - sentAt(job->index));
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -13,6 +13,9 @@
 constexpr base::Millis kReportLife{2000};  // a told load counts less and less over this
 constexpr std::uint32_t kFaultsToEject = 2;
 constexpr std::uint32_t kEjectDoublings = 3;
+constexpr std::uint32_t kLongPrompt = 2000;  // tokens from which a prompt tells how fast an engine reads
+constexpr base::Millis kToldLife{3000};
+constexpr std::size_t kToldMost = 256;
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -57,12 +60,12 @@
   }));
 }
 
-void Taking::begun() {
-  if (table_ != nullptr) table_->promptRead(instanceId_, std::exchange(prompt_, 0));
+void Taking::begun(base::Clock::duration after) {
+  if (table_ != nullptr) table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
 }
 
 void Taking::release() {
-  if (auto* table = std::exchange(table_, nullptr)) table->giveBack(instanceId_, prompt_);
+  if (auto* table = std::exchange(table_, nullptr)) table->giveBack(instanceId_, prompt_, told_);
 }
 
 Table::Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt)
@@ -202,6 +205,7 @@
     double demand;
     std::uint64_t rank;
     double cost = 0;
+    std::uint32_t toRead = 0;  // prompt tokens that are probably not kept there
   };
   const auto& policy = bounds_.policy;
   std::vector<Choice> choices, ejected;
@@ -245,13 +249,20 @@
     // In prompt tokens: what has to be read there before the first token, and what is already going on. The first in
     // rendezvous order is where every router expects the shared parts to be kept, the second where they spill to. A
     // part read again delays this request and takes the runner from others, so it counts double.
+    const double aimMs = static_cast<double>(asked.route->targetLatency.count());
     std::uint64_t shared = 0;
     for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i) shared += asked.prompt[i].second;
     std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.rank > b.rank; });
     for (std::size_t i = 0; i < choices.size(); ++i) {
       const double missing = i == 0 ? 0 : i == 1 ? 0.5 : 1;
-      choices[i].cost = policy.missedWeight * missing * static_cast<double>(shared) + policy.requestTokens * choices[i].demand +
-                        static_cast<double>(choices[i].runner->ownPrompt);
+      const double again = missing * static_cast<double>(shared);
+      const double own = std::max(1.0, asked.promptTokens - static_cast<double>(shared) + again);
+      choices[i].toRead = static_cast<std::uint32_t>(own);
+      const double ahead = unread(*choices[i].runner, now) + own;
+      choices[i].cost = policy.missedWeight * again + policy.requestTokens * choices[i].demand + ahead;
+      // What comes too late for the aim is worth little however little it costs the runner.
+      const double over = tokensPerMs_ == 0 ? 0 : ahead - tokensPerMs_ * policy.aimShare * aimMs;
+      if (over > 0) choices[i].cost += policy.lateWeight * over;
     }
     std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
   } else {
@@ -267,30 +278,67 @@
     if (choice.demand >= most) continue;
     if (runner.coldUntil > now && !takeWarm(runner, *service, now)) continue;
     runner.own += 1;
-    runner.ownPrompt += asked.promptTokens;
+    const auto toRead = choice.toRead != 0 ? choice.toRead : asked.promptTokens;
+    runner.ownPrompt += toRead;
+    std::uint64_t told = 0;
+    if (engine && tell_ && toRead >= policy.tellTokens) {
+      told = random_() | 1;
+      tell_({runner.entry.instanceId, told, toRead});
+    }
     if (runner.ejectedUntil != base::TimePoint{} && runner.ejectedUntil <= now) runner.trial = true;
     return PassTo{runner.entry.instanceId,
                   {runner.entry.ip, runner.entry.port},
                   runner.entry.zone,
                   connections,
-                  Taking(this, runner.entry.instanceId, asked.promptTokens)};
+                  Taking(this, runner.entry.instanceId, toRead, told)};
   }
   return none("every runner is full");
 }
 
-void Table::promptRead(const std::string& instanceId, std::uint32_t prompt) {
+void Table::setTell(std::function<void(const schema::Demand&)> tell) {
+  const std::lock_guard lock(mutex_);
+  tell_ = std::move(tell);
+}
+
+void Table::heard(const schema::Demand& demand, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (const auto found = runners_.find(instanceId); found != runners_.end())
-    found->second.ownPrompt -= std::min<std::uint64_t>(found->second.ownPrompt, prompt);
+  const auto found = runners_.find(demand.instanceId);
+  if (found == runners_.end()) return;
+  // The word that it has been read may be lost: after a while it is taken to have been.
+  if (demand.tokens == 0)
+    found->second.others.erase(demand.id);
+  else if (found->second.others.size() < kToldMost)
+    found->second.others[demand.id] = {demand.tokens, now + kToldLife};
+}
+
+// Prompt tokens sent there that have no first token yet, own ones and those that others told of.
+double Table::unread(Runner& runner, base::TimePoint now) const {
+  double sum = static_cast<double>(runner.ownPrompt);
+  std::erase_if(runner.others, [&](const auto& item) { return item.second.second <= now; });
+  for (const auto& [id, told] : runner.others) sum += told.first;
+  return sum;
 }
 
-void Table::giveBack(const std::string& instanceId, std::uint32_t prompt) {
+void Table::promptRead(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told,
+                       std::optional<base::Clock::duration> after) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end()) return;
   auto& runner = found->second;
-  if (runner.own > 0) --runner.own;
+  // How fast engines read: from prompts long enough for the rest to matter little.
+  if (after && prompt >= kLongPrompt && *after > base::Millis(1)) {
+    const double seen = static_cast<double>(runner.ownPrompt) / (1000 * base::seconds(*after));
+    tokensPerMs_ = tokensPerMs_ == 0 ? seen : 0.9 * tokensPerMs_ + 0.1 * seen;
+  }
   runner.ownPrompt -= std::min<std::uint64_t>(runner.ownPrompt, prompt);
+  if (told != 0 && tell_) tell_({instanceId, told, 0});
+}
+
+void Table::giveBack(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told) {
+  promptRead(instanceId, prompt, told, std::nullopt);
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found != runners_.end() && found->second.own > 0) --found->second.own;
 }
 
 void Table::mark(const std::string& instanceId, Mark mark, base::TimePoint now) {
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -71,28 +72,31 @@
 class Taking {
  public:
   Taking() = default;
-  Taking(Table* table, std::string instanceId, std::uint32_t prompt) noexcept
-      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt) {}
+  Taking(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told) noexcept
+      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt), told_(told) {}
   Taking(Taking&& other) noexcept
-      : table_(std::exchange(other.table_, nullptr)), instanceId_(std::move(other.instanceId_)), prompt_(other.prompt_) {}
+      : table_(std::exchange(other.table_, nullptr)), instanceId_(std::move(other.instanceId_)), prompt_(other.prompt_),
+        told_(other.told_) {}
   Taking& operator=(Taking&& other) noexcept {
     if (this != &other) {
       release();
       table_ = std::exchange(other.table_, nullptr);
       instanceId_ = std::move(other.instanceId_);
       prompt_ = other.prompt_;
+      told_ = other.told_;
     }
     return *this;
   }
   ~Taking() { release(); }
   void release();
-  // The first token is there: the prompt has been read and holds nobody up any more.
-  void begun();
+  // The first token is there after this long: the prompt has been read and holds nobody up any more.
+  void begun(base::Clock::duration after);
 
  private:
   Table* table_ = nullptr;
   std::string instanceId_;
   std::uint32_t prompt_ = 0;
+  std::uint64_t told_ = 0;  // under which number the other routers know of the prompt; 0: they do not
 };
 
 struct PassTo {
@@ -142,12 +146,18 @@
             base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
 
+  // Long prompts are told to the other routers as they go out and when they have been read. `tell` is called with the
+  // table locked: it only hands on.
+  void setTell(std::function<void(const schema::Demand&)> tell);
+  void heard(const schema::Demand& demand, base::TimePoint now);
+
  private:
   friend class Taking;
   struct Runner {
     schema::RunnerEntry entry;
     std::uint32_t own = 0;        // own requests there
     std::uint64_t ownPrompt = 0;  // prompt tokens of those that have no first token yet
+    std::map<std::uint64_t, std::pair<std::uint32_t, base::TimePoint>> others;  // long prompts of other routers, until
     double reported = 0;          // running and waiting as last told, less those own
     base::TimePoint reportedAt{};
     base::TimePoint coldUntil{};
@@ -171,8 +181,10 @@
   double demand(const Runner& runner, base::TimePoint now) const;
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
-  void promptRead(const std::string& instanceId, std::uint32_t prompt);
-  void giveBack(const std::string& instanceId, std::uint32_t prompt);
+  double unread(Runner& runner, base::TimePoint now) const;
+  void promptRead(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told,
+                  std::optional<base::Clock::duration> after);
+  void giveBack(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told);
 
   std::string zone_;
   Bounds bounds_;
@@ -183,6 +195,8 @@
   std::deque<std::pair<base::TimePoint, std::size_t>> routerCounts_;
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
+  std::function<void(const schema::Demand&)> tell_;
+  double tokensPerMs_ = 0;  // how fast engines read, as seen here; 0: not seen yet
 };
 
 }  // namespace indigohill::routing
