--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -134,7 +134,9 @@
   }
 
   void reread(bool told) {
-    if (watch_.look(told)) core_.setSeeds(seedAddresses(watch_.now()));
+    if (!watch_.look(told)) return;
+    core_.setSeeds(seedAddresses(watch_.now()));
+    table_.setBounds(boundsOf(watch_.now()));
   }
 
   // Not ready any more, but serving: the platform sends no new connections after a while, and each answer closes its
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -82,6 +82,11 @@
   leaseUntil_ = until;
 }
 
+void Table::setBounds(const Bounds& bounds) {
+  const std::lock_guard lock(mutex_);
+  bounds_ = bounds;
+}
+
 void Table::setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto before = std::exchange(picture_, std::move(picture));
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -133,6 +133,7 @@
   void setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now);
   std::shared_ptr<const Picture> picture() const;
   void setLease(base::TimePoint until);
+  void setBounds(const Bounds& bounds);
 
   // A request has come in for a service: the base of the retry budget.
   void arrived(const std::string& service, base::TimePoint now);
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -268,6 +268,35 @@
   }
 }
 
+Test(world, an_evacuation_reaches_every_router_and_outlives_the_primary) {
+  sim::World world({.seed = 3});
+  Operator op{world};
+  bringUp(world, op);
+  const auto order = [&](control::OrderKind kind) {
+    int status = 0;
+    world.orderUntilClear(kind, 0, "zone-1", [&](const auto& a) { status = a.status; });
+    world.runUntil(Millis(4000), [&] { return status != 0; });
+    cr_assert_eq(status, 200);
+  };
+  const auto everyRouter = [&](bool evacuated) {
+    return world.runUntil(Millis(4000), [&] {
+      for (std::size_t i = world.controllers(); i < world.size(); ++i)
+        if (world.node(i).table->picture()->evacuated.contains("zone-1") != evacuated) return false;
+      return true;
+    });
+  };
+  order(control::OrderKind::Evacuate);
+  cr_assert(everyRouter(true));
+  order(control::OrderKind::Evacuate);  // once more is no error
+  const auto first = *world.active();
+  world.wipe(first);
+  cr_assert(world.runUntil(Millis(6000), [&] { return world.active() && *world.active() != first; }));
+  cr_assert(world.node(*world.active()).controller->replica().published()->evacuated.size() == 1);
+  order(control::OrderKind::EndEvacuation);
+  cr_assert(everyRouter(false));
+  holds(world);
+}
+
 Test(world, routers_learn_of_a_draining_runner_well_within_the_bound) {
   sim::World world({.controllers = 3, .routers = 8});
   Operator op{world};
