--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include "base/log.hpp"
 #include "cli/replay.hpp"
 #include "cli/roles.hpp"
+#include "cli/tools.hpp"
 #include "settings/settings.hpp"
 
 namespace {
@@ -59,7 +60,26 @@
   replay->add_option("--most", played.most, "changed requests to list")->capture_default_str();
   replay->add_flag("--json", played.json, "the result as JSON");
   replay->footer("Exit status: 0 nothing is worse, 1 something is, 2 an input cannot be used.");
+  auto* plan = app.add_subcommand("plan", "show what a change of configuration, runners or daemons would move");
+  indigohill::cli::PlanArguments planned;
+  plan->add_option("--current", planned.current, "configuration in force (JSON)")->required();
+  auto* changed = plan->add_option("--changed", planned.changed, "whole configuration to come (JSON)");
+  plan->add_option("--update", planned.update, "update to come (upsert and remove, JSON)")->excludes(changed);
+  plan->add_option("--runners", planned.runners, "runners now, as the platform lists them (JSON)");
+  plan->add_option("--changed-runners", planned.changedRunners, "runners to come");
+  plan->add_option("--daemons", planned.daemons, "daemons now (JSON)");
+  plan->add_option("--changed-daemons", planned.changedDaemons, "daemons to come");
+  plan->add_flag("--json", planned.json, "the result as JSON");
+  plan->footer("Exit status: 0 nothing moves, 1 something moves, 2 the change would be invalid, 3 an input cannot be used.");
+  auto* import = app.add_subcommand("import", "make a configuration of an Envoy file");
+  indigohill::cli::ImportArguments imported;
+  import->add_option("file", imported.file, "Envoy's static configuration (YAML)")->required();
+  import->add_option("--output", imported.output, "where to write; standard output if not given");
+  import->add_option("--revision", imported.revision, "revision of the configuration")->capture_default_str();
+  import->footer("Exit status: 0 all was carried over, 1 some was not and is listed, 3 the file cannot be used.");
   CLI11_PARSE(app, argc, argv);
+  if (plan->parsed()) return indigohill::cli::runPlan(planned);
+  if (import->parsed()) return indigohill::cli::runImport(imported);
   if (replay->parsed()) return indigohill::cli::runReplay(played);
 
   if (router->parsed()) role = "router";
--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -1,9 +1,8 @@
 #include "cli/replay.hpp"
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
+#include "cli/tools.hpp"
 #include "control/configuration.hpp"
 #include "replay/report.hpp"
 
@@ -11,24 +10,6 @@
 
 namespace {
 
-struct BadInput {
-  std::string what;
-};
-
-std::string contents(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) throw BadInput{path + ": cannot be read"};
-  std::ostringstream all;
-  all << in.rdbuf();
-  return std::move(all).str();
-}
-
-template <class T>
-T need(base::Result<T> result, const std::string& path) {
-  if (const auto* bad = base::fault(result)) throw BadInput{path + ": " + bad->what};
-  return std::get<T>(std::move(result));
-}
-
 std::shared_ptr<const control::Configuration> configuration(const std::string& path) {
   return std::make_shared<const control::Configuration>(need(control::parseConfiguration(contents(path)), path));
 }
--- /dev/null
+++ b/src/import/fwd.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+namespace indigohill::import {
+struct Imported;
+}  // namespace indigohill::import
--- /dev/null
+++ b/src/plan/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace indigohill::plan {
+struct Daemons;
+struct Inputs;
+struct Plan;
+}  // namespace indigohill::plan
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -16,6 +16,17 @@
 constexpr std::uint32_t kLongPrompt = 2000;  // tokens from which a prompt tells how fast an engine reads
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
+
+// The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
+std::uint64_t promptKey(const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) {
+  std::uint64_t key = 0;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+    key = base::hash({reinterpret_cast<const char*>(&prompt[i].first), sizeof(std::uint64_t)}, key + 1);
+  return key;
+}
+
+// Rendezvous hashing: the runner with the highest rank for a key is the same for every router.
+std::uint64_t rankOf(const std::string& instanceId, std::uint64_t key) { return base::hash(instanceId, key + 1); }
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -161,6 +172,19 @@
   return routersLocked(now, memory);
 }
 
+double slackShare(const Bounds& bounds, std::size_t routers) {
+  // A fifth is kept back for what daemons that were killed had used.
+  return routers == 0 ? 0 : 0.8 * bounds.retrySlack / static_cast<double>(routers);
+}
+
+double warmRate(const control::Service& service, const Bounds& bounds, std::size_t routers) {
+  if (routers == 0) return 0;
+  const auto n = static_cast<double>(routers);
+  const double most = 0.9 * (service.warmupPerS * bounds.warmupOvershoot + bounds.warmupSlack);
+  // Each router may have one request in hand besides its rate.
+  return std::max(0.0, std::min(service.warmupPerS, most - n) / n);
+}
+
 bool Table::drawRetry(const std::string& service, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   // Further tries rest on the view: none without a lease.
@@ -172,7 +196,7 @@
   // The ratio counts this daemon's own requests, which adds up over daemons by itself. The slack is split. A process
   // that has just started cannot know what its last life used of it, and leaves it alone for one window.
   const bool seasoned = now - startedAt_ >= bounds_.retryWindow;
-  const double slack = seasoned && routers > 0 ? 0.8 * bounds_.retrySlack / static_cast<double>(routers) : 0;
+  const double slack = seasoned ? slackShare(bounds_, routers) : 0;
   const double allowed = 0.9 * bounds_.retryRatio * static_cast<double>(budget.requests.sum) + slack;
   if (static_cast<double>(budget.tries.sum) + 1 > allowed) return false;
   budget.tries.add(now, bounds_.retryWindow);
@@ -188,10 +212,7 @@
 bool Table::takeWarm(Runner& runner, const control::Service& service, base::TimePoint now) {
   if (service.warmupPerS <= 0) return true;
   if (now >= leaseUntil_) return false;
-  const auto routers = static_cast<double>(routersLocked(now, bounds_.lease + base::Millis(1000)));
-  if (routers == 0) return false;
-  const double most = 0.9 * (service.warmupPerS * bounds_.warmupOvershoot + bounds_.warmupSlack);
-  const double rate = std::min(service.warmupPerS, most - routers) / routers;
+  const double rate = warmRate(service, bounds_, routersLocked(now, bounds_.lease + base::Millis(1000)));
   if (rate <= 0) return false;
   if (runner.warmAt == base::TimePoint{}) runner.warmAt = now;
   runner.warmTokens = std::min(1.0, runner.warmTokens + rate * base::seconds(now - runner.warmAt));
@@ -201,6 +222,25 @@
   return true;
 }
 
+bool Table::usable(const Runner& runner, const std::string& service) const {
+  const auto& e = runner.entry;
+  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone);
+}
+
+std::string Table::home(const std::string& service,
+                        const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const {
+  const std::lock_guard lock(mutex_);
+  const auto key = promptKey(prompt);
+  std::string best;
+  std::uint64_t most = 0;
+  for (const auto& [id, runner] : runners_)
+    if (const auto rank = rankOf(id, key); usable(runner, service) && (best.empty() || rank > most)) {
+      best = id;
+      most = rank;
+    }
+  return best;
+}
+
 Decision Table::decide(const Asked& asked, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
@@ -216,22 +256,18 @@
   std::vector<Choice> choices, ejected;
   std::size_t there = 0;
   const bool engine = service->kvCacheTokens > 0;
-  std::uint64_t key = 0;
-  // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
-  for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i)
-    key = base::hash({reinterpret_cast<const char*>(&asked.prompt[i].first), sizeof(std::uint64_t)}, key + 1);
+  const auto key = promptKey(asked.prompt);
   const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
   const auto connections =
       std::max<std::uint32_t>(1, service->maxConnections == 0
                                      ? 64
                                      : static_cast<std::uint32_t>(service->maxConnections / routersNow));
   for (auto& [id, runner] : runners_) {
-    const auto& e = runner.entry;
-    if (!runner.listed || e.service != asked.service || e.draining || picture_->evacuated.contains(e.zone)) continue;
+    if (!usable(runner, asked.service)) continue;
     ++there;
     if (asked.tried.contains(id) || runner.own >= connections) continue;
     const double d = demand(runner, now);
-    Choice choice{&runner, d, base::hash(id, key + 1)};
+    Choice choice{&runner, d, rankOf(id, key)};
     if (runner.ejectedUntil > now || runner.trial)
       ejected.push_back(choice);
     else
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -125,6 +125,11 @@
   settings::Policy policy = settings::defaultPolicy();
 };
 
+// One router's part of what all routers share, for a number of routers: further tries beyond the ratio in each window,
+// and requests a second to a cold runner.
+double slackShare(const Bounds& bounds, std::size_t routers);
+double warmRate(const control::Service& service, const Bounds& bounds, std::size_t routers);
+
 class Table {
  public:
   Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt);
@@ -146,6 +151,8 @@
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
+  // Where the shared parts of a prompt are expected to be kept; empty without a runner.
+  std::string home(const std::string& service, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
 
   // Long prompts are told to the other routers as they go out and when they have been read. `tell` is called with the
   // table locked: it only hands on.
@@ -179,6 +186,7 @@
     Window requests, tries;
   };
 
+  bool usable(const Runner& runner, const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
