--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -9,7 +9,6 @@
 #include "control/controller.hpp"
 #include "http/server.hpp"
 #include "net/link.hpp"
-#include "runners/reader.hpp"
 #include "store/store.hpp"
 
 namespace indigohill::cli {
@@ -135,6 +134,8 @@
         members.push_back({{"id", m.id}, {"zone", m.zone}, {"incarnation", m.incarnation}});
       out["members"] = std::move(members);
     }
+    out["rejectedMessages"] = group.rejected();
+    out["timesToldDead"] = group.deaths();
     out["droppedMessages"] = link_.dropped();
     return boost::json::serialize(out);
   }
@@ -170,7 +171,14 @@
     core_.tick(now, fx);
     if (!reading_ && core_.readingDue(now)) {
       reading_ = true;
-      asio::co_spawn(io_, readList(), asio::detached);
+      asio::co_spawn(io_,
+                     readRunners(reader_, reading_,
+                                 [this](std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt) {
+                                   control::Effects after;
+                                   core_.listed(std::move(runners), askedAt, base::Clock::now(), after);
+                                   apply(after);
+                                 }),
+                     asio::detached);
     }
     if (now - lookedAt_ >= kSettingsLook) {
       lookedAt_ = now;
@@ -182,19 +190,6 @@
     return false;
   }
 
-  asio::awaitable<void> readList() {
-    const auto askedAt = base::Clock::now();
-    auto result = co_await reader_.read(Millis(1000));
-    reading_ = false;
-    if (const auto* bad = base::fault(result)) {
-      spdlog::warn("list of runners not read: {}", bad->what);
-      co_return;
-    }
-    control::Effects fx;
-    core_.listed(std::get<0>(std::move(result)), askedAt, base::Clock::now(), fx);
-    apply(fx);
-  }
-
   void reread(bool told) {
     if (watch_.look(told)) core_.setSeeds(seedAddresses(watch_.now()));
   }
--- a/src/cli/process.hpp
+++ b/src/cli/process.hpp
@@ -9,6 +9,7 @@
 #include "base/log.hpp"
 #include "http/types.hpp"
 #include "membership/group.hpp"
+#include "runners/reader.hpp"
 #include "settings/settings.hpp"
 
 // What both roles share: signals, ticks, the settings file that may change, where the controllers are.
@@ -82,6 +83,19 @@
   std::filesystem::file_time_type written_;
 };
 
+// Reads the platform's list once and hands it on; what goes wrong is logged.
+inline http::asio::awaitable<void> readRunners(
+    runners::Reader& reader, bool& reading,
+    std::function<void(std::vector<schema::RunnerEntry>, base::TimePoint askedAt)> take) {
+  const auto askedAt = base::Clock::now();
+  auto result = co_await reader.read(base::Millis(1000));
+  reading = false;
+  if (const auto* bad = base::fault(result))
+    spdlog::warn("list of runners not read: {}", bad->what);
+  else
+    take(std::get<0>(std::move(result)), askedAt);
+}
+
 // Calls `tick` again and again until it says no.
 inline http::asio::awaitable<void> every(http::asio::any_io_executor executor, base::Millis period,
                                          std::function<bool()> tick) {
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -11,7 +11,6 @@
 #include "net/link.hpp"
 #include "pass/executor.hpp"
 #include "routing/table.hpp"
-#include "runners/reader.hpp"
 
 namespace indigohill::cli {
 
@@ -67,8 +66,9 @@
     io_.run();
     for (auto& other : others) other.join();
     const auto& c = executor_.counters();
-    spdlog::info("router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed",
-                 c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed);
+    spdlog::info("router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed, "
+                 "{} connections to runners",
+                 c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed, executor_.pool().opened());
     return 0;
   }
 
@@ -114,25 +114,19 @@
     }
     if (!reading_ && core_.readingDue(now)) {
       reading_ = true;
-      asio::co_spawn(cohort_, readList(), asio::detached);
+      asio::co_spawn(cohort_,
+                     readRunners(reader_, reading_,
+                                 [this](std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt) {
+                                   feed::Followed after;
+                                   core_.listed(std::move(runners), askedAt, after);
+                                   apply(after);
+                                 }),
+                     asio::detached);
     }
     apply(fx);
     return !ended(now);
   }
 
-  asio::awaitable<void> readList() {
-    const auto askedAt = base::Clock::now();
-    auto result = co_await reader_.read(Millis(1000));
-    reading_ = false;
-    if (const auto* bad = base::fault(result)) {
-      spdlog::warn("list of runners not read: {}", bad->what);
-      co_return;
-    }
-    feed::Followed fx;
-    core_.listed(std::get<0>(std::move(result)), askedAt, fx);
-    apply(fx);
-  }
-
   void reread(bool told) {
     if (!watch_.look(told)) return;
     core_.setSeeds(seedAddresses(watch_.now()));
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -48,7 +48,7 @@
     : self_(std::move(self)), tuning_(tuning),
       group_({self_.nodeName + "/controller", identity.voterId, self_.zone, membership::Role::Controller, self_.cohort},
              std::move(seeds), tuning.group, seed),
-      replica_({identity.voterId, self_.zone, self_.cohort}, identity.loaded, tuning.replica, seed + 1),
+      replica_({identity.voterId, self_.cohort}, identity.loaded, tuning.replica, seed + 1),
       source_(tuning.feed), frameSink_(tuning.feed, seed), runnerSink_(tuning.feed, ~seed) {
   group_.setFloor(identity.floor);
   floorKept_ = identity.floor;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -139,6 +139,10 @@
     if (usable(m) && (best == nullptr || rank(m) < rank(*best))) best = &m;
   if (best == nullptr) return false;
   target.backup = best->voterId;
+  const auto zoneOf = [&](const std::string& voter) {
+    const auto seen = zones_.find(voter);
+    return seen == zones_.end() ? std::string() : seen->second;
+  };
   // A voter that has been missing for long is exchanged, one at a time, best for a controller of its own zone.
   for (auto& voter : target.voters) {
     const auto missing = missingSince_.find(voter);
@@ -146,7 +150,7 @@
     const schema::Member* heir = nullptr;
     for (const auto& m : around_.controllers)
       if (!m.voterId.empty() && !has(target.voters, m.voterId) &&
-          (heir == nullptr || (m.voterId == target.backup && heir->voterId != target.backup)))
+          (heir == nullptr || (m.zone == zoneOf(voter) && heir->zone != zoneOf(voter))))
         heir = &m;
     if (heir == nullptr) continue;
     voter = heir->voterId;
@@ -246,12 +250,16 @@
 
 void Replica::considerExchange(base::TimePoint now, Effects& fx) {
   for (const auto& voter : record_->voters) {
-    if (controller(voter) != nullptr)
+    if (const auto* m = controller(voter)) {
       missingSince_.erase(voter);
-    else
+      zones_[voter] = m->zone;
+    } else {
       missingSince_.try_emplace(voter, now);
+    }
   }
-  std::erase_if(missingSince_, [&](const auto& entry) { return !has(record_->voters, entry.first); });
+  const auto former = [&](const auto& entry) { return !has(record_->voters, entry.first); };
+  std::erase_if(missingSince_, former);
+  std::erase_if(zones_, former);
   if (phase_ != Phase::Active || candidacy_ || !around_.lease) return;
   schema::EpochRecord target;
   if (chooseTarget(target, now) && target.voters != record_->voters) stand(now, fx);
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -67,7 +67,7 @@
 class Replica {
  public:
   struct Self {
-    std::string voterId, zone;
+    std::string voterId;
     settings::Endpoint address;
   };
   struct Loaded {
@@ -168,6 +168,7 @@
   std::optional<schema::Frame> frame_, published_;
   std::map<std::string, settings::Endpoint> lastAddress_;
   std::map<std::string, base::TimePoint> missingSince_;
+  std::map<std::string, std::string> zones_;  // where each voter was last seen
 
   Phase phase_ = Phase::Idle;
   std::optional<Candidacy> candidacy_;
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -95,7 +95,6 @@
   answeredAt_ = now;
   if (news.confirmed) {
     confirmedSeen_ = true;
-    confirmedAt_ = now;
   } else {
     rotate_ = true;
   }
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -64,17 +64,15 @@
   // True when the news answers the ask that is under way; the next is then sent with the next tick.
   bool receive(const schema::News& news, const settings::Endpoint& from, base::TimePoint now);
 
-  bool confirmed(base::TimePoint now) const { return confirmedSeen_ && now - confirmedAt_ < 2 * times_.again; }
   // Within this life, a configuration was once confirmed as the newest.
   bool everConfirmed() const { return confirmedSeen_; }
-  base::TimePoint answeredAt() const { return answeredAt_; }
 
  private:
   Times times_;
   std::uint64_t token_;
   std::size_t target_ = 0;
   bool waiting_ = false, confirmedSeen_ = false, rotate_ = false;
-  base::TimePoint askedAt_{}, confirmedAt_{}, answeredAt_{};
+  base::TimePoint askedAt_{}, answeredAt_{};
 };
 
 }  // namespace indigohill::feed
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -61,10 +61,10 @@
 
 // Everyone exchanges hellos with the voters (the lease needs their echoes) and with the oldest members (one of them
 // manages). Those in turn hear from everybody. All-to-all would cost several times as much and tell no more.
-std::vector<const schema::Member*> Group::watched(base::TimePoint now) const {
+std::vector<const schema::Member*> Group::watched() const {
   std::vector<const schema::Member*> out;
   if (!view_) return out;
-  const bool all = watchesAll(now);
+  const bool all = watchesAll();
   std::size_t oldest = 0;
   for (const auto& m : view_->members) {
     const bool isVoter = std::find(view_->voters.begin(), view_->voters.end(), m.voterId) != view_->voters.end();
@@ -75,7 +75,7 @@
   return out;
 }
 
-bool Group::watchesAll(base::TimePoint) const {
+bool Group::watchesAll() const {
   if (!view_) return false;
   if (!self_.voterId.empty() &&
       std::find(view_->voters.begin(), view_->voters.end(), self_.voterId) != view_->voters.end())
@@ -89,7 +89,7 @@
   return false;
 }
 
-bool Group::manages(base::TimePoint) const {
+bool Group::manages() const {
   if (!view_ || leavingSelf_) return false;
   for (const auto& m : view_->members) {
     if (m.incarnation == incarnation_) return true;
@@ -101,7 +101,7 @@
 
 void Group::suspectSilent(base::TimePoint now) {
   std::set<std::uint64_t> watchedNow;
-  for (const auto* m : watched(now)) {
+  for (const auto* m : watched()) {
     watchedNow.insert(m->incarnation);
     const auto since = watchedSince_.try_emplace(m->incarnation, now).first->second;
     const auto heard = heardAt_.find(m->incarnation);
@@ -155,11 +155,11 @@
 
 void Group::sendHellos(base::TimePoint now, net::Outbox& out) {
   helloAt_ = now;
-  const bool all = watchesAll(now);
+  const bool all = watchesAll();
   const auto watchesToo = [&](const schema::Member& m) {
     return std::find(view_->voters.begin(), view_->voters.end(), m.voterId) != view_->voters.end();
   };
-  for (const auto* m : watched(now)) {
+  for (const auto* m : watched()) {
     // Those that watch everybody are asked by everybody and answer; among themselves both sides ask.
     const bool answersOnly = all && heardAt_.contains(m->incarnation) && stampOf_.contains(m->incarnation) &&
                              !suspected_.contains(m->incarnation) && !watchesToo(*m) &&
@@ -297,7 +297,7 @@
 }
 
 void Group::considerExtension(base::TimePoint now, net::Outbox& out) {
-  if (!manages(now)) {
+  if (!manages()) {
     // Somebody older is back: the round is its to run.
     round_.reset();
     return;
@@ -534,7 +534,7 @@
         return;
       }
     if (m.member.id == self_.id) return;
-    if (!manages(now)) {
+    if (!manages()) {
       // Passed on to the manager, as the joiner cannot know who that is.
       for (const auto& known : view_->members)
         if (!suspected_.contains(known.incarnation) && !leaving_.contains(known.incarnation)) {
@@ -709,7 +709,7 @@
         leave.successor = m.incarnation;
   leaving_.insert(incarnation_);
   // To the members that watch: whichever of them manages takes it up.
-  for (const auto* m : watched(base::TimePoint{})) out.push_back({addressOf(*m), leave});
+  for (const auto* m : watched()) out.push_back({addressOf(*m), leave});
 }
 
 }  // namespace indigohill::membership
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -93,9 +93,9 @@
   static bool quorum(const schema::View& view, const std::vector<std::string>& voters);
   bool quorate(const schema::View& view) const;
   settings::Endpoint addressOf(const schema::Member& m) const { return {m.ip, m.port}; }
-  std::vector<const schema::Member*> watched(base::TimePoint now) const;
-  bool watchesAll(base::TimePoint now) const;
-  bool manages(base::TimePoint now) const;
+  std::vector<const schema::Member*> watched() const;
+  bool watchesAll() const;
+  bool manages() const;
   void suspectSilent(base::TimePoint now);
   void sendHellos(base::TimePoint now, net::Outbox& out);
   void sendHello(const schema::Member& to, bool wanted, base::TimePoint now, net::Outbox& out);
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <gsl/util>
 #include <sstream>
 
 #include "base/log.hpp"
@@ -110,6 +111,18 @@
   std::shared_ptr<State> state_;
 };
 
+// Reads an answer to its end without keeping it; false if it breaks off.
+asio::awaitable<bool> skipBody(Connection& connection, wire::response_parser<wire::buffer_body>& parser) {
+  std::array<char, 4096> waste;
+  while (!parser.is_done()) {
+    parser.get().body().data = waste.data();
+    parser.get().body().size = waste.size();
+    auto [error, bytes] = co_await wire::async_read_some(connection.stream, connection.buffer, parser, http::kTuple);
+    if (error && error != wire::error::need_buffer) co_return false;
+  }
+  co_return true;
+}
+
 }  // namespace
 
 // One request under way and what the client has of its answer.
@@ -259,8 +272,8 @@
     auto request = parser.release();
     ++counters_.requests;
     ++counters_.active;
+    const auto served = gsl::finally([this] { --counters_.active; });
     const bool keep = co_await serve(client, request, base::Clock::now());
-    --counters_.active;
     if (!keep) break;
   }
   boost::system::error_code ignored;
@@ -415,14 +428,8 @@
     // again afterwards.
     if (strayed) co_return Outcome{End::Fault, Verdict::MayHaveRun, "answers of other requests"};
     strayed = true;
-    std::array<char, 4096> waste;
-    while (!parser->is_done()) {
-      parser->get().body().data = waste.data();
-      parser->get().body().size = waste.size();
-      auto [skipError, skipped] = co_await wire::async_read_some(stream, connection->buffer, *parser, http::kTuple);
-      if (skipError && skipError != wire::error::need_buffer)
-        co_return Outcome{End::Fault, Verdict::MayHaveRun, "answer of another request: " + skipError.message()};
-    }
+    if (!co_await skipBody(*connection, *parser))
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer of another request breaks off"};
   }
   const auto& head = parser->get();
   const auto status = static_cast<int>(head.result_int());
@@ -440,16 +447,8 @@
   const bool reusable = head.keep_alive();
   if (notRun) {
     table_.mark(to.instanceId, routing::Mark::Refused, base::Clock::now());
-    std::array<char, 4096> waste;
-    bool whole = true;
-    while (whole && !parser->is_done()) {
-      parser->get().body().data = waste.data();
-      parser->get().body().size = waste.size();
-      auto [error, bytes] = co_await wire::async_read_some(stream, connection->buffer, *parser, http::kTuple);
-      if (error && error != wire::error::need_buffer) whole = false;
-    }
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
-    if (!whole) co_return outcome;
+    if (!co_await skipBody(*connection, *parser)) co_return outcome;
   } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -129,23 +129,20 @@
   return wrong.empty() ? wrong : std::string(path) + ": " + wrong;
 }
 
-std::string readPolicy(const Tree& tree, Policy& out) {
 #define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                               \
   if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
     return wrong;
+
+std::string readPolicy(const Tree& tree, Policy& out) {
   INDIGOHILL_POLICY(INDIGOHILL_READ)
-#undef INDIGOHILL_READ
   return {};
 }
 
 std::string readSettings(const Tree& tree, Settings& out) {
-#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                               \
-  if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
-    return wrong;
   INDIGOHILL_SETTINGS(INDIGOHILL_READ)
-#undef INDIGOHILL_READ
   return readPolicy(tree, out.policy);
 }
+#undef INDIGOHILL_READ
 
 }  // namespace
 
--- a/tests/documents.hpp
+++ b/tests/documents.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <fmt/format.h>
 
+#include <stdexcept>
 #include <string>
 
 // Configurations for tests.
@@ -27,4 +28,11 @@
       revision, timeoutMs);
 }
 
+// The text with one part of it, which must be there, exchanged for another.
+inline std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  if (at == std::string::npos) throw std::logic_error("'" + from + "' is not in the text");
+  return text.replace(at, from.size(), to);
+}
+
 }  // namespace indigohill::tests
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -21,6 +21,7 @@
 
 using namespace indigohill;
 using base::Millis;
+using tests::replaced;
 using tests::document;
 
 namespace {
@@ -51,12 +52,6 @@
   const auto* bad = base::fault(r);
   return bad == nullptr ? "" : bad->what;
 }
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  cr_assert_neq(at, std::string::npos, "%s is not in the document", from.c_str());
-  return text.replace(at, from.size(), to);
-}
-
 }  // namespace
 
 Test(settings, reads_fields_with_dots_and_units) {
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -15,15 +15,10 @@
 
 using namespace indigohill;
 using base::Millis;
+using tests::replaced;
 
 namespace {
 
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  cr_assert_neq(at, std::string::npos, "%s is not there", from.c_str());
-  return text.replace(at, from.size(), to);
-}
-
 plan::Side side(const std::string& document, std::size_t engines) {
   plan::Side out;
   auto parsed = control::parseConfiguration(document);
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -11,15 +11,10 @@
 
 using namespace indigohill;
 using base::Millis;
+using tests::replaced;
 
 namespace {
 
-std::string replaced(std::string text, const std::string& from, const std::string& to) {
-  const auto at = text.find(from);
-  cr_assert_neq(at, std::string::npos, "%s is not there", from.c_str());
-  return text.replace(at, from.size(), to);
-}
-
 const std::string kBooking =
     R"(,{"name":"r-book","hostname":"a.example","pathPrefix":"/book/","routeType":"non_idempotent","timeoutMs":2000,)"
     R"("targetLatencyMs":500,"priority":1,"targetService":"plain","maxAttempts":2})";
