--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -22,8 +22,8 @@
   sim::World& world;
   std::uint64_t newest = 0;     // acknowledged
   std::uint64_t tried = 0;      // highest revision ever sent
-  std::set<std::uint64_t> refused;
-  bool busy = false;
+  std::set<std::uint64_t> refused{};
+  bool busy = false;  // one change at a time
 
   void change() {
     if (busy) return;
@@ -388,6 +388,15 @@
   for (std::uint64_t seed = first; seed <= last; ++seed) {
     sim::World world({.controllers = 3 + seed % 2, .routers = 4, .seed = seed, .loss = 0.01 * (seed % 4)});
     Operator op{world};
+    // A configuration that was refused, or that lost its race, is in force nowhere and at no time.
+    world.checks.push_back([&] {
+      for (std::size_t i = 0; i < world.size(); ++i) {
+        auto& n = world.node(i);
+        if (!n.alive) continue;
+        const auto& frame = (n.isController ? n.controller->source() : n.follower->source()).frame();
+        if (frame && op.refused.contains(frame->revision)) world.breakRule(n.name + " has a refused configuration");
+      }
+    });
     bringUp(world, op);
     for (int round = 0; round < 8 && !world.broken(); ++round) {
       const auto core = world.random() % world.controllers();
