--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -313,6 +313,91 @@
   }));
 }
 
+namespace {
+
+// A router whose group is itself and a voter "a" of incarnation 50 at address 2:2; its own incarnation is 51.
+struct Pair {
+  indigohill::base::TimePoint now{std::chrono::hours(1)};
+  indigohill::membership::Group group{
+      {"b", "", "z", indigohill::membership::Role::Router, {1, 1}}, {{9, 9}}, {}, 7};
+  indigohill::net::Outbox out;
+  schema::View view;
+
+  schema::Member self() {
+    out.clear();
+    now += Millis(1000);
+    group.tick(now, out);
+    return std::get<schema::Join>(out.at(0).message).member;
+  }
+  schema::Commit commit() {
+    const auto me = self();
+    view.number = 100;
+    view.voters = {"v"};
+    view.members = {{"a", "v", "z", 2, 2, 2, 5, 50}, me};
+    view.members[1].incarnation = 51;
+    out.clear();
+    return {view, {}, {}, 0};
+  }
+  void hello(std::int64_t echoMs) { group.receive(schema::Hello{50, 100, 1, echoMs, false, 0, {}}, {2, 2}, now, out); }
+};
+
+}  // namespace
+
+Test(group, a_failure_view_waits_for_what_survivors_hold_of_the_failed_daemon) {
+  Pair p;
+  auto commit = p.commit();
+  commit.flushed = {2, 5};
+  commit.flushHolder = 50;
+  p.group.setHeld({2, 4});
+  p.group.receive(commit, {2, 2}, p.now, p.out);
+  cr_assert(!p.group.view().has_value(), "delivered before the flush");
+  cr_assert(p.group.flushFrom().has_value() && p.group.flushFrom()->ip == 2);
+  p.group.setHeld({2, 5});
+  p.group.tick(p.now, p.out);
+  cr_assert(p.group.view().has_value() && !p.group.flushFrom().has_value());
+}
+
+Test(group, one_told_dead_leaves_and_comes_back_as_somebody_new) {
+  Pair p;
+  const auto before = p.self().bootId;
+  p.group.receive(p.commit(), {2, 2}, p.now, p.out);
+  p.group.receive(schema::YouAreDead{50, 100}, {2, 2}, p.now, p.out);
+  cr_assert(p.group.view().has_value(), "meant for another incarnation");
+  p.group.receive(schema::YouAreDead{51, 100}, {2, 2}, p.now, p.out);
+  cr_assert(!p.group.view().has_value());
+  cr_assert_neq(p.self().bootId, before);
+}
+
+Test(group, the_lease_runs_from_the_daemons_own_stamp) {
+  Pair p;
+  p.group.receive(p.commit(), {2, 2}, p.now, p.out);
+  cr_assert_not(p.group.leaseHeld(p.now), "no voter has shown the view yet");
+  const auto stamp = indigohill::base::toMs(p.now);
+  p.hello(stamp);
+  cr_assert(p.group.leaseHeld(p.now));
+  // Frozen meanwhile: the same echo read late renews nothing.
+  p.now += Millis(5000);
+  p.hello(stamp);
+  cr_assert_not(p.group.leaseHeld(p.now));
+  p.hello(indigohill::base::toMs(p.now));
+  cr_assert(p.group.leaseHeld(p.now));
+}
+
+Test(group, a_stale_hello_is_rejected_and_the_newer_view_sent_again) {
+  Pair p;
+  p.group.receive(p.commit(), {2, 2}, p.now, p.out);
+  p.out.clear();
+  p.group.receive(schema::Hello{50, 90, 1, 0, true, 0, {}}, {2, 2}, p.now, p.out);
+  cr_assert_eq(p.out.size(), 1u);
+  cr_assert_eq(std::get<schema::Commit>(p.out[0].message).result.number, 100u);
+  cr_assert_eq(p.group.rejected(), 1u);
+  // A failed incarnation is told so, by one that holds the lease.
+  p.hello(indigohill::base::toMs(p.now));
+  p.out.clear();
+  p.group.receive(schema::Hello{49, 90, 1, 0, true, 0, {}}, {3, 3}, p.now, p.out);
+  cr_assert(p.out.size() == 1 && std::get<schema::YouAreDead>(p.out[0].message).incarnation == 49);
+}
+
 // Found by the random days (seed 694): a manager that had been left out proposed again, and members of the newer view
 // acknowledged it, since its numbers looked new. Two views then had one number.
 Test(world, a_manager_left_behind_gets_no_acknowledgement) {
