--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr Millis kTick{100};
-constexpr Millis kSettingsLook{1000};
+
 class Process {
  public:
   Process(const settings::Settings& settings, const std::string& path, std::unique_ptr<store::Store> store)
--- a/src/cli/process.hpp
+++ b/src/cli/process.hpp
@@ -15,6 +15,8 @@
 // What both roles share: signals, ticks, the settings file that may change, where the controllers are.
 namespace indigohill::cli {
 
+constexpr base::Millis kSettingsLook{1000};  // how often the settings file is looked at
+
 inline std::uint64_t randomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) ^ device() ^
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr Millis kTick{200};
-constexpr Millis kSettingsLook{1000};
 
 routing::Bounds boundsOf(const settings::Settings& s) {
   return {s.retryBudgetRatio, s.retryBudgetSlack, s.warmupOvershoot, s.warmupSlack, s.retryWindowS,
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/lists.hpp"
 #include "runners/list.hpp"
 
 namespace indigohill::control {
@@ -33,7 +34,7 @@
   std::vector<std::string> voters;
   for (const auto& s : seeds) voters.push_back(settings::text(s));
   const auto own = settings::text(controlPlane);
-  const bool first = bootstrap && std::find(voters.begin(), voters.end(), own) != voters.end();
+  const bool first = bootstrap && base::contains(voters, own);
   out.voterId = first ? own : fmt::format("n-{:016x}", seed);
   writes.push_back({0, Slot::Identity, out.voterId});
   if (first) {
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/lists.hpp"
+
 namespace indigohill::control {
 
 namespace {
@@ -9,9 +11,6 @@
 constexpr std::size_t kOrdersWaiting = 64;
 constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
 
-bool has(const std::vector<std::string>& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
 bool majority(const std::set<std::string>& said, const std::vector<std::string>& voters) {
   const auto count = std::count_if(voters.begin(), voters.end(), [&](const auto& v) { return said.contains(v); });
   return 2 * static_cast<std::size_t>(count) > voters.size();
@@ -132,7 +131,7 @@
   const auto rank = [&](const schema::Member& m) {
     if (record_->primary == self_.voterId && m.voterId == record_->backup) return 0;
     if (m.voterId == record_->primary) return 3;
-    return has(record_->voters, m.voterId) ? 1 : 2;
+    return base::contains(record_->voters, m.voterId) ? 1 : 2;
   };
   const schema::Member* best = nullptr;
   for (const auto& m : around_.controllers)
@@ -149,7 +148,7 @@
     if (missing == missingSince_.end() || now - missing->second < times_.exchange) continue;
     const schema::Member* heir = nullptr;
     for (const auto& m : around_.controllers)
-      if (!m.voterId.empty() && !has(target.voters, m.voterId) &&
+      if (!m.voterId.empty() && !base::contains(target.voters, m.voterId) &&
           (heir == nullptr || (m.zone == zoneOf(voter) && heir->zone != zoneOf(voter))))
         heir = &m;
     if (heir == nullptr) continue;
@@ -242,7 +241,7 @@
     return;
   }
   // A record that some voters accepted and nobody finished: any voter may finish that very value.
-  if (vote_.slot == record_->epoch + 1 && vote_.acceptedBallot != 0 && has(record_->voters, self_.voterId)) {
+  if (vote_.slot == record_->epoch + 1 && vote_.acceptedBallot != 0 && base::contains(record_->voters, self_.voterId)) {
     const bool owner = controller(vote_.accepted.primary) != nullptr;
     if (!owner && now - leaseSince_ > times_.quiet) stand(now, fx);
   }
@@ -257,7 +256,7 @@
       missingSince_.try_emplace(voter, now);
     }
   }
-  const auto former = [&](const auto& entry) { return !has(record_->voters, entry.first); };
+  const auto former = [&](const auto& entry) { return !base::contains(record_->voters, entry.first); };
   std::erase_if(missingSince_, former);
   std::erase_if(zones_, former);
   if (phase_ != Phase::Active || candidacy_ || !around_.lease) return;
@@ -366,7 +365,7 @@
     send(m.from, schema::Decided{*record_}, fx);
     return;
   }
-  if (m.slot != record_->epoch + 1 || !has(record_->voters, self_.voterId)) return;
+  if (m.slot != record_->epoch + 1 || !base::contains(record_->voters, self_.voterId)) return;
   if (vote_.slot != m.slot) vote_ = {m.slot, 0, 0, {}, vote_.sealed};
   if (m.ballot < vote_.promised) {
     // Tells the candidate what it has to pass.
@@ -513,7 +512,7 @@
   next = *frame_;
   ++next.stamp.serial;
   if (order.kind == OrderKind::Evacuate || order.kind == OrderKind::EndEvacuation) {
-    const bool there = has(next.evacuated, order.body);
+    const bool there = base::contains(next.evacuated, order.body);
     if (there == (order.kind == OrderKind::Evacuate)) return Answer{order.call, 200, "{}", {}};
     if (there)
       std::erase(next.evacuated, order.body);
@@ -523,7 +522,7 @@
   }
   const bool update = order.kind == OrderKind::Update;
   const auto digest = orderDigest(update ? "update" : "replace", order.baseVersion, order.body);
-  if (has(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
+  if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
   if (order.baseVersion != next.revision)
     return Answer{order.call, 412, "the current revision is " + std::to_string(next.revision), {}};
   std::string document = order.body;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -69,8 +69,7 @@
         auto reply = answer(parser.get(), error == wire::error::body_limit ? 413 : 431, "too large");
         reply.keep_alive(false);
         co_await wire::async_write(stream, reply, kTuple);
-      } else if (error.category() == boost::system::error_code(wire::error::bad_method).category() &&
-                 error != wire::error::end_of_stream && error != wire::error::partial_message) {
+      } else if (malformed(error)) {
         auto reply = answer(parser.get(), 400, error.message());
         reply.keep_alive(false);
         co_await wire::async_write(stream, reply, kTuple);
--- a/src/http/types.hpp
+++ b/src/http/types.hpp
@@ -36,6 +36,12 @@
   socket.set_option(UserTimeout(static_cast<int>(silent.count())), ignored);
 }
 
+// The peer's bytes are not HTTP, as against a connection that ended or broke.
+inline bool malformed(const boost::system::error_code& error) {
+  return error.category() == wire::make_error_code(wire::error::bad_method).category() &&
+         error != wire::error::end_of_stream && error != wire::error::partial_message;
+}
+
 Response answer(const Request& request, int status, std::string body, const char* type = "text/plain");
 
 }  // namespace indigohill::http
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "base/lists.hpp"
+
 namespace indigohill::membership {
 
 namespace {
@@ -67,7 +69,7 @@
   const bool all = watchesAll();
   std::size_t oldest = 0;
   for (const auto& m : view_->members) {
-    const bool isVoter = std::find(view_->voters.begin(), view_->voters.end(), m.voterId) != view_->voters.end();
+    const bool isVoter = base::contains(view_->voters, m.voterId);
     const bool isOldest = !suspected_.contains(m.incarnation) && oldest < kOldestWatched;
     if (isOldest) ++oldest;
     if (m.incarnation != incarnation_ && (all || isVoter || isOldest)) out.push_back(&m);
@@ -78,7 +80,7 @@
 bool Group::watchesAll() const {
   if (!view_) return false;
   if (!self_.voterId.empty() &&
-      std::find(view_->voters.begin(), view_->voters.end(), self_.voterId) != view_->voters.end())
+      base::contains(view_->voters, self_.voterId))
     return true;
   std::size_t oldest = 0;
   for (const auto& m : view_->members) {
@@ -157,7 +159,7 @@
   helloAt_ = now;
   const bool all = watchesAll();
   const auto watchesToo = [&](const schema::Member& m) {
-    return std::find(view_->voters.begin(), view_->voters.end(), m.voterId) != view_->voters.end();
+    return base::contains(view_->voters, m.voterId);
   };
   for (const auto* m : watched()) {
     // Those that watch everybody are asked by everybody and answer; among themselves both sides ask.
@@ -194,7 +196,7 @@
 // Cut off from a majority, a voter waits; an existing view with a quorum would have taken it in.
 void Group::considerFounding(base::TimePoint now, net::Outbox& out) {
   if (round_ || leavingSelf_ || self_.voterId.empty()) return;
-  if (std::find(knownVoters_.begin(), knownVoters_.end(), self_.voterId) == knownVoters_.end()) return;
+  if (!base::contains(knownVoters_, self_.voterId)) return;
   if (pending_ && now - pendingAt_ < times_.suspect) return;
   schema::View view;
   view.epoch = knownEpoch_;
@@ -205,7 +207,7 @@
     view.members.push_back(joiner.member);
     base = std::max(base, joiner.floor);
     const auto& voter = joiner.member.voterId;
-    if (std::find(knownVoters_.begin(), knownVoters_.end(), voter) != knownVoters_.end()) first = std::min(first, voter);
+    if (base::contains(knownVoters_, voter)) first = std::min(first, voter);
   }
   if (!quorum(view, knownVoters_) || first != self_.voterId) return;
   // When every voter is here there is nobody to wait for. Otherwise one may be about to show itself.
@@ -581,7 +583,7 @@
           return member.id == join.id && member.bootId == join.bootId;
         });
         const bool failedSince = std::any_of(m.steps.begin(), m.steps.end(), [&](const auto& s) {
-          return std::find(s.faults.begin(), s.faults.end(), join.incarnation) != s.faults.end();
+          return base::contains(s.faults, join.incarnation);
         });
         // A joiner that has since started again has failed in the meantime as well.
         if (!has && !failedSince && join.id != self_.id) nack.joins.push_back(join);
@@ -620,10 +622,10 @@
   if (sender == nullptr) return;
   heardAt_[m.incarnation] = now;
   const bool senderVotes =
-      std::find(view_->voters.begin(), view_->voters.end(), sender->voterId) != view_->voters.end();
+      base::contains(view_->voters, sender->voterId);
   auto trial = round_->proposal.result;
   std::erase_if(trial.members, [&](const auto& member) {
-    return std::find(m.faults.begin(), m.faults.end(), member.incarnation) != m.faults.end();
+    return base::contains(m.faults, member.incarnation);
   });
   const bool namesMe = !in(trial, incarnation_);
   if (!senderVotes && (namesMe || !quorate(trial))) {
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -233,8 +233,7 @@
         co_await simple(431, "the head is too large");
       else if (headError == wire::error::body_limit)
         co_await simple(413, "the body is too large");
-      else if (headError.category() == boost::system::error_code(wire::error::bad_method).category() &&
-               headError != wire::error::end_of_stream && headError != wire::error::partial_message)
+      else if (http::malformed(headError))
         co_await simple(400, "the head is not HTTP: " + headError.message());
       break;
     }
@@ -263,8 +262,7 @@
           co_await simple(413, "the body is too large");
         else if (bound.fired())
           co_await simple(408, "the body took too long");
-        else if (error.category() == boost::system::error_code(wire::error::bad_method).category() &&
-                 error != wire::error::end_of_stream && error != wire::error::partial_message)
+        else if (http::malformed(error))
           co_await simple(400, "the body is not HTTP: " + error.message());
         break;
       }
@@ -302,10 +300,10 @@
 
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
   auto picture = table_.picture();
-  const auto told = number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000);
+  const Millis told(std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
   // Just started: a configuration comes within moments, and a request that waits for it is served sooner than one
   // that is sent away. Bounded, so that a client sent away has most of its time left.
-  const auto patience = arrivedAt + std::min(kFirstNews, Millis(std::clamp<std::int64_t>(told / 4, 0, 86'400'000)));
+  const auto patience = arrivedAt + std::min(kFirstNews, told / 4);
   while (!picture->configuration && base::Clock::now() < patience) {
     if (!co_await waitlist_.wait(0, std::min(patience, base::Clock::now() + Millis(50)))) break;
     picture = table_.picture();
@@ -318,7 +316,7 @@
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
   // The client's time, capped by what the operator wants a request held.
-  x.deadline = arrivedAt + std::min(route->timeout, Millis(std::clamp<std::int64_t>(told, 0, 86'400'000)));
+  x.deadline = arrivedAt + std::min(route->timeout, told);
   x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
   x.resumeFrom = std::string(request[kLastEventId]);
 
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <set>
 
+#include "base/lists.hpp"
 #include "base/hash.hpp"
 #include "membership/group.hpp"
 
@@ -54,7 +55,7 @@
 std::size_t usable(const Side& side, const std::string& service) {
   return static_cast<std::size_t>(std::count_if(side.runners.begin(), side.runners.end(), [&](const auto& r) {
     return r.service == service && !r.draining &&
-           std::find(side.evacuated.begin(), side.evacuated.end(), r.zone) == side.evacuated.end();
+           !base::contains(side.evacuated, r.zone);
   }));
 }
 
--- a/src/replay/recording.cpp
+++ b/src/replay/recording.cpp
@@ -6,6 +6,8 @@
 #include <boost/json.hpp>
 #include <sstream>
 
+#include "base/lists.hpp"
+
 namespace indigohill::replay {
 
 namespace json = boost::json;
@@ -141,7 +143,7 @@
     for (std::size_t i = 0; i < groups.size(); ++i) {
       const auto where = fmt::format("runners[{}].", i);
       m.groups.push_back(readGroup(objectAt(groups[i], where), where));
-      if (std::find(m.zones.begin(), m.zones.end(), m.groups.back().zone) == m.zones.end())
+      if (!base::contains(m.zones, m.groups.back().zone))
         m.zones.push_back(m.groups.back().zone);
     }
     if (m.groups.empty()) throw Wrong{"runners: missing"};
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kFaultsToEject = 2;
 constexpr std::uint32_t kEjectDoublings = 3;
 constexpr std::uint32_t kLongPrompt = 2000;  // tokens from which a prompt tells how fast an engine reads
+constexpr base::Millis kWarmMargin{1000};  // beyond the lease: cold runners' rates are counted by the second
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
 
@@ -107,6 +108,9 @@
   const auto routers = std::max(picture_->view ? routersIn(*picture_->view) : 0, picture_->proposedRouters);
   if (routers > 0 && (routerCounts_.empty() || routerCounts_.back().second != routers))
     routerCounts_.emplace_back(now, routers);
+  // Nobody asks further back than this.
+  while (routerCounts_.size() > 1 && now - routerCounts_[1].first >= 2 * (bounds_.retryWindow + bounds_.lease) + kWarmMargin)
+    routerCounts_.pop_front();
   for (auto& [id, runner] : runners_) runner.listed = false;
   for (const auto& entry : picture_->runners) {
     auto& runner = runners_[entry.instanceId];
@@ -212,7 +216,7 @@
 bool Table::takeWarm(Runner& runner, const control::Service& service, base::TimePoint now) {
   if (service.warmupPerS <= 0) return true;
   if (now >= leaseUntil_) return false;
-  const double rate = warmRate(service, bounds_, routersLocked(now, bounds_.lease + base::Millis(1000)));
+  const double rate = warmRate(service, bounds_, routersLocked(now, bounds_.lease + kWarmMargin));
   if (rate <= 0) return false;
   if (runner.warmAt == base::TimePoint{}) runner.warmAt = now;
   runner.warmTokens = std::min(1.0, runner.warmTokens + rate * base::seconds(now - runner.warmAt));
@@ -289,7 +293,7 @@
   if (engine && key != 0) {
     // In prompt tokens: what has to be read there before the first token, and what is already going on. The first in
     // rendezvous order is where every router expects the shared parts to be kept, the second where they spill to. A
-    // part read again delays this request and takes the runner from others, so it counts double.
+    // part read again delays this request and takes the runner from others, so it weighs more.
     const double aimMs = static_cast<double>(asked.route->targetLatency.count());
     std::uint64_t shared = 0;
     for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i) shared += asked.prompt[i].second;
