Let voters and backups follow the losses a deployment states

Cause: faultTolerance was read by nothing. There were three voters and one backup wherever the system stood, so where two machines may lose their disks at once no majority of voters came back, and what had been acknowledged existed nowhere.

Change: with f the larger of faultTolerance.machines and .zones there are 2f+1 voters (none of the zones holds more than f of them) and f backups, all of which sync before a write is acknowledged. The primary finds them among the view's controllers with a disk; the first order waits up to 1.5 s for machines that are missing. Any backup may stand, by turns. Missing voters are exchanged in one record, at once where a newcomer has the voter's address. Several silent backups are replaced together: a candidate asks every controller once those that it wants have not answered. It asks for votes only when its seal is on disk, and an install never takes the place of a later state. A read is confirmed by a majority of the voters. Joins carry the newest record's voters, and those of voters are passed on by daemons without a view: voters that are no seeds did not hear each other and did not found the group.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr Millis kTick{100};
+constexpr Millis kTick{100}, kRelayTick{250};
 
 class Process {
  public:
@@ -36,11 +36,11 @@
   int run() {
     control_.start();
     link_.start();
-    asio::co_spawn(io_, every(executor_, kTick, [this] { return tick(); }), asio::detached);
+    asio::co_spawn(io_, every(executor_, store_ ? kTick : kRelayTick, [this] { return tick(); }), asio::detached);
     asio::co_spawn(io_, onSignals(executor_, [this] { leave(); }, [this] { reread(true); }), asio::detached);
     const auto& record = core_.replica().record();
     spdlog::info("controller started: control {}, cohort {}, voter {}, {}", settings::text(watch_.now().controlPlane),
-                 settings::text(cohortAddress(watch_.now(), true)), core_.replica().voterId(),
+                 settings::text(cohortAddress(watch_.now(), true)), store_ ? core_.replica().voterId() : "none (relay)",
                  record ? fmt::format("epoch {}", record->epoch) : "no record");
     io_.run();
     store_.reset();
@@ -59,10 +59,17 @@
     tuning.group = groupTimes(s);
     tuning.listPeriod = runners::listPeriod(s);
     tuning.grace = s.gracePeriodS;
+    // Each zone may be lost with the copy and the vote that it holds; voters and copies are spread over zones.
+    tuning.losses = std::max<std::size_t>({1, s.machines, s.zones});
+    // What goes wrong with a write must be mended well within the time that an order may take.
+    tuning.replica.writeStuck = std::min(tuning.replica.writeStuck, s.ackTimeoutMs * 3 / 10);
+    tuning.replica.gather = std::min(tuning.replica.gather, s.ackTimeoutMs * 3 / 8);
+    tuning.replica.orderLife = std::min(tuning.replica.orderLife, s.ackTimeoutMs * 7 / 8);
     return tuning;
   }
 
   control::Identity identity(const settings::Settings& s) {
+    if (!store_) return {};
     std::vector<control::DiskWrite> writes;
     auto out = control::identify([this](control::Slot slot) { return store_->read(slot); },
                                  s.bootstrap && !store_->wasLost(), s.seedNodes, s.controlPlane, seed_, writes);
@@ -117,7 +124,7 @@
     if (const auto& r = replica.record()) {
       out["epoch"] = r->epoch;
       out["primary"] = r->primary;
-      out["backup"] = r->backup;
+      out["backups"] = boost::json::value_from(r->backups);
       out["voters"] = boost::json::value_from(r->voters);
     }
     if (const auto& f = source.frame()) {
@@ -219,6 +226,8 @@
 
 int runController(const settings::Settings& settings, const std::string& settingsPath) {
   std::signal(SIGPIPE, SIG_IGN);
+  // No disk, or one whose loss does not count: nothing is kept there.
+  if (settings.dataDirectory.empty() || !settings.quorumMember) return Process(settings, settingsPath, nullptr).run();
   const auto mapBytes = std::max<std::uint64_t>(4u << 20, std::min<std::uint64_t>(32u << 20, settings.diskMb * (1u << 19)));
   auto opened = store::Store::open(settings.dataDirectory, mapBytes);
   if (const auto* bad = base::fault(opened)) {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -35,7 +35,7 @@
   for (const auto& s : seeds) voters.push_back(settings::text(s));
   const auto own = settings::text(controlPlane);
   const bool first = bootstrap && base::contains(voters, own);
-  out.voterId = first ? own : fmt::format("n-{:016x}", seed);
+  out.voterId = first ? own : fmt::format("{}/{:016x}", own, seed);
   writes.push_back({0, Slot::Identity, out.voterId});
   if (first) {
     out.loaded.record = Replica::firstRecord(voters);
@@ -49,7 +49,7 @@
     : self_(std::move(self)), tuning_(tuning),
       group_({self_.nodeName + "/controller", identity.voterId, self_.zone, membership::Role::Controller, self_.cohort},
              std::move(seeds), tuning.group, seed),
-      replica_({identity.voterId, self_.cohort}, identity.loaded, tuning.replica, seed + 1),
+      replica_({identity.voterId, self_.cohort, tuning.losses}, identity.loaded, tuning.replica, seed + 1),
       source_(tuning.feed), frameSink_(tuning.feed, seed), runnerSink_(tuning.feed, ~seed) {
   group_.setFloor(identity.floor);
   floorKept_ = identity.floor;
@@ -125,7 +125,8 @@
   if (const auto& record = replica_.record()) {
     if (record->epoch != notedEpoch_) {
       notedEpoch_ = record->epoch;
-      fx.notes.push_back(fmt::format("epoch {}: primary {}, backup {}", record->epoch, record->primary, record->backup));
+      fx.notes.push_back(fmt::format("epoch {}: primary {}, backups {}; {} voters", record->epoch, record->primary,
+                                     fmt::join(record->backups, " "), record->voters.size()));
     }
     group_.setVoters(record->epoch, record->voters);
   }
@@ -137,7 +138,7 @@
     fx.notes.push_back(fmt::format("view {}: {} members, incarnation {}{}", delivered.view->number,
                                    delivered.view->members.size(), group_.incarnation(),
                                    group_.isLister() ? ", reads the list of runners" : ""));
-    if (group_.floor() > floorKept_ + kFloorStep || floorKept_ == 0) {
+    if (!replica_.voterId().empty() && (group_.floor() > floorKept_ + kFloorStep || floorKept_ == 0)) {
       floorKept_ = group_.floor();
       fx.writes.push_back({0, Slot::Floor, std::to_string(floorKept_)});
     }
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -11,7 +11,8 @@
 // daemon drives it with real time and real messages, the simulator with its own.
 namespace indigohill::control {
 
-// Who this controller is, and what its disk held.
+// Who this controller is, and what its disk held. Without a disk, or on a machine whose loss does not count, it has no
+// id and is a relay: it passes news on and sends operators to the primary, and keeps nothing.
 struct Identity {
   std::string voterId;
   Replica::Loaded loaded;
@@ -20,6 +21,7 @@
 
 // The seeds of the very first start are the voters and know each other by their control addresses. An empty disk at
 // any other time is a newcomer under a new name, never the voter that was here before. What is new is to be written.
+// All names begin with the address, so the others see that the voter of this machine is gone for good.
 Identity identify(const std::function<std::optional<std::string>(Slot)>& read, bool bootstrap,
                   const std::vector<settings::Endpoint>& seeds, const settings::Endpoint& controlPlane,
                   std::uint64_t seed, std::vector<DiskWrite>& writes);
@@ -34,6 +36,7 @@
     membership::Times group;
     ReplicaTimes replica;
     feed::Times feed;
+    std::size_t losses = 1;  // machines that may be lost at once with their disks
     base::Millis listPeriod{500}, grace{8000};
   };
 
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -11,6 +11,12 @@
 constexpr std::size_t kOrdersWaiting = 64;
 constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
 
+constexpr base::Millis kSilence{5000};   // how long a backup that did not answer is taken only if there is no other
+constexpr base::Millis kSpread{5000};    // how often, at most, copies that all lie in one zone are moved
+
+// The machine that a voter's name tells of.
+std::string_view machine(std::string_view voterId) { return voterId.substr(0, voterId.find('/')); }
+
 bool majority(const std::set<std::string>& said, const std::vector<std::string>& voters) {
   const auto count = std::count_if(voters.begin(), voters.end(), [&](const auto& v) { return said.contains(v); });
   return 2 * static_cast<std::size_t>(count) > voters.size();
@@ -30,11 +36,36 @@
   schema::EpochRecord record;
   record.epoch = 1;
   record.primary = voters.front();
-  record.backup = voters.size() > 1 ? voters[1] : voters.front();
+  if (voters.size() > 1) record.backups = {voters[1]};
   record.voters = std::move(voters);
   return record;
 }
 
+// Below 2f+1 voters as many losses are borne as there are voters for: of n, (n-1)/2, with a copy more than that.
+bool Replica::complete() const {
+  return record_ && record_->voters.size() >= 2 * self_.losses + 1 && record_->backups.size() >= self_.losses;
+}
+
+bool Replica::copiesWhole(const std::set<std::string>& done) const {
+  return std::all_of(record_->backups.begin(), record_->backups.end(), [&](const auto& b) { return done.contains(b); });
+}
+
+std::vector<const schema::Member*> Replica::keepers(bool self) const {
+  std::vector<const schema::Member*> out;
+  for (const auto& m : around_.controllers)
+    if (!m.voterId.empty() && (self || m.voterId != self_.voterId)) out.push_back(&m);
+  return out;
+}
+
+bool Replica::anySilent(base::TimePoint now) const {
+  return std::any_of(record_->backups.begin(), record_->backups.end(), [&](const auto& b) { return silent(b, now); });
+}
+
+bool Replica::silent(const std::string& voterId, base::TimePoint now) const {
+  const auto found = silentAt_.find(voterId);
+  return found != silentAt_.end() && now - found->second < kSilence;
+}
+
 const schema::Member* Replica::controller(const std::string& voterId) const {
   for (const auto& m : around_.controllers)
     if (m.voterId == voterId) return &m;
@@ -56,7 +87,7 @@
 
 std::uint64_t Replica::write(Slot slot, std::string bytes, Effects& fx) {
   const auto token = nextToken_++;
-  fx.writes.push_back({token, slot, std::move(bytes)});
+  if (!relay()) fx.writes.push_back({token, slot, std::move(bytes)});
   return token;
 }
 
@@ -78,8 +109,15 @@
 
 void Replica::handOver(net::Outbox& out) {
   if (!record_ || record_->primary != self_.voterId) return;
-  if (const auto backup = addressOf(record_->backup))
-    out.push_back({*backup, schema::HandOver{self_.voterId, record_->epoch}});
+  // One alone is asked, as two that stand at once hold each other up: best one that has the write under way.
+  const std::string* heir = nullptr;
+  for (const auto& backup : record_->backups) {
+    if (controller(backup) == nullptr) continue;
+    if (heir == nullptr || (current_ && current_->copied.contains(backup) && !current_->copied.contains(*heir)))
+      heir = &backup;
+  }
+  if (heir == nullptr) return;
+  if (const auto address = addressOf(*heir)) out.push_back({*address, schema::HandOver{self_.voterId, record_->epoch}});
 }
 
 void Replica::stepDown(Effects& fx) {
@@ -101,8 +139,9 @@
   candidacy_.reset();
   beatSeen_ = false;
   handOverAsked_ = false;
-  backupSilent_ = false;
+  primaryGone_ = false;
   leaseSince_ = now;
+  for (auto& reading : readings_) reading.confirmed.clear();
   if (record.primary != self_.voterId) {
     if (phase_ != Phase::Idle) stepDown(fx);
     return;
@@ -119,43 +158,136 @@
   startWrite(std::move(next), std::nullopt, now, fx);
 }
 
-bool Replica::chooseTarget(schema::EpochRecord& target, base::TimePoint now) const {
-  target = *record_;
-  ++target.epoch;
-  target.primary = self_.voterId;
-  const auto usable = [&](const schema::Member& m) {
-    if (m.voterId.empty() || m.voterId == self_.voterId) return false;
-    return !(backupSilent_ && m.voterId == record_->backup && record_->primary == self_.voterId);
-  };
-  // Best first: the backup that is already one, then voters, then standbys; the primary that is being replaced last.
+// Whether all copies lie in one zone although another zone has a controller for one.
+bool Replica::inOneZone(const std::vector<std::string>& copies) const {
+  const auto* own = controller(self_.voterId);
+  if (own == nullptr || copies.empty()) return false;
+  for (const auto& copy : copies)
+    if (const auto* m = controller(copy); m == nullptr || m->zone != own->zone) return false;
+  return std::any_of(around_.controllers.begin(), around_.controllers.end(),
+                     [&](const auto& m) { return !m.voterId.empty() && m.zone != own->zone; });
+}
+
+// The backups that are best now, among the controllers in the view or among those that are given. First those that
+// answer, then those of zones that hold no copy yet (the loss of a zone must leave one), then those that are backups
+// already, voters, standbys.
+std::vector<std::string> Replica::chooseBackups(std::size_t count, const std::set<std::string>* among,
+                                                base::TimePoint now) const {
+  auto pool = keepers(false);
+  if (among != nullptr) std::erase_if(pool, [&](const auto* m) { return !among->contains(m->voterId); });
+  std::map<std::string, std::size_t> copies;
+  if (const auto* own = controller(self_.voterId)) ++copies[own->zone];
+  const bool leads = record_->primary == self_.voterId;
   const auto rank = [&](const schema::Member& m) {
-    if (record_->primary == self_.voterId && m.voterId == record_->backup) return 0;
-    if (m.voterId == record_->primary) return 3;
-    return base::contains(record_->voters, m.voterId) ? 1 : 2;
+    // A primary that is being replaced is in trouble or leaves.
+    const bool doubtful = among == nullptr && (silent(m.voterId, now) || m.voterId == record_->primary);
+    const int kind = leads && base::contains(record_->backups, m.voterId) ? 0
+                     : base::contains(record_->voters, m.voterId)         ? 1
+                                                                          : 2;
+    return std::tuple(doubtful, copies[m.zone], kind);
   };
-  const schema::Member* best = nullptr;
-  for (const auto& m : around_.controllers)
-    if (usable(m) && (best == nullptr || rank(m) < rank(*best))) best = &m;
-  if (best == nullptr) return false;
-  target.backup = best->voterId;
-  const auto zoneOf = [&](const std::string& voter) {
-    const auto seen = zones_.find(voter);
-    return seen == zones_.end() ? std::string() : seen->second;
+  std::vector<std::string> out;
+  while (out.size() < count && !pool.empty()) {
+    const auto best = std::min_element(pool.begin(), pool.end(),
+                                       [&](const auto* a, const auto* b) { return rank(*a) < rank(*b); });
+    ++copies[(*best)->zone];
+    out.push_back((*best)->voterId);
+    pool.erase(best);
+  }
+  return out;
+}
+
+// The voters of the next record: those that have been missing for long are exchanged, all that can be at once, and
+// there are to be 2f+1, or as many as there are controllers with a disk, but an odd number. No zone is to hold more
+// than f.
+//
+// Any change may be made in one record. The record after epoch e is the value of one decree among the voters of e, so
+// there is one whatever its voters are. It also needs a majority of its own voters to have accepted it, so whoever later
+// holds a majority of them finds it. Voters of e that missed it cannot go on by themselves: a majority of them holds
+// one that accepted it, or has since learned of a later record, and is handed that.
+void Replica::chooseVoters(schema::EpochRecord& target, base::TimePoint now) const {
+  auto& voters = target.voters;
+  const auto pool = keepers(true);
+  std::map<std::string, std::size_t> held;
+  const auto zoneOf = [&](const std::string& voter) -> std::string {
+    if (const auto* m = controller(voter)) return m->zone;
+    const auto found = seenIn_.find(voter);
+    return found == seenIn_.end() ? std::string() : found->second;
+  };
+  for (const auto& voter : voters) ++held[zoneOf(voter)];
+  for (const auto* m : pool) held.try_emplace(m->zone, 0);
+  const auto wanted = std::max(voters.size(), 2 * std::min(self_.losses, (pool.size() - (pool.empty() ? 0 : 1)) / 2) + 1);
+  // In fewer zones than it takes, they are at least spread evenly.
+  const auto most = std::max(self_.losses, (wanted + held.size() - 1) / held.size());
+  const auto heir = [&](const std::string& zone) -> const schema::Member* {
+    const schema::Member* best = nullptr;
+    const auto rank = [&](const schema::Member& m) {
+      return std::tuple(silent(m.voterId, now), m.zone != zone, held[m.zone], m.voterId);
+    };
+    for (const auto* m : pool)
+      if (!base::contains(voters, m->voterId) && held[m->zone] < most && (best == nullptr || rank(*m) < rank(*best)))
+        best = m;
+    return best;
   };
-  // A voter that has been missing for long is exchanged, one at a time, best for a controller of its own zone.
-  for (auto& voter : target.voters) {
+  const auto exchange = [&](std::string& voter, const schema::Member& by) {
+    --held[zoneOf(voter)];
+    ++held[by.zone];
+    voter = by.voterId;
+  };
+  for (auto& voter : voters) {
     const auto missing = missingSince_.find(voter);
-    if (missing == missingSince_.end() || now - missing->second < times_.exchange) continue;
-    const schema::Member* heir = nullptr;
-    for (const auto& m : around_.controllers)
-      if (!m.voterId.empty() && !base::contains(target.voters, m.voterId) &&
-          (heir == nullptr || (m.zone == zoneOf(voter) && heir->zone != zoneOf(voter))))
-        heir = &m;
-    if (heir == nullptr) continue;
-    voter = heir->voterId;
-    std::sort(target.voters.begin(), target.voters.end());
-    break;
+    if (missing == missingSince_.end()) continue;
+    // On the voter's own machine there is now a newcomer: its disk is gone, and nothing is to be waited for.
+    const auto* newcomer = static_cast<const schema::Member*>(nullptr);
+    for (const auto* m : pool)
+      if (machine(m->voterId) == machine(voter)) newcomer = m;
+    const bool wiped = newcomer != nullptr;
+    const auto zone = wiped ? newcomer->zone : zoneOf(voter);
+    if (!wiped && now - missing->second < times_.exchange) continue;
+    --held[zoneOf(voter)];
+    const auto* by = heir(zone);
+    ++held[zoneOf(voter)];
+    if (by != nullptr) exchange(voter, *by);
+  }
+  while (voters.size() < wanted) {
+    const auto* one = heir({});
+    if (one == nullptr) break;
+    auto trial = voters;
+    trial.push_back(one->voterId);
+    ++held[one->zone];
+    if (trial.size() % 2 == 0) {
+      std::swap(trial, voters);
+      const auto* two = heir({});
+      std::swap(trial, voters);
+      if (two == nullptr) break;  // never an even number: it bears no more losses and needs one more for a majority
+      trial.push_back(two->voterId);
+      ++held[two->zone];
+    }
+    voters = std::move(trial);
   }
+  // A zone that came to hold too many while another was away gives one back.
+  for (auto& voter : voters) {
+    const auto* m = controller(voter);
+    if (m == nullptr || voter == self_.voterId || held[m->zone] <= most) continue;
+    if (const auto* by = heir({})) exchange(voter, *by);
+  }
+  std::sort(voters.begin(), voters.end());
+}
+
+bool Replica::chooseTarget(schema::EpochRecord& target, base::TimePoint now) const {
+  target = *record_;
+  ++target.epoch;
+  target.primary = self_.voterId;
+  chooseVoters(target, now);
+  // A copy on each of f backups; with fewer voters than 2f+1 on as many as the voters can lose.
+  const auto count = std::min(self_.losses, target.voters.size() / 2);
+  target.backups = chooseBackups(count, nullptr, now);
+  if (target.backups.size() < count) return false;
+  // Those that are backups stay, unless one of them is why there is a choice.
+  if (record_->primary == self_.voterId && record_->backups.size() == count && !inOneZone(record_->backups) &&
+      std::all_of(record_->backups.begin(), record_->backups.end(),
+                  [&](const auto& b) { return controller(b) != nullptr; }) && !anySilent(now))
+    target.backups = record_->backups;
   return true;
 }
 
@@ -164,7 +296,7 @@
 // is written later.
 void Replica::stand(base::TimePoint now, Effects& fx) {
   schema::EpochRecord target;
-  const bool finishing = record_->primary != self_.voterId && record_->backup != self_.voterId;
+  const bool finishing = record_->primary != self_.voterId && !isBackup();
   if (finishing)
     target = vote_.accepted;
   else if (!chooseTarget(target, now))
@@ -184,9 +316,11 @@
   c.startedAt = now;
   c.patience = times_.retry + base::Millis(random_() % (times_.retry.count() + 1));
   c.step = finishing ? Candidacy::Step::Preparing : Candidacy::Step::Installing;
+  c.sealToken = nextToken_;  // of the write that comes next
   candidacy_ = c;
   saveVote(std::nullopt, fx);
   push(now, fx);
+  considerPreparing(now, fx);
 }
 
 // Sends what the present step of the candidacy still wants an answer to.
@@ -194,9 +328,17 @@
   auto& c = *candidacy_;
   c.sentAt = now;
   switch (c.step) {
-    case Candidacy::Step::Installing:
-      send(c.target.backup, schema::Copy{self_.voterId, c.installToken, true, *record_, *frame_}, fx);
+    case Candidacy::Step::Installing: {
+      // At first to those that are wanted; if they do not all answer at once, to everybody: several may be in trouble
+      // together, and they are not to be found out one after the other.
+      std::set<std::string> targets(c.target.backups.begin(), c.target.backups.end());
+      if (now != c.startedAt)
+        for (const auto* m : keepers(false)) targets.insert(m->voterId);
+      for (const auto& to : targets)
+        if (!c.installed.contains(to))
+          send(to, schema::Copy{self_.voterId, c.installToken, true, *record_, *frame_}, fx);
       break;
+    }
     case Candidacy::Step::Preparing:
       for (const auto& voter : record_->voters)
         if (!c.promised.contains(voter)) {
@@ -215,6 +357,26 @@
   }
 }
 
+// The record is put to the voters once its backups hold the whole state on disk, and the seal is on disk here: a
+// candidate that lost it in a crash would take copies again that its new backups lack.
+void Replica::considerPreparing(base::TimePoint now, Effects& fx) {
+  if (!candidacy_ || candidacy_->step != Candidacy::Step::Installing || !candidacy_->sealed) return;
+  auto& c = *candidacy_;
+  const auto count = c.target.backups.size();
+  if (!std::all_of(c.target.backups.begin(), c.target.backups.end(),
+                   [&](const auto& b) { return c.installed.contains(b); })) {
+    // Those that were wanted have had their time: the best of those that have answered.
+    if (now - c.startedAt < times_.resend || c.installed.size() < count) return;
+    for (const auto& b : c.target.backups)
+      if (!c.installed.contains(b)) silentAt_[b] = now;
+    const auto chosen = chooseBackups(count, &c.installed, now);
+    if (chosen.size() < count) return;
+    c.target.backups = c.value.backups = chosen;
+  }
+  c.step = Candidacy::Step::Preparing;
+  push(now, fx);
+}
+
 void Replica::considerStanding(base::TimePoint now, Effects& fx) {
   if (!record_ || !around_.lease || now < standAt_) return;
   if (candidacy_) {
@@ -222,22 +384,38 @@
       stand(now, fx);
     else if (now - candidacy_->sentAt >= times_.resend)
       push(now, fx);
+    considerPreparing(now, fx);
     return;
   }
   if (record_->primary == self_.voterId) {
     if (!frame_) return;
+    schema::EpochRecord target;
     if (phase_ == Phase::Idle) {
       stand(now, fx);
-    } else if (controller(record_->backup) == nullptr || backupSilent_) {
-      // Without a backup nothing can be acknowledged, and the machine may be the next to be lost: a new one at once.
-      schema::EpochRecord target;
-      if (chooseTarget(target, now) && target.backup != record_->backup) stand(now, fx);
+    } else if (chooseTarget(target, now) &&
+               (target.backups != record_->backups || (active() && target.voters != record_->voters))) {
+      // Without all backups nothing can be acknowledged, and the machine may be the next to be lost: new ones at once.
+      // Missing voters are exchanged; and that copies are spread over zones is worth an epoch too, now and then.
+      if (inOneZone(record_->backups) && target.voters == record_->voters && !anySilent(now)) {
+        if (now - spreadAt_ < kSpread) return;
+        spreadAt_ = now;
+      }
+      stand(now, fx);
     }
     return;
   }
-  if (record_->backup == self_.voterId && frame_) {
+  if (isBackup() && frame_) {
+    const bool gone = controller(record_->primary) == nullptr;
+    if (gone && !primaryGone_) primaryGoneAt_ = now;
+    primaryGone_ = gone;
+    // Any of the backups holds all that was acknowledged. They stand by turns, as two at once hold each other up.
+    base::Millis turn{0};
+    for (const auto& backup : record_->backups) {
+      if (backup == self_.voterId) break;
+      if (controller(backup) != nullptr) turn += times_.turn;
+    }
     const auto heard = beatSeen_ ? std::max(beatAt_, leaseSince_) : leaseSince_;
-    if (handOverAsked_ || controller(record_->primary) == nullptr || now - heard > times_.quiet) stand(now, fx);
+    if (handOverAsked_ || (gone && now - primaryGoneAt_ >= turn) || now - heard > times_.quiet + turn) stand(now, fx);
     return;
   }
   // A record that some voters accepted and nobody finished: any voter may finish that very value.
@@ -247,21 +425,18 @@
   }
 }
 
-void Replica::considerExchange(base::TimePoint now, Effects& fx) {
+void Replica::watchVoters(base::TimePoint now) {
   for (const auto& voter : record_->voters) {
     if (const auto* m = controller(voter)) {
       missingSince_.erase(voter);
-      zones_[voter] = m->zone;
+      seenIn_[voter] = m->zone;
     } else {
       missingSince_.try_emplace(voter, now);
     }
   }
   const auto former = [&](const auto& entry) { return !base::contains(record_->voters, entry.first); };
   std::erase_if(missingSince_, former);
-  std::erase_if(zones_, former);
-  if (phase_ != Phase::Active || candidacy_ || !around_.lease) return;
-  schema::EpochRecord target;
-  if (chooseTarget(target, now) && target.voters != record_->voters) stand(now, fx);
+  std::erase_if(seenIn_, former);
 }
 
 void Replica::tick(base::TimePoint now, const Around& around, Effects& fx) {
@@ -269,22 +444,23 @@
   around_ = around;
   // The office rests on the view: without a lease there may be another primary by now.
   if (!around.lease && phase_ != Phase::Idle) stepDown(fx);
-  if (record_) {
-    considerExchange(now, fx);
+  if (record_ && !relay()) {
+    watchVoters(now);
     considerStanding(now, fx);
   }
   if (current_) {
     auto& w = *current_;
     if (!w.ownDone && now - w.startedAt > times_.writeStuck && !diskBad_) {
-      // The own disk hangs: the backup has what counts, so it shall lead.
+      // The own disk hangs: the backups have what counts, so one of them shall lead.
       diskBad_ = true;
       standAt_ = now + kDiskRest;
       handOver(fx.out);
       stepDown(fx);
-    } else if (!w.copyDone && now - w.startedAt > times_.writeStuck) {
-      backupSilent_ = true;
+    } else if (now - w.startedAt > times_.writeStuck) {
+      for (const auto& backup : record_->backups)
+        if (!w.copied.contains(backup)) silentAt_[backup] = now;
     }
-    if (current_ && !current_->copyDone && now - current_->sentAt >= times_.resend) sendCopy(now, fx);
+    if (current_ && now - current_->sentAt >= times_.resend) sendCopies(now, fx);
   }
   if (diskBad_ && now >= standAt_) diskBad_ = false;
   while (!orders_.empty() && now - orders_.front().second > times_.orderLife) {
@@ -293,14 +469,15 @@
   }
   for (auto& reading : readings_) {
     if (now - reading.startedAt > times_.orderLife) {
-      fx.answers.push_back({reading.order.call, 503, "the backup does not confirm", {}});
+      fx.answers.push_back({reading.order.call, 503, "the voters do not confirm", {}});
       reading.order.call = 0;
     } else if (record_ && now - reading.sentAt >= times_.resend) {
       reading.sentAt = now;
-      send(record_->backup, schema::Confirm{self_.voterId, reading.token, record_->epoch}, fx);
+      ask(reading, fx);
     }
   }
   std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
+  nextOrder(now, fx);
   if (active() && now - beatSentAt_ >= times_.beat) {
     beatSentAt_ = now;
     for (const auto& m : around_.controllers)
@@ -343,6 +520,10 @@
     replies_.erase(found);
     if (ok) send(reply.to, std::move(reply.message), fx);
   }
+  if (candidacy_ && candidacy_->sealToken == token && ok) {
+    candidacy_->sealed = true;
+    considerPreparing(now, fx);
+  }
   if (current_ && current_->token == token) {
     if (ok) {
       current_->ownDone = true;
@@ -395,6 +576,7 @@
 }
 
 void Replica::on(const schema::Accept& m, base::TimePoint, Effects& fx) {
+  if (relay()) return;
   if (record_ && m.slot <= record_->epoch) {
     send(m.from, schema::Decided{*record_}, fx);
     return;
@@ -435,28 +617,32 @@
     return;
   }
   adopt(m.record, now, fx);
-  if (m.from == self_.voterId || (record_ && record_->primary == self_.voterId && m.from != record_->backup)) return;
+  if (relay() || m.from == self_.voterId || !record_) return;
+  if (record_->primary == self_.voterId && !base::contains(record_->backups, m.from)) return;
   if (!m.install) {
-    if (m.record.epoch <= vote_.sealed || m.from != record_->primary || record_->backup != self_.voterId) {
+    if (m.record.epoch <= vote_.sealed || m.from != record_->primary || !isBackup()) {
       refuse();
       return;
     }
     if (frame_ && m.frame.stamp < frame_->stamp) return;  // overtaken by a later copy
   }
-  frame_ = m.frame;
-  const auto token = write(Slot::Frame, net::encodeFrame(m.frame), fx);
+  // A candidate installs what it has; another backup may hold a later write. An older one never takes its place: it may
+  // come late, when the later one has been acknowledged. What is held is synced anew before it is said to be.
+  if (!frame_ || !(m.frame.stamp < frame_->stamp)) frame_ = m.frame;
+  const auto token = write(Slot::Frame, net::encodeFrame(*frame_), fx);
   replies_[token] = {m.from, schema::Copied{self_.voterId, m.token, m.record.epoch, true}};
 }
 
 void Replica::on(const schema::Copied& m, base::TimePoint now, Effects& fx) {
   if (!m.ok) return;
   if (candidacy_ && candidacy_->step == Candidacy::Step::Installing && m.token == candidacy_->installToken) {
-    candidacy_->step = Candidacy::Step::Preparing;
-    push(now, fx);
+    candidacy_->installed.insert(m.from);
+    considerPreparing(now, fx);
     return;
   }
   if (current_ && current_->token == m.token && record_ && m.epoch == record_->epoch) {
-    current_->copyDone = true;
+    current_->copied.insert(m.from);
+    silentAt_.erase(m.from);
     finishWrite(now, fx);
   }
 }
@@ -469,20 +655,24 @@
   w.startedAt = now;
   w.token = write(Slot::Frame, net::encodeFrame(*frame_), fx);
   current_ = std::move(w);
-  sendCopy(now, fx);
+  sendCopies(now, fx);
 }
 
-void Replica::sendCopy(base::TimePoint now, Effects& fx) {
+void Replica::sendCopies(base::TimePoint now, Effects& fx) {
   current_->sentAt = now;
-  send(record_->backup, schema::Copy{self_.voterId, current_->token, false, *record_, current_->frame}, fx);
+  for (const auto& backup : record_->backups)
+    if (!current_->copied.contains(backup))
+      send(backup, schema::Copy{self_.voterId, current_->token, false, *record_, current_->frame}, fx);
 }
 
-// In force only when it is on both disks: then shown, then acknowledged.
+// In force only when it is on the primary's and on every backup's disk: then shown, then acknowledged.
 void Replica::finishWrite(base::TimePoint now, Effects& fx) {
-  if (!current_ || !current_->ownDone || !current_->copyDone) return;
+  if (!current_ || !current_->ownDone || !copiesWhole(current_->copied)) return;
   published_ = current_->frame;
-  backupSilent_ = false;
-  if (phase_ == Phase::Activating) phase_ = Phase::Active;
+  if (phase_ == Phase::Activating) {
+    phase_ = Phase::Active;
+    activeSince_ = now;
+  }
   if (current_->order) fx.answers.push_back({current_->order->call, 200, "{}", {}});
   current_.reset();
   beatSentAt_ = {};
@@ -546,13 +736,18 @@
 
 void Replica::nextOrder(base::TimePoint now, Effects& fx) {
   while (active() && !current_ && !candidacy_ && !orders_.empty()) {
+    // Before anything was acknowledged there is time for the machines that are still starting.
+    const bool untouched = frame_->revision == 0 && frame_->evacuated.empty();
+    if (untouched && !complete() && now - activeSince_ < times_.gather &&
+        orders_.front().first.kind != OrderKind::Describe)
+      return;
     auto order = std::move(orders_.front().first);
     const auto at = orders_.front().second;
     orders_.pop_front();
     if (order.kind == OrderKind::Describe) {
-      // Read only once the backup confirms that no later epoch has begun.
-      readings_.push_back({order, random_(), at, now});
-      send(record_->backup, schema::Confirm{self_.voterId, readings_.back().token, record_->epoch}, fx);
+      readings_.push_back({order, random_(), at, now, {}});
+      ask(readings_.back(), fx);
+      considerAnswering(now, fx);
       continue;
     }
     schema::Frame next;
@@ -563,22 +758,41 @@
   }
 }
 
+// Read only once a majority of the voters has confirmed, after the order came, that it has accepted no later record.
+// Then none had been decided, so nothing was acknowledged elsewhere. The backups' word would do as well, since one of
+// them would have had to stand, but any of them may be the one that is silent.
+void Replica::ask(Reading& reading, Effects& fx) {
+  if (accepts(record_->epoch)) reading.confirmed.insert(self_.voterId);
+  for (const auto& voter : record_->voters)
+    if (!reading.confirmed.contains(voter) && voter != self_.voterId)
+      send(voter, schema::Confirm{self_.voterId, reading.token, record_->epoch}, fx);
+}
+
+bool Replica::accepts(std::uint64_t epoch) const {
+  return record_ && record_->epoch == epoch && !(vote_.slot > epoch && vote_.acceptedBallot != 0);
+}
+
 void Replica::on(const schema::Confirm& m, base::TimePoint, Effects& fx) {
-  if (!record_ || record_->epoch != m.epoch || vote_.sealed >= m.epoch) return;
-  send(m.from, schema::Confirmed{self_.voterId, m.token, m.epoch}, fx);
+  if (accepts(m.epoch)) send(m.from, schema::Confirmed{self_.voterId, m.token, m.epoch}, fx);
 }
 
-void Replica::on(const schema::Confirmed& m, base::TimePoint, Effects& fx) {
-  if (!active() || !record_ || m.epoch != record_->epoch) return;
-  for (auto& reading : readings_) {
-    if (reading.token != m.token) continue;
+void Replica::on(const schema::Confirmed& m, base::TimePoint now, Effects& fx) {
+  if (!record_ || m.epoch != record_->epoch) return;
+  for (auto& reading : readings_)
+    if (reading.token == m.token) reading.confirmed.insert(m.from);
+  considerAnswering(now, fx);
+}
+
+void Replica::considerAnswering(base::TimePoint, Effects& fx) {
+  if (!active()) return;
+  std::erase_if(readings_, [&](const auto& reading) {
+    if (!majority(reading.confirmed, record_->voters)) return false;
     if (published_->document.empty())
       fx.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
     else
       fx.answers.push_back({reading.order.call, 200, published_->document, {}});
-    reading.order.call = 0;
-  }
-  std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
+    return true;
+  });
 }
 
 void Replica::on(const schema::Beat& m, base::TimePoint now, Effects& fx) {
@@ -594,7 +808,7 @@
 }
 
 void Replica::on(const schema::HandOver& m, base::TimePoint now, Effects& fx) {
-  if (!record_ || m.epoch != record_->epoch || m.from != record_->primary || record_->backup != self_.voterId) return;
+  if (!record_ || m.epoch != record_->epoch || m.from != record_->primary || !isBackup()) return;
   handOverAsked_ = true;
   considerStanding(now, fx);
 }
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -7,12 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "base/lists.hpp"
 #include "base/time.hpp"
 #include "control/configuration.hpp"
 #include "net/codec.hpp"
 #include "schema/messages.hpp"
 
-// The control state of one controller: primary and backup, the epoch records that the voters witness, and the
+// The control state of one controller: primary and backups, the epoch records that the voters witness, and the
 // operator's orders. A pure state machine; disk writes are asked for and reported back as done.
 namespace indigohill::control {
 
@@ -59,16 +60,19 @@
   base::Millis resend{250};
   base::Millis retry{900};       // a candidacy without an outcome starts again after this and a random part
   base::Millis quiet{2000};      // a primary in the view that shows no beat for so long is taken over
-  base::Millis writeStuck{1200}; // a write that the backup or the disk does not finish in this time
+  base::Millis writeStuck{900};  // a write that a backup or the disk does not finish in this time
   base::Millis orderLife{3500};  // an order not finished by then is answered 503
   base::Millis exchange{3000};   // a voter missing for so long is exchanged
+  base::Millis turn{500};        // of several backups that would take over, each waits so much longer than the one before
+  base::Millis gather{1500};     // the first order waits so long for the machines that faultTolerance calls for
 };
 
 class Replica {
  public:
   struct Self {
-    std::string voterId;
+    std::string voterId;  // empty: a relay, which has no disk and takes no part in the agreement
     settings::Endpoint address;
+    std::size_t losses = 1;  // machines that may be lost at once with their disks (faultTolerance)
   };
   struct Loaded {
     std::optional<schema::EpochRecord> record;
@@ -80,12 +84,14 @@
 
   // The record that all seeds of the very first start arrive at without a word.
   static schema::EpochRecord firstRecord(std::vector<std::string> voters);
+  // Whether everything that faultTolerance calls for stands: 2f+1 voters and f backups.
+  bool complete() const;
 
   void tick(base::TimePoint now, const Around& around, Effects& fx);
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx);
   void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx);
   void order(Order order, base::TimePoint now, Effects& fx);
-  // Leaving in order, or a disk in trouble: the backup is asked to take over.
+  // Leaving in order, or a disk in trouble: a backup that answers is asked to take over.
   void handOver(net::Outbox& out);
 
   bool active() const { return phase_ == Phase::Active; }
@@ -103,8 +109,10 @@
   enum class Phase { Idle, Standing, Activating, Active };
   struct Candidacy {
     schema::EpochRecord target, value;
-    std::uint64_t ballot = 0, bestBallot = 0, installToken = 0;
+    std::uint64_t ballot = 0, bestBallot = 0, installToken = 0, sealToken = 0;
     enum class Step { Installing, Preparing, Accepting } step = Step::Installing;
+    bool sealed = false;              // the seal of the present epoch is on disk here
+    std::set<std::string> installed;  // that have the whole state on disk
     std::set<std::string> promised, accepted;
     base::TimePoint startedAt, sentAt;
     base::Millis patience{0};
@@ -112,7 +120,8 @@
   struct Write {
     schema::Frame frame;
     std::uint64_t token = 0;
-    bool ownDone = false, copyDone = false;
+    bool ownDone = false;
+    std::set<std::string> copied;
     base::TimePoint startedAt, sentAt;
     std::optional<Order> order;  // none at activation
   };
@@ -124,8 +133,24 @@
     Order order;
     std::uint64_t token = 0;
     base::TimePoint startedAt, sentAt;
+    std::set<std::string> confirmed;
   };
 
+  bool relay() const { return self_.voterId.empty(); }
+  bool isBackup() const { return base::contains(record_->backups, self_.voterId); }
+  bool copiesWhole(const std::set<std::string>& done) const;
+  // Of the view's controllers those with a disk; `self` says whether this one is counted.
+  std::vector<const schema::Member*> keepers(bool self) const;
+  bool silent(const std::string& voterId, base::TimePoint now) const;
+  bool anySilent(base::TimePoint now) const;
+  bool inOneZone(const std::vector<std::string>& copies) const;
+  void chooseVoters(schema::EpochRecord& target, base::TimePoint now) const;
+  std::vector<std::string> chooseBackups(std::size_t count, const std::set<std::string>* among,
+                                         base::TimePoint now) const;
+  void considerPreparing(base::TimePoint now, Effects& fx);
+  void ask(Reading& reading, Effects& fx);
+  void considerAnswering(base::TimePoint now, Effects& fx);
+  bool accepts(std::uint64_t epoch) const;
   const schema::Member* controller(const std::string& voterId) const;
   std::optional<settings::Endpoint> addressOf(const std::string& voterId) const;
   void send(const std::string& to, schema::Message message, Effects& fx);
@@ -138,9 +163,9 @@
   bool chooseTarget(schema::EpochRecord& target, base::TimePoint now) const;
   void push(base::TimePoint now, Effects& fx);
   void considerStanding(base::TimePoint now, Effects& fx);
-  void considerExchange(base::TimePoint now, Effects& fx);
+  void watchVoters(base::TimePoint now);
   void startWrite(schema::Frame frame, std::optional<Order> order, base::TimePoint now, Effects& fx);
-  void sendCopy(base::TimePoint now, Effects& fx);
+  void sendCopies(base::TimePoint now, Effects& fx);
   void finishWrite(base::TimePoint now, Effects& fx);
   void nextOrder(base::TimePoint now, Effects& fx);
   void stepDown(Effects& fx);
@@ -168,7 +193,8 @@
   std::optional<schema::Frame> frame_, published_;
   std::map<std::string, settings::Endpoint> lastAddress_;
   std::map<std::string, base::TimePoint> missingSince_;
-  std::map<std::string, std::string> zones_;  // where each voter was last seen
+  std::map<std::string, std::string> seenIn_;  // the zone in which each voter was last seen
+  std::map<std::string, base::TimePoint> silentAt_;  // when a backup last failed to answer in time
 
   Phase phase_ = Phase::Idle;
   std::optional<Candidacy> candidacy_;
@@ -179,8 +205,9 @@
   std::deque<schema::Message> local_;
   std::uint64_t nextToken_ = 1;
   schema::Stamp beatStamp_;
-  base::TimePoint beatAt_{}, beatSentAt_{}, standAt_{}, leaseSince_{};
-  bool beatSeen_ = false, handOverAsked_ = false, backupSilent_ = false, diskBad_ = false;
+  base::TimePoint beatAt_{}, beatSentAt_{}, standAt_{}, leaseSince_{}, primaryGoneAt_{},
+      activeSince_{}, spreadAt_{};
+  bool beatSeen_ = false, handOverAsked_ = false, diskBad_ = false, primaryGone_ = false;
 };
 
 }  // namespace indigohill::control
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -182,6 +182,8 @@
   join.member.port = self_.address.port;
   join.member.bootId = bootId_;
   join.floor = floor_;
+  join.epoch = knownEpoch_;
+  join.voters = knownVoters_;
   std::set<settings::Endpoint> targets(seeds_.begin(), seeds_.end());
   targets.insert(lastKnown_.begin(), lastKnown_.end());
   // Those that ask to join are answered with the same: one of them may be the founder and know nobody else's address.
@@ -527,7 +529,7 @@
   if (m.wanted) sendHello(*sender, false, now, out);
 }
 
-void Group::on(const schema::Join& m, const settings::Endpoint&, base::TimePoint now, net::Outbox& out) {
+void Group::on(const schema::Join& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if (view_) {
     for (const auto& known : view_->members)
       if (known.id == m.member.id && known.bootId == m.member.bootId) {
@@ -547,6 +549,14 @@
     }
   }
   joiners_[m.member.id] = {m.member, now, m.floor};
+  // Of those that found the group anew some may have missed the newest record, and would wait for voters of an older.
+  if (!view_ && m.epoch > knownEpoch_) setVoters(m.epoch, m.voters);
+  // Voters that are no seeds know nobody but the seeds, and one of them may have to be the founder: what comes from
+  // such a daemon itself is passed on to the others.
+  if (!view_ && !m.member.voterId.empty() && from == addressOf(m.member))
+    for (const auto& [id, joiner] : joiners_)
+      if (id != m.member.id && id != self_.id && !joiner.member.voterId.empty())
+        out.push_back({addressOf(joiner.member), m});
   if (view_) considerExtension(now, out);
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -185,7 +185,6 @@
     if (s.readiness.port == 0) return "bindAddresses.readiness: missing (where readiness is asked)";
   } else {
     if (s.controlPlane.port == 0) return "bindAddresses.controlPlane: missing (where operators call)";
-    if (s.dataDirectory.empty()) return "dataDirectory: missing (folder on the disk)";
   }
   return {};
 }
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "base/lists.hpp"
+
 namespace indigohill::sim {
 
 using base::Millis;
@@ -22,11 +24,13 @@
 }  // namespace
 
 World::World(Shape shape) : shape_(shape), random_(shape.seed) {
-  for (std::size_t i = 0; i < shape.controllers + shape.routers; ++i) {
+  const auto zones = shape.zones == 0 ? shape.controllers : shape.zones;
+  for (std::size_t i = 0; i < shape.controllers + shape.routers + shape.relays; ++i) {
     auto n = std::make_unique<Node>();
-    n->isController = i < shape.controllers;
+    n->isRelay = i >= shape.controllers + shape.routers;
+    n->isController = i < shape.controllers || n->isRelay;
     n->name = fmt::format("node-{}", i);
-    n->zone = fmt::format("zone-{}", i % shape.controllers);
+    n->zone = fmt::format("zone-{}", i % zones);
     n->cohort = {0x0a000001u + static_cast<std::uint32_t>(i), static_cast<std::uint16_t>(n->isController ? 7001 : 7000)};
     n->control = {n->cohort.ip, 8000};
     nodes_.push_back(std::move(n));
@@ -81,7 +85,7 @@
 
 void World::start(std::size_t i) {
   auto& n = *nodes_[i];
-  n.alive = true;
+  n.alive = n.powered = true;
   n.frozen = false;
   ++n.life;
   n.lastView = 0;
@@ -94,15 +98,16 @@
   }
   if (n.isController) {
     std::vector<control::DiskWrite> writes;
-    auto identity = control::identify(
+    auto identity = n.isRelay ? control::Identity{} : control::identify(
         [&](control::Slot slot) -> std::optional<std::string> {
           const auto found = n.disk.find(slot);
           return found == n.disk.end() ? std::nullopt : std::optional(found->second);
         },
         bootstrap_ && n.life == 1, controls, n.control, random_(), writes);
+    control::Controller::Tuning tuning;
+    tuning.losses = shape_.losses;
     n.controller = std::make_unique<control::Controller>(control::Controller::Self{n.name, n.zone, n.cohort},
-                                                         std::move(identity), seeds, control::Controller::Tuning{},
-                                                         random_());
+                                                         std::move(identity), seeds, tuning, random_());
     control::Effects fx;
     fx.writes = std::move(writes);
     perform(i, fx);
@@ -147,6 +152,7 @@
 
 void World::perform(std::size_t i, control::Effects& fx) {
   auto& n = *nodes_[i];
+  if (n.isRelay && !fx.writes.empty()) breakRule(n.name + " has no disk and wants to write");
   for (auto& write : fx.writes) {
     n.unsynced.push_back(std::move(write));
     after(kDiskSync + Millis(random_() % 4), [this, i, life = n.life] { syncDisk(i, life); });
@@ -229,14 +235,21 @@
   }
 }
 
-void World::kill(std::size_t i) {
+void World::kill(std::size_t i) { stop(i, false); }
+
+// The store writes one transaction after the other: what a sync has covered is there, of the rest nothing, or the one
+// that was under way. Some losses of power take that too.
+void World::powerOff(std::size_t i) { stop(i, true); }
+
+void World::stop(std::size_t i, bool power) {
   auto& n = *nodes_[i];
   if (!n.alive) return;
   n.alive = false;
+  n.powered = !power;
   n.frozen = false;
   n.heldUp.clear();
   // A commit under way is whole or absent.
-  if (!n.diskStalled && !n.diskFull && !n.unsynced.empty() && random_() % 2 == 0)
+  if (!n.diskStalled && !n.diskFull && !n.unsynced.empty() && random_() % (power ? 4 : 2) == 0)
     n.disk[n.unsynced.front().slot] = n.unsynced.front().bytes;
   n.unsynced.clear();
   n.controller.reset();
@@ -245,10 +258,8 @@
   n.journal.reset();
 }
 
-void World::powerOff(std::size_t i) { kill(i); }
-
 void World::wipe(std::size_t i) {
-  kill(i);
+  stop(i, true);
   nodes_[i]->disk.clear();
 }
 
@@ -305,6 +316,14 @@
   waiting_[call] = {kind, std::move(done)};
   after(Millis(1), [this, i, call, kind, baseVersion, body = std::move(body)] {
     auto& n = *nodes_[i];
+    if (!n.alive && n.powered) {
+      if (const auto found = waiting_.find(call); found != waiting_.end()) {
+        auto refused = std::move(found->second.second);
+        waiting_.erase(found);
+        refused({call, 0, "", {}});
+      }
+      return;
+    }
     onNode(i, n.life, [this, i, call, kind, baseVersion, body] {
       control::Effects fx;
       nodes_[i]->controller->order({call, kind, baseVersion, body}, now_, fx);
@@ -357,7 +376,19 @@
   return out;
 }
 
-// An acknowledgement means: on two disks, under the newest record.
+std::vector<std::size_t> World::copies() const {
+  std::vector<std::size_t> out;
+  const auto first = active();
+  if (!first) return out;
+  const auto& record = *nodes_[*first]->controller->replica().record();
+  out.push_back(*first);
+  for (const auto& backup : record.backups)
+    for (std::size_t i = 0; i < shape_.controllers; ++i)
+      if (nodes_[i]->alive && nodes_[i]->controller->replica().voterId() == backup) out.push_back(i);
+  return out;
+}
+
+// An acknowledgement means: on one disk more than may be lost, under the newest record.
 void World::checkAck(std::size_t i, const control::Answer&) {
   const auto& frame = nodes_[i]->controller->replica().published();
   if (!frame) {
@@ -371,7 +402,7 @@
     auto kept = net::decodeFrame(found->second);
     if (!base::fault(kept) && std::get<0>(kept).stamp >= frame->stamp) ++copies;
   }
-  if (copies < 2) breakRule(fmt::format("{} acknowledged with {} copies on disk", nodes_[i]->name, copies));
+  if (copies < shape_.losses + 1) breakRule(fmt::format("{} acknowledged with {} copies on disk", nodes_[i]->name, copies));
 }
 
 void World::check() {
@@ -411,6 +442,18 @@
       if (routers > 0) shares += 1.0 / static_cast<double>(routers);
     }
   }
+  // No zone has so many voters that its loss stops the core, once there are as many voters as there should be.
+  for (std::size_t i = 0; i < shape_.controllers; ++i) {
+    const auto& n = *nodes_[i];
+    if (!n.alive || !n.controller->replica().active() || !n.controller->replica().complete()) continue;
+    const auto& voters = n.controller->replica().record()->voters;
+    if (voters.size() != 2 * shape_.losses + 1) breakRule(fmt::format("{} voters", voters.size()));
+    if (!n.controller->group().view()) continue;
+    std::map<std::string, std::size_t> held;
+    for (const auto& m : n.controller->group().view()->members)
+      if (base::contains(voters, m.voterId) && ++held[m.zone] > shape_.losses && shape_.zones != 1)
+        breakRule(fmt::format("{} voters in {}", held[m.zone], m.zone));
+  }
   if (shares > 1.0 + 1e-9) {
     std::string who;
     for (const auto& n : nodes_)
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -22,12 +22,16 @@
   std::size_t controllers = 3, routers = 5;
   std::uint64_t seed = 1;
   double loss = 0.01;
+  std::size_t losses = 1;  // faultTolerance: core machines that may be lost at once
+  std::size_t zones = 0;   // 0: one for each controller
+  std::size_t relays = 0;  // controllers without a disk
 };
 
 struct Node {
   std::string name, zone;
   settings::Endpoint cohort, control;
-  bool isController = false;
+  bool isController = false, isRelay = false;
+  bool powered = true;  // a process that ended on a machine with power refuses connections; one without says nothing
   bool alive = false, frozen = false, diskStalled = false, diskFull = false;
   std::uint64_t life = 0;
   std::map<control::Slot, std::string> disk;  // what a loss of power leaves
@@ -52,15 +56,18 @@
   base::TimePoint now() const { return now_; }
   void after(base::Millis delay, std::function<void()> what);
 
-  // Nodes 0..controllers-1 are controllers, the others routers.
+  // Nodes 0..controllers-1 are controllers with a disk, then come the routers, then the relays.
   Node& node(std::size_t i) { return *nodes_[i]; }
   std::size_t size() const { return nodes_.size(); }
   std::size_t controllers() const { return shape_.controllers; }
   std::optional<std::size_t> active() const;
+  // The core machines that the record of the active primary names, the primary first.
+  std::vector<std::size_t> copies() const;
+  std::size_t losses() const { return shape_.losses; }
 
   void start(std::size_t i);
   void kill(std::size_t i);       // the process ends; the disk keeps what had reached it
-  void powerOff(std::size_t i);   // the same, and writes that were not synced are lost in part
+  void powerOff(std::size_t i);   // the same, and all that was not synced is gone
   void wipe(std::size_t i);       // powerOff, and the disk is gone
   void freeze(std::size_t i) { nodes_[i]->frozen = true; }
   void thaw(std::size_t i);
@@ -103,6 +110,7 @@
   void tickLoop(std::size_t i, std::uint64_t life);
   void trace(std::size_t i, const std::vector<std::string>& notes) const;  // to standard output, if INDIGOHILL_TRACE is set
   void check();
+  void stop(std::size_t i, bool power);
   void tryOrder(std::size_t i, control::OrderKind kind, std::uint64_t baseVersion, std::string body,
                 std::function<void(const control::Answer&)> done);
   void checkAck(std::size_t i, const control::Answer& answer);
