Plan: count the voters that faultTolerance asks for

Cause: the check that a majority of the voters is left took three voters for granted.

Measured: test_plan with a case of six controllers of which four go, valid where one may be lost, invalid where two may.

--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -134,8 +134,10 @@
   if (*from.configuration != *to.configuration && to.configuration->revision <= from.configuration->revision)
     plan.invalid.push_back(fmt::format("revision: {} is not above the current one, {}", to.configuration->revision,
                                        from.configuration->revision));
-  // Of three voters two must be there; a change that leaves fewer than a majority of the controllers stops orders.
-  if (from.daemons.controllers > 0 && 2 * to.daemons.controllers <= std::min<std::size_t>(3, from.daemons.controllers))
+  // The voters follow the losses that are stated, as far as there are controllers for them. A change that leaves fewer
+  // than a majority of them stops orders.
+  const auto voters = std::min(2 * from.daemons.losses + 1, from.daemons.controllers);
+  if (from.daemons.controllers > 0 && 2 * to.daemons.controllers <= voters)
     plan.invalid.push_back("daemons: fewer than a majority of the voters would be left");
   compareRoutes(from, to, std::max<std::size_t>(1, samples), plan);
   compareServices(from, to, std::max<std::size_t>(1, samples), plan);
@@ -199,6 +201,7 @@
       return wrong(where + ".role: router or controller is wanted");
     ++(role->as_string() == "router" ? out.routers : out.controllers);
   }
+  double losses = 1;
   const auto bound = [&](const char* name, double& into) -> std::string {
     const auto* v = o.if_contains(name);
     if (v == nullptr) return {};
@@ -207,8 +210,9 @@
     return {};
   };
   for (const auto& problem : {bound("retryBudgetSlack", out.bounds.retrySlack), bound("warmupOvershoot", out.bounds.warmupOvershoot),
-                              bound("warmupSlack", out.bounds.warmupSlack)})
+                              bound("warmupSlack", out.bounds.warmupSlack), bound("faultTolerance", losses)})
     if (!problem.empty()) return wrong(problem);
+  out.losses = std::max<std::size_t>(1, static_cast<std::size_t>(losses));
   return out;
 }
 
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -131,7 +131,7 @@
 }
 
 Test(plan, shares_follow_the_number_of_routers) {
-  const auto before = side(tests::document(1), 4);
+  auto before = side(tests::document(1), 4);
   auto after = before;
   after.daemons.routers = 10;
   const auto p = plan::make(before, after);
@@ -139,6 +139,13 @@
   cr_assert(of(p, "engine")->warmRateTo < of(p, "engine")->warmRateFrom);
   after.daemons.controllers = 1;
   cr_assert_eq(plan::make(before, after).invalid.size(), 1u);
+  // Of six controllers three vote where one may be lost, five where two may.
+  before.daemons.controllers = 6;
+  after = before;
+  after.daemons.controllers = 2;
+  cr_assert(plan::make(before, after).invalid.empty());
+  before.daemons.losses = 2;
+  cr_assert_eq(plan::make(before, after).invalid.size(), 1u);
   after = before;
   after.runners.clear();
   after.runners.push_back({"e-0", "engine", "zone-0", 1, 80, 128, false, 0});
