A runner that cannot be reached is no try

Cause: a connection that did not come about counted as a try and drew on the budget, although nothing was sent. Requests of routes with one try ended with 503 at the first dead port, and a crashed runner stays on the list for seconds while each of many routers finds it out alone.

Change: Conduct::unreached: another runner is taken, up to three such a request, without budget or try.

Measured (test_pass): with two of three runners dead, one try allowed and no budget, four requests of four are served; before, the first dead port ended them.

--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -147,6 +147,7 @@
     Answered,    // the client has its whole answer
     ClientGone,  // nobody to answer any more
     Refused,     // the runner said that it did not run it
+    Unreached,   // no connection to it came about
     Fault        // the runner broke off; `verdict` says whether it may have run
   } end = End::Fault;
   Verdict verdict = Verdict::MayHaveRun;
@@ -353,8 +354,10 @@
     }
     if (outcome.end == Outcome::End::ClientGone) co_return false;
     const auto after = base::Clock::now();
-    if (!conduct.again({outcome.verdict, outcome.what}, x.started, !x.events.lastId().empty(), after))
-      ending = conduct.ending(after);
+    const bool more = outcome.end == Outcome::End::Unreached
+                          ? conduct.unreached({outcome.verdict, outcome.what}, after)
+                          : conduct.again({outcome.verdict, outcome.what}, x.started, !x.events.lastId().empty(), after);
+    if (!more) ending = conduct.ending(after);
     if (!x.events.lastId().empty()) x.resumeFrom = x.events.lastId();
     x.events.drop();
   }
@@ -394,7 +397,7 @@
   auto taken = co_await pool_.take(to.instanceId, to.address, x.deadline);
   if (const auto* bad = base::fault(taken)) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
-    co_return Outcome{End::Fault, Verdict::NotRun, bad->what};
+    co_return Outcome{End::Unreached, Verdict::NotRun, bad->what};
   }
   auto connection = std::get<0>(std::move(taken));
   auto& stream = connection->stream;
--- a/src/routing/conduct.cpp
+++ b/src/routing/conduct.cpp
@@ -2,6 +2,10 @@
 
 namespace indigohill::routing {
 
+namespace {
+constexpr std::uint32_t kUnreachedMost = 3;
+}
+
 Conduct::Conduct(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
                  base::TimePoint deadline)
     : table_(table), route_(route) {
@@ -38,6 +42,12 @@
   return asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
 }
 
+bool Conduct::unreached(const base::Fault& fault, base::TimePoint now) {
+  last_ = fault.what;
+  --asked_.tries;
+  return ++unreached_ < kUnreachedMost && now < asked_.deadline;
+}
+
 Ending Conduct::ending(base::TimePoint now) const {
   if (started_) return {true, 0, 0, last_};
   // Not run, and it never will be: said so, with when to come back. Otherwise nothing is promised.
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -3,10 +3,12 @@
 // something takes: each exchange ends by its own bytes or by a bound of the configuration.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
+#include <future>
 #include <thread>
 
 #include "documents.hpp"
@@ -48,6 +50,15 @@
     thread.join();
   }
   std::uint16_t port() { return acceptor.local_endpoint().port(); }
+  // From now on nobody listens at its port.
+  void close() {
+    std::promise<void> done;
+    asio::post(io, [&] {
+      acceptor.close();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
   std::size_t count() {
     const std::lock_guard lock(mutex);
     return seen.size();
@@ -126,10 +137,10 @@
   std::thread thread;
   routing::Picture picture;
 
-  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain") {
+  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain", const std::string& extra = "") {
     const auto past = base::Clock::now() - Millis(30000);
     routing::fold(picture, routing::FrameCame{{1, 1}, std::make_shared<const control::Configuration>(std::get<0>(
-                                                          control::parseConfiguration(tests::document(1)))), {}});
+                                                          control::parseConfiguration(tests::document(1, 3000, extra)))), {}});
     schema::View view;
     schema::Member m;
     m.role = static_cast<std::uint8_t>(membership::Role::Router);
@@ -246,6 +257,23 @@
   cr_assert_eq(one.count() + two.count(), 2u);
 }
 
+Test(pass, a_runner_that_cannot_be_reached_is_no_try_and_draws_on_no_budget) {
+  // A request that may be sent to one runner alone, and no budget at all: it still gets past the dead ones.
+  Runner one({whole("ok")}), two({whole("ok")}), three({whole("ok")});
+  Front front({&one, &two, &three}, "plain",
+              R"(,{"name":"once","hostname":"a.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"targetService":"plain","maxAttempts":1})");
+  auto bounds = routing::Bounds{};
+  bounds.retryRatio = bounds.retrySlack = 0;
+  front.table.setBounds(bounds);
+  one.close();
+  two.close();
+  for (int i = 0; i < 4; ++i) {
+    const auto out = front.exchange("POST /once/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(starts(out, "HTTP/1.1 200"), "%s", out.c_str());
+  }
+  cr_assert_eq(three.count(), 4u);
+}
+
 Test(pass, what_may_have_run_is_never_promised_not_to_have) {
   // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
   const std::vector<std::string> answers{
