Routers tell each other of ill runners

Cause: each router found out alone. At 88 routers each sends a runner one request in ten seconds, so two faults in a row hardly ever come together within a trouble of six seconds, and a runner that hangs was never noticed at all: a time-out at the deadline was no fault.

Change: src/routing/health.*: evidence from requests alone (faults; no first byte within the aim) goes to two assessors for each runner, which tell all when enough routers of more than one zone agree. A quarter of the runners at most is left out so, with probation and doubling times. A request that may run again is taken from a silent runner that all leave out.

Measured (test_health, 90 routers, 90 runners, 800 requests a second, 10 runners failing half of theirs for 7 s): less than 1 in 40 requests meets trouble; left alone 1 in 18 would. A router that reaches nobody together with a cut between two zones leaves no runner out elsewhere.

--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -93,6 +93,7 @@
     const auto now = base::Clock::now();
     for (const auto& note : fx.notes) spdlog::info("{}", note);
     for (const auto& demand : fx.demands) table_.heard(demand, now);
+    for (const auto& suspicions : fx.suspicions) table_.heard(suspicions, now);
     for (auto& event : fx.events) table_.setPicture(journal_.append(std::move(event)), now);
     if (!fx.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
@@ -104,6 +105,8 @@
     const auto now = base::Clock::now();
     feed::Followed fx;
     core_.tick(now, fx);
+    for (const auto& [to, suspicions] : table_.takeSuspicions(now))
+      to == 0 ? core_.tell(suspicions, fx.out) : core_.tell(to, suspicions, fx.out);
     if (now - lookedAt_ >= kSettingsLook) {
       lookedAt_ = now;
       reread(false);
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -34,6 +34,9 @@
   } else if (const auto* demand = std::get_if<schema::Demand>(&message)) {
     fx.demands.push_back(*demand);
     return;
+  } else if (const auto* suspicions = std::get_if<schema::Suspicions>(&message)) {
+    fx.suspicions.push_back(*suspicions);
+    return;
   } else {
     group_.receive(message, from, now, fx.out);
   }
@@ -91,11 +94,17 @@
     fx.out.push_back({*holder, schema::Ask{0, frameStamp(), {~0ULL, ~0ULL}}});
 }
 
-void Follower::tell(const schema::Demand& demand, net::Outbox& out) const {
+void Follower::tell(const schema::Message& message, net::Outbox& out) const {
   if (!group_.view()) return;
   for (const auto& m : group_.view()->members)
     if (m.role == static_cast<std::uint8_t>(membership::Role::Router) && m.incarnation != group_.incarnation())
-      out.push_back({{m.ip, m.port}, demand});
+      out.push_back({{m.ip, m.port}, message});
+}
+
+void Follower::tell(std::uint64_t to, const schema::Message& message, net::Outbox& out) const {
+  if (!group_.view()) return;
+  for (const auto& m : group_.view()->members)
+    if (m.incarnation == to) out.push_back({{m.ip, m.port}, message});
 }
 
 void Follower::leave(Followed& fx) {
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -15,6 +15,7 @@
   std::vector<routing::Event> events;
   std::vector<std::string> notes;
   std::vector<schema::Demand> demands;  // told by other routers
+  std::vector<schema::Suspicions> suspicions;
 };
 
 class Follower {
@@ -30,7 +31,9 @@
   void tick(base::TimePoint now, Followed& fx);
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Followed& fx);
   // Tells the other routers of the view.
-  void tell(const schema::Demand& demand, net::Outbox& out) const;
+  void tell(const schema::Message& message, net::Outbox& out) const;
+  // Tells one of them, by its incarnation.
+  void tell(std::uint64_t to, const schema::Message& message, net::Outbox& out) const;
   void leave(Followed& fx);
   void setSeeds(std::vector<settings::Endpoint> seeds) {
     seeds_ = seeds;
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr std::size_t kEventMost = 1u << 20;
 constexpr Millis kRunnerIdle{60000};
+constexpr Millis kSilenceLook{100};
+constexpr Millis kAimUnknown{1000};
 constexpr Millis kFirstNews{600};  // how long a request waits for the first configuration of a process
 
 template <class T>
@@ -111,6 +113,52 @@
   std::shared_ptr<State> state_;
 };
 
+// Watches over a runner that is silent. When the aim has passed without a first byte, others are told. A request that may
+// run again is taken away from a runner once the routers together hold it to be ill; silence by itself is no reason.
+class SilenceWatch {
+ public:
+  SilenceWatch(asio::any_io_executor strand, routing::Table& table, std::string instanceId, Connection& connection,
+               Millis aim, bool repeatable)
+      : state_(std::make_shared<State>(std::move(strand), table, std::move(instanceId), connection, repeatable)) {
+    wait(state_, aim);
+  }
+  ~SilenceWatch() { end(); }
+  SilenceWatch(const SilenceWatch&) = delete;
+  SilenceWatch& operator=(const SilenceWatch&) = delete;
+  void end() {
+    state_->connection = nullptr;
+    state_->timer.cancel();
+  }
+  bool tookAway() const { return state_->tookAway; }
+
+ private:
+  struct State {
+    State(asio::any_io_executor strand, routing::Table& t, std::string id, Connection& c, bool r)
+        : timer(std::move(strand)), table(t), instanceId(std::move(id)), connection(&c), repeatable(r) {}
+    asio::steady_timer timer;
+    routing::Table& table;
+    std::string instanceId;
+    Connection* connection;
+    bool repeatable, told = false, tookAway = false;
+  };
+  static void wait(const std::shared_ptr<State>& state, Millis span) {
+    state->timer.expires_after(span);
+    state->timer.async_wait([state](boost::system::error_code error) {
+      if (error || state->connection == nullptr) return;
+      const auto now = base::Clock::now();
+      if (!std::exchange(state->told, true)) state->table.late(state->instanceId, now);
+      if (!state->repeatable) return;
+      if (state->table.suspended(state->instanceId, now)) {
+        state->tookAway = true;
+        state->connection->stream.cancel();
+      } else {
+        wait(state, kSilenceLook);
+      }
+    });
+  }
+  std::shared_ptr<State> state_;
+};
+
 // Reads an answer to its end without keeping it; false if it breaks off.
 asio::awaitable<bool> skipBody(Connection& connection, wire::response_parser<wire::buffer_body>& parser) {
   std::array<char, 4096> waste;
@@ -411,6 +459,9 @@
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "sending: " + writeError.message()};
   }
 
+  const auto aim = x.route.targetLatency.count() > 0 ? x.route.targetLatency : kAimUnknown;
+  SilenceWatch watch(co_await asio::this_coro::executor, table_, to.instanceId, *connection, aim,
+                     x.route.repeatable() && (!x.started || !x.resumeFrom.empty()));
   std::unique_ptr<wire::response_parser<wire::buffer_body>> parser;
   bool strayed = false;
   for (;;) {
@@ -420,6 +471,7 @@
     auto [error, bytes] = co_await wire::async_read_header(stream, connection->buffer, *parser, http::kTuple);
     if (error) {
       const auto now = base::Clock::now();
+      if (watch.tookAway()) co_return Outcome{End::Fault, Verdict::MayHaveRun, "silent, and held to be ill"};
       if (error != beast::error::timeout) table_.mark(to.instanceId, routing::Mark::Fault, now);
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "waiting for the answer: " + error.message()};
     }
@@ -432,6 +484,7 @@
     if (!co_await skipBody(*connection, *parser))
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer of another request breaks off"};
   }
+  watch.end();
   const auto& head = parser->get();
   const auto status = static_cast<int>(head.result_int());
   if (const auto load = view(head[kLoad]); !load.empty()) {
--- a/src/routing/fwd.hpp
+++ b/src/routing/fwd.hpp
@@ -2,6 +2,8 @@
 
 namespace indigohill::routing {
 class Conduct;
+class Evidence;
+class Suspension;
 class Table;
 class Taking;
 class WarmShares;
--- /dev/null
+++ b/src/routing/health.cpp
@@ -0,0 +1,54 @@
+#include "routing/health.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.hpp"
+
+namespace indigohill::routing {
+
+namespace {
+constexpr std::size_t kReportersMost = 64;
+constexpr std::uint32_t kDoublings = 3;
+}  // namespace
+
+std::vector<std::uint64_t> assessorsOf(const Routers& routers, const std::string& instanceId) {
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> ranked;
+  ranked.reserve(routers.size());
+  for (const auto& r : routers) ranked.emplace_back(routerRank(instanceId, r.incarnation), r.incarnation);
+  const auto most = std::min(kAssessors, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(most), ranked.end());
+  std::vector<std::uint64_t> out;
+  for (std::size_t i = 0; i < most; ++i) out.push_back(ranked[i].second);
+  return out;
+}
+
+void Evidence::told(const RouterId& reporter, base::TimePoint now) {
+  if (reporters_.size() < kReportersMost || reporters_.contains(reporter.incarnation))
+    reporters_[reporter.incarnation] = {reporter.zone, now};
+}
+
+bool Evidence::agreed(std::size_t needed, std::size_t elsewhere, base::TimePoint now) {
+  std::erase_if(reporters_, [&](const auto& r) { return now - r.second.second >= kEvidenceLife; });
+  if (reporters_.size() < needed) return false;
+  std::map<std::uint64_t, std::size_t> ofZone;
+  std::size_t most = 0;
+  for (const auto& [incarnation, r] : reporters_) most = std::max(most, ++ofZone[r.first]);
+  return reporters_.size() - most >= elsewhere;
+}
+
+void Suspension::begin(base::Millis first, base::TimePoint now) {
+  if (holds(now)) return;
+  if (!probation(now)) times_ = 0;
+  const auto length = first * (1u << std::min(times_, kDoublings));
+  ++times_;
+  until_ = now + length;
+  probationUntil_ = until_ + 2 * length + kEvidenceLife;
+}
+
+std::size_t reportsNeeded(double expected, bool probation) {
+  const auto sixth = static_cast<std::size_t>(std::ceil(std::max(0.0, expected) / 6));
+  return probation ? std::max<std::size_t>(2, sixth / 2) : std::max<std::size_t>(3, sixth);
+}
+
+}  // namespace indigohill::routing
--- /dev/null
+++ b/src/routing/health.hpp
@@ -0,0 +1,61 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+#include "routing/warm.hpp"
+
+// What routers tell each other of ill runners. At 88 routers each sends a runner a request in ten seconds: alone it
+// finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health answer.
+namespace indigohill::routing {
+
+// The routers that gather the evidence about a runner: the first of the view in rendezvous order of its id.
+constexpr std::size_t kAssessors = 2;
+std::vector<std::uint64_t> assessorsOf(const Routers& routers, const std::string& instanceId);
+
+// What an assessor has heard of one runner: who had trouble there, and when last.
+class Evidence {
+ public:
+  void told(const RouterId& reporter, base::TimePoint now);
+  // Whether enough routers agree, and `elsewhere` of them outside the zone that most of them are of: a cut between two
+  // zones, or one router's own bad path, is no evidence against a runner, nor are both together.
+  bool agreed(std::size_t needed, std::size_t elsewhere, base::TimePoint now);
+  void clear() { reporters_.clear(); }
+
+ private:
+  std::map<std::uint64_t, std::pair<std::uint64_t, base::TimePoint>> reporters_;  // incarnation: zone, when
+};
+
+// A runner left out on the word of others. After each time it is tried again; while it is on probation fewer reports
+// are needed, and the time doubles.
+class Suspension {
+ public:
+  bool holds(base::TimePoint now) const { return now < until_; }
+  bool probation(base::TimePoint now) const { return times_ > 0 && now < probationUntil_; }
+  void begin(base::Millis first, base::TimePoint now);
+
+ private:
+  base::TimePoint until_{}, probationUntil_{};
+  std::uint32_t times_ = 0;
+};
+
+// How many of a router's own first answers missed their aim lately. When many do, the load is the reason and no
+// single runner.
+class LateShare {
+ public:
+  void add(bool late) { share_ += 0.1 * ((late ? 1.0 : 0.0) - share_); }
+  bool general() const { return share_ > 0.15; }
+
+ private:
+  double share_ = 0;
+};
+
+// Reports needed: as many routers as would meet trouble by a sixth of the requests it gets, and never fewer than three (two
+// on probation). `expected`: requests that it gets from all routers while evidence lasts.
+std::size_t reportsNeeded(double expected, bool probation);
+constexpr base::Millis kEvidenceLife{3000};
+
+}  // namespace indigohill::routing
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -17,6 +17,7 @@
 constexpr base::Millis kWarmMargin{1000};  // beyond the lease: cold runners' rates are counted by the second
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
+constexpr base::Millis kTellAgain{1000};  // trouble at one runner is told no more often than this
 
 // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
 std::uint64_t promptKey(const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) {
@@ -231,6 +232,10 @@
   return true;
 }
 
+bool Table::leftOut(const Runner& runner, base::TimePoint now) const {
+  return runner.ejectedUntil > now || runner.trial || runner.suspension.holds(now);
+}
+
 bool Table::usable(const Runner& runner, const std::string& service) const {
   const auto& e = runner.entry;
   return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone);
@@ -277,7 +282,7 @@
     if (asked.tried.contains(id) || runner.own >= connections) continue;
     const double d = demand(runner, now);
     Choice choice{&runner, d, rankOf(id, key)};
-    if (runner.ejectedUntil > now || runner.trial)
+    if (leftOut(runner, now))
       ejected.push_back(choice);
     else
       choices.push_back(choice);
@@ -398,15 +403,111 @@
   auto& runner = found->second;
   runner.trial = false;
   if (mark == Mark::Fault) {
+    met(runner, now);
     if (++runner.faults < kFaultsToEject && runner.ejectedUntil == base::TimePoint{}) return;
     const auto over = std::min(kEjectDoublings, runner.faults - std::min(runner.faults, kFaultsToEject));
     runner.ejectedUntil = now + bounds_.policy.ejectMs * (1u << over);
   } else {
+    if (mark == Mark::Good) lateShare_.add(false);
     runner.faults = 0;
     runner.ejectedUntil = {};
   }
 }
 
+void Table::late(const std::string& instanceId, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  lateShare_.add(true);
+  const auto found = runners_.find(instanceId);
+  if (found != runners_.end() && !lateShare_.general()) met(found->second, now);
+}
+
+bool Table::suspended(const std::string& instanceId, base::TimePoint now) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  return found != runners_.end() && found->second.suspension.holds(now);
+}
+
+// Own requests met trouble there: for its assessors, of which this router may be one.
+void Table::met(Runner& runner, base::TimePoint now) {
+  if (!picture_->view || runner.suspension.holds(now) || now - runner.toldAt < kTellAgain) return;
+  runner.toldAt = now;
+  const auto routers = routersOf(*picture_->view);
+  for (const auto to : assessorsOf(routers, runner.entry.instanceId)) {
+    if (to != picture_->self) {
+      suspicions_[to].insert(runner.entry.instanceId);
+      continue;
+    }
+    const auto self = std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == to; });
+    gather(runner, *self, now);
+  }
+}
+
+void Table::gather(Runner& runner, const RouterId& reporter, base::TimePoint now) {
+  if (runner.suspension.holds(now)) return;
+  runner.evidence.told(reporter, now);
+  const auto& service = runner.entry.service;
+  std::size_t there = 0;
+  for (const auto& [id, other] : runners_) there += usable(other, service);
+  const auto routers = routersOf(*picture_->view);
+  // What it gets is guessed from what comes in here.
+  const double expected = static_cast<double>(budgets_[service].requests.sum) * base::seconds(kEvidenceLife) /
+                          base::seconds(bounds_.retryWindow) * static_cast<double>(routers.size()) /
+                          static_cast<double>(std::max<std::size_t>(1, there));
+  const bool zonesApart = std::any_of(routers.begin(), routers.end(),
+                                      [&](const auto& r) { return r.zone != routers.front().zone; });
+  const bool probation = runner.suspension.probation(now);
+  if (!runner.evidence.agreed(reportsNeeded(expected, probation), !zonesApart ? 0 : probation ? 1 : 2, now)) return;
+  if (suspend(runner, now)) agreed_.insert(runner.entry.instanceId);
+}
+
+// Never more than the rest can carry: at most a quarter of the runners are left out on the word of others, and only
+// while the others have the slots for what is demanded of all.
+bool Table::suspend(Runner& runner, base::TimePoint now) {
+  std::size_t there = 0, out = 0;
+  double asked = 0, slots = 0;
+  for (const auto& [id, other] : runners_) {
+    if (!usable(other, runner.entry.service)) continue;
+    ++there;
+    asked += demand(other, now);
+    if (&other == &runner) continue;
+    if (leftOut(other, now))
+      ++out;
+    else
+      slots += other.entry.slots;
+  }
+  if (4 * (out + 1) > there || asked > slots) return false;
+  runner.evidence.clear();
+  runner.suspension.begin(bounds_.policy.ejectMs, now);
+  return true;
+}
+
+std::vector<std::pair<std::uint64_t, schema::Suspicions>> Table::takeSuspicions(base::TimePoint) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::pair<std::uint64_t, schema::Suspicions>> out;
+  for (auto& [to, ids] : std::exchange(suspicions_, {}))
+    out.push_back({to, {picture_->self, false, {ids.begin(), ids.end()}}});
+  if (const auto ids = std::exchange(agreed_, {}); !ids.empty())
+    out.push_back({0, {picture_->self, true, {ids.begin(), ids.end()}}});
+  return out;
+}
+
+void Table::heard(const schema::Suspicions& suspicions, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (!picture_->view) return;
+  const auto routers = routersOf(*picture_->view);
+  const auto from = std::find_if(routers.begin(), routers.end(),
+                                 [&](const auto& r) { return r.incarnation == suspicions.reporter; });
+  if (from == routers.end()) return;
+  for (const auto& id : suspicions.instanceIds) {
+    const auto found = runners_.find(id);
+    if (found == runners_.end()) continue;
+    if (suspicions.agreed)
+      suspend(found->second, now);
+    else
+      gather(found->second, *from, now);
+  }
+}
+
 void Table::load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t,
                  base::TimePoint now) {
   const std::lock_guard lock(mutex_);
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -14,6 +14,7 @@
 
 #include "base/time.hpp"
 #include "control/configuration.hpp"
+#include "routing/health.hpp"
 #include "routing/warm.hpp"
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
@@ -148,6 +149,13 @@
   // Whether one further try may be made now; it is counted if so.
   bool drawRetry(const std::string& service, base::TimePoint now);
   void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
+  // A request there has had no first byte for as long as its aim. Evidence like a fault, but only for others' eyes.
+  void late(const std::string& instanceId, base::TimePoint now);
+  // Whether the routers together hold it to be ill.
+  bool suspended(const std::string& instanceId, base::TimePoint now) const;
+  // What is to be told of ill runners: to one router of the view by its incarnation, or to all (0). Asked at each tick.
+  std::vector<std::pair<std::uint64_t, schema::Suspicions>> takeSuspicions(base::TimePoint now);
+  void heard(const schema::Suspicions& suspicions, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
@@ -177,6 +185,9 @@
     std::uint32_t faults = 0;
     base::TimePoint ejectedUntil{};
     bool trial = false;
+    Evidence evidence;      // gathered here when this router is its assessor
+    Suspension suspension;
+    base::TimePoint toldAt{};  // when trouble met here was last told
     bool listed = true;
   };
   struct Window {
@@ -190,7 +201,11 @@
   };
 
   bool usable(const Runner& runner, const std::string& service) const;
+  bool leftOut(const Runner& runner, base::TimePoint now) const;
   double demand(const Runner& runner, base::TimePoint now) const;
+  void met(Runner& runner, base::TimePoint now);
+  void gather(Runner& runner, const RouterId& reporter, base::TimePoint now);
+  bool suspend(Runner& runner, base::TimePoint now);
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   double warmShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
                          base::TimePoint now);
@@ -208,6 +223,9 @@
   std::map<std::string, Budget> budgets_;
   std::deque<std::pair<base::TimePoint, std::size_t>> routerCounts_;
   WarmShares warm_;
+  LateShare lateShare_;
+  std::map<std::uint64_t, std::set<std::string>> suspicions_;  // to be told: assessor, runners
+  std::set<std::string> agreed_;                               // to be told to all
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
   std::function<void(const schema::Demand&)> tell_;
--- a/src/routing/warm.cpp
+++ b/src/routing/warm.cpp
@@ -17,11 +17,11 @@
 double mostPerS(const control::Service& service, const Bounds& bounds) {
   return 0.9 * (service.warmupPerS * bounds.warmupOvershoot + bounds.warmupSlack);
 }
+}  // namespace
 
-std::uint64_t rankOf(const std::string& instanceId, std::uint64_t incarnation) {
+std::uint64_t routerRank(const std::string& instanceId, std::uint64_t incarnation) {
   return base::hash({reinterpret_cast<const char*>(&incarnation), sizeof incarnation}, base::hash(instanceId) + 1);
 }
-}  // namespace
 
 Routers routersOf(const schema::View& view) {
   Routers out;
@@ -71,7 +71,7 @@
     // Without a place in one of them there is no part.
     if (self == group.routers.end()) return place.before = std::numeric_limits<std::size_t>::max();
     const auto key = [&](const RouterId& r) {
-      return std::tuple(r.zone != zoneHash, rankOf(instanceId, r.incarnation), r.incarnation);
+      return std::tuple(r.zone != zoneHash, routerRank(instanceId, r.incarnation), r.incarnation);
     };
     const auto own = key(*self);
     place.before = std::max(place.before,
--- a/src/routing/warm.hpp
+++ b/src/routing/warm.hpp
@@ -22,6 +22,8 @@
 };
 using Routers = std::vector<RouterId>;
 Routers routersOf(const schema::View& view);
+// Rendezvous order of routers for a runner: the same at every router.
+std::uint64_t routerRank(const std::string& instanceId, std::uint64_t incarnation);
 
 // How many routers hold a part of a cold runner's rate, of `routers` there are: as many as may each have one request in
 // hand besides the whole of the rate.
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -1,6 +1,7 @@
 // Cold and ill runners, as many routers together see them. The tables of 90 routers before 90 runners, without sockets:
 // what one router is told by another is handed over by the test. Days are seeded.
 #include <deque>
+#include <functional>
 #include <random>
 
 #include "documents.hpp"
@@ -191,3 +192,127 @@
     cr_assert(sent.all >= 60, "seed %llu: %zu in 15 s, the rate is hardly used", static_cast<unsigned long long>(seed), sent.all);
   }
 }
+
+namespace {
+
+// The routers hear each other: what one has to tell reaches the others, in the test's own time.
+void exchange(Fleet& fleet) {
+  for (std::size_t i = 0; i < fleet.tables.size(); ++i)
+    for (const auto& [to, said] : fleet.tables[i]->takeSuspicions(fleet.now)) {
+      if (to != 0) {
+        fleet.tables[to - 1]->heard(said, fleet.now);
+        continue;
+      }
+      for (std::size_t j = 0; j < fleet.tables.size(); ++j)
+        if (j != i) fleet.tables[j]->heard(said, fleet.now);
+    }
+}
+
+struct Played {
+  std::size_t sent = 0, hit = 0;      // requests, and those that met trouble
+  std::map<std::string, std::size_t> at;  // requests at each runner
+};
+
+// 800 requests a second at all routers; `trouble` says whether one at that runner, from that router, fails.
+Played play(Fleet& fleet, std::mt19937_64& random, int ms,
+            const std::function<bool(std::size_t router, const std::string&)>& trouble) {
+  Played out;
+  std::vector<std::pair<base::TimePoint, routing::Taking>> running;
+  for (int i = 0; i < ms; ++i) {
+    fleet.now += Millis(1);
+    fleet.lease();
+    if (i % 200 == 0) exchange(fleet);
+    if (i % 5 == 0) continue;
+    std::erase_if(running, [&](const auto& r) { return r.first <= fleet.now; });
+    const auto router = random() % kRouters;
+    fleet.tables[router]->arrived("engine", fleet.now);
+    auto decision = fleet.tables[router]->decide(fleet.ask(router, random() % 5000), fleet.now);
+    auto* to = std::get_if<routing::PassTo>(&decision);
+    if (to == nullptr) continue;
+    ++out.sent;
+    ++out.at[to->instanceId];
+    const bool bad = trouble(router, to->instanceId);
+    out.hit += bad;
+    fleet.tables[router]->mark(to->instanceId, bad ? routing::Mark::Fault : routing::Mark::Good, fleet.now);
+    running.emplace_back(fleet.now + Millis(150), std::move(to->taking));
+  }
+  return out;
+}
+
+}  // namespace
+
+Test(health, a_runner_that_fails_part_of_its_requests_is_left_out_by_all_on_the_word_of_a_few) {
+  Fleet fleet;
+  std::mt19937_64 random(3);
+  std::set<std::string> ill;
+  for (int i = 0; i < 10; ++i) ill.insert(fleet.runners[static_cast<std::size_t>(7 * i)].instanceId);
+  play(fleet, random, 3000, [](auto, const auto&) { return false; });
+  const auto bad = play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
+  // Left alone, a ninth of the requests go there and half of them fail.
+  cr_assert(bad.hit * 40 < bad.sent, "%zu of %zu met trouble", bad.hit, bad.sent);
+  // They are tried again, and used as before when they are well.
+  play(fleet, random, 12000, [](auto, const auto&) { return false; });
+  const auto well = play(fleet, random, 7000, [](auto, const auto&) { return false; });
+  for (const auto& id : ill)
+    cr_assert(well.at.contains(id) && well.at.at(id) * 180 >= well.sent, "%s gets %zu of %zu", id.c_str(),
+              well.at.contains(id) ? well.at.at(id) : 0, well.sent);
+}
+
+Test(health, one_routers_own_bad_path_and_a_cut_between_zones_leave_nobody_out_elsewhere) {
+  Fleet fleet;
+  std::mt19937_64 random(4);
+  play(fleet, random, 3000, [](auto, const auto&) { return false; });
+  // Router 0 reaches nobody; those of zone z1 do not reach the runners of z2.
+  const auto all = play(fleet, random, 7000, [&](std::size_t router, const std::string& id) {
+    const auto zone = std::stoul(id.substr(1)) % 3;
+    return router == 0 || (router % 3 == 1 && zone == 2);
+  });
+  std::size_t least = all.sent;
+  for (const auto& r : fleet.runners) least = std::min(least, all.at.contains(r.instanceId) ? all.at.at(r.instanceId) : 0);
+  cr_assert(least * 90 * 4 > all.sent, "a runner gets %zu of %zu", least, all.sent);
+  for (std::size_t i = 0; i < kRouters; ++i)
+    for (const auto& r : fleet.runners) cr_assert_not(fleet.tables[i]->suspended(r.instanceId, fleet.now));
+}
+
+Test(health, never_more_are_left_out_than_a_quarter_and_what_the_rest_can_carry) {
+  Fleet fleet;
+  std::mt19937_64 random(5);
+  play(fleet, random, 3000, [](auto, const auto&) { return false; });
+  for (int i = 0; i < 20; ++i) {
+    play(fleet, random, 400, [&](auto, const auto&) { return random() % 2 == 0; });
+    for (const auto& table : fleet.tables) {
+      std::size_t out = 0;
+      for (const auto& r : fleet.runners) out += table->suspended(r.instanceId, fleet.now);
+      cr_assert(4 * out <= kRunners, "%zu left out", out);
+    }
+  }
+}
+
+Test(health, a_late_first_byte_is_evidence_unless_they_are_late_everywhere) {
+  for (const bool everywhere : {false, true}) {
+    Fleet fleet;
+    std::mt19937_64 random(6);
+    std::set<std::string> slow{"e3", "e40", "e77"};
+    std::map<std::string, std::size_t> seen;
+    play(fleet, random, 3000, [](auto, const auto&) { return false; });
+    for (int i = 0; i < 4000; ++i) {
+      const auto router = random() % kRouters;
+      fleet.now += Millis(1);
+      if (i % 200 == 0) exchange(fleet);
+      const auto& id = fleet.runners[random() % kRunners].instanceId;
+      if (everywhere ? random() % 2 == 0 : slow.contains(id)) fleet.tables[router]->late(id, fleet.now);
+      fleet.tables[router]->mark(id, routing::Mark::Good, fleet.now);
+      if (i >= 2000 && i % 100 == 0)
+        for (const auto& r : fleet.runners) seen[r.instanceId] += fleet.tables[50]->suspended(r.instanceId, fleet.now);
+    }
+    // Left out for most of the last two seconds, with moments in which they are tried again.
+    std::size_t out = 0;
+    for (const auto& r : fleet.runners) {
+      const auto times = seen[r.instanceId];
+      if (!slow.contains(r.instanceId)) out += times > 0;
+      if (!everywhere && slow.contains(r.instanceId))
+        cr_assert(times >= 10, "%s was left out in %zu of 20 moments", r.instanceId.c_str(), times);
+    }
+    cr_assert(out <= 2, "%zu left out", out);
+  }
+}
