--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -34,6 +34,9 @@
   } else if (const auto* demand = std::get_if<schema::Demand>(&message)) {
     fx.demands.push_back(*demand);
     return;
+  } else if (const auto* suspicions = std::get_if<schema::Suspicions>(&message)) {
+    fx.suspicions.push_back(*suspicions);
+    return;
   } else {
     group_.receive(message, from, now, fx.out);
   }
@@ -83,19 +86,25 @@
     fx.notes.push_back(delivered.view ? fmt::format("view {}: {} members, incarnation {}", delivered.view->number,
                                                     delivered.view->members.size(), group_.incarnation())
                                       : std::string("left the group, told dead; joining again"));
-    fx.events.push_back(routing::ViewCame{std::move(delivered.view)});
+    fx.events.push_back(routing::ViewCame{std::move(delivered.view), group_.incarnation()});
   }
-  const auto proposed = group_.pending() ? routing::routersIn(group_.pending()->result) : 0;
-  if (proposed != proposed_) fx.events.push_back(routing::ProposalCame{proposed_ = proposed});
+  auto proposed = group_.pending() ? routing::routersOf(group_.pending()->result) : routing::Routers{};
+  if (proposed != proposed_) fx.events.push_back(routing::ProposalCame{proposed_ = std::move(proposed)});
   if (const auto holder = group_.flushFrom())
     fx.out.push_back({*holder, schema::Ask{0, frameStamp(), {~0ULL, ~0ULL}}});
 }
 
-void Follower::tell(const schema::Demand& demand, net::Outbox& out) const {
+void Follower::tell(const schema::Message& message, net::Outbox& out) const {
   if (!group_.view()) return;
   for (const auto& m : group_.view()->members)
     if (m.role == static_cast<std::uint8_t>(membership::Role::Router) && m.incarnation != group_.incarnation())
-      out.push_back({{m.ip, m.port}, demand});
+      out.push_back({{m.ip, m.port}, message});
+}
+
+void Follower::tell(std::uint64_t to, const schema::Message& message, net::Outbox& out) const {
+  if (!group_.view()) return;
+  for (const auto& m : group_.view()->members)
+    if (m.incarnation == to) out.push_back({{m.ip, m.port}, message});
 }
 
 void Follower::leave(Followed& fx) {
--- a/src/routing/fwd.hpp
+++ b/src/routing/fwd.hpp
@@ -2,8 +2,11 @@
 
 namespace indigohill::routing {
 class Conduct;
+class Evidence;
+class Suspension;
 class Table;
 class Taking;
+class WarmShares;
 struct Asked;
 struct Ending;
 struct PassTo;
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -17,6 +17,7 @@
 constexpr base::Millis kWarmMargin{1000};  // beyond the lease: cold runners' rates are counted by the second
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
+constexpr base::Millis kTellAgain{1000};  // trouble at one runner is told no more often than this
 
 // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
 std::uint64_t promptKey(const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) {
@@ -61,17 +62,12 @@
     picture.hasRunners = true;
   } else if (const auto* view = std::get_if<ViewCame>(&event)) {
     picture.view = view->view;
+    picture.self = view->self;
   } else if (const auto* proposal = std::get_if<ProposalCame>(&event)) {
-    picture.proposedRouters = proposal->routers;
+    picture.proposed = proposal->routers;
   }
 }
 
-std::size_t routersIn(const schema::View& view) {
-  return static_cast<std::size_t>(std::count_if(view.members.begin(), view.members.end(), [](const auto& m) {
-    return m.role == static_cast<std::uint8_t>(membership::Role::Router);
-  }));
-}
-
 void Taking::begun(base::Clock::duration after) {
   if (table_ != nullptr) table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
 }
@@ -105,7 +101,12 @@
   if (picture_->view && !before->view) viewSince_ = now;
   // A larger group counts from the moment its extension is acknowledged: the newcomer may have its part before the
   // commit arrives here.
-  const auto routers = std::max(picture_->view ? routersIn(*picture_->view) : 0, picture_->proposedRouters);
+  const auto members = picture_->view ? routersOf(*picture_->view) : Routers{};
+  const auto routers = std::max(members.size(), picture_->proposed.size());
+  const bool another = picture_->view.has_value() != before->view.has_value() || picture_->self != before->self ||
+                       (picture_->view && picture_->view->number != before->view->number);
+  if (another) warm_.delivered(members, picture_->self, now);
+  if (!picture_->proposed.empty()) warm_.proposed(picture_->proposed);
   if (routers > 0 && (routerCounts_.empty() || routerCounts_.back().second != routers))
     routerCounts_.emplace_back(now, routers);
   // Nobody asks further back than this.
@@ -181,14 +182,6 @@
   return routers == 0 ? 0 : 0.8 * bounds.retrySlack / static_cast<double>(routers);
 }
 
-double warmRate(const control::Service& service, const Bounds& bounds, std::size_t routers) {
-  if (routers == 0) return 0;
-  const auto n = static_cast<double>(routers);
-  const double most = 0.9 * (service.warmupPerS * bounds.warmupOvershoot + bounds.warmupSlack);
-  // Each router may have one request in hand besides its rate.
-  return std::max(0.0, std::min(service.warmupPerS, most - n) / n);
-}
-
 bool Table::drawRetry(const std::string& service, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   // Further tries rest on the view: none without a lease.
@@ -212,11 +205,24 @@
   return runner.own + runner.reported * std::max(0.0, fresh);
 }
 
-// A cold runner's rate is shared by all routers of the view; each keeps to its part of the rate with one in hand.
+double Table::warmShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                              base::TimePoint now) {
+  // Nothing without a lease, and nothing to one that has just joined: it does not know whom it shares with.
+  const auto memory = bounds_.lease + kWarmMargin;
+  if (now >= leaseUntil_ || !picture_->view || now - viewSince_ < memory) return 0;
+  return warm_.rate(instanceId, zone, service, bounds_, memory, now);
+}
+
+double Table::warmShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                        base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  return warmShareLocked(instanceId, zone, service, now);
+}
+
+// A cold runner's rate is held by a few routers; each keeps to its part of the rate with one in hand.
 bool Table::takeWarm(Runner& runner, const control::Service& service, base::TimePoint now) {
   if (service.warmupPerS <= 0) return true;
-  if (now >= leaseUntil_) return false;
-  const double rate = warmRate(service, bounds_, routersLocked(now, bounds_.lease + kWarmMargin));
+  const double rate = warmShareLocked(runner.entry.instanceId, runner.entry.zone, service, now);
   if (rate <= 0) return false;
   if (runner.warmAt == base::TimePoint{}) runner.warmAt = now;
   runner.warmTokens = std::min(1.0, runner.warmTokens + rate * base::seconds(now - runner.warmAt));
@@ -226,6 +232,10 @@
   return true;
 }
 
+bool Table::leftOut(const Runner& runner, base::TimePoint now) const {
+  return runner.ejectedUntil > now || runner.trial || runner.suspension.holds(now);
+}
+
 bool Table::usable(const Runner& runner, const std::string& service) const {
   const auto& e = runner.entry;
   return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone);
@@ -272,7 +282,7 @@
     if (asked.tried.contains(id) || runner.own >= connections) continue;
     const double d = demand(runner, now);
     Choice choice{&runner, d, rankOf(id, key)};
-    if (runner.ejectedUntil > now || runner.trial)
+    if (leftOut(runner, now))
       ejected.push_back(choice);
     else
       choices.push_back(choice);
@@ -393,15 +403,111 @@
   auto& runner = found->second;
   runner.trial = false;
   if (mark == Mark::Fault) {
+    met(runner, now);
     if (++runner.faults < kFaultsToEject && runner.ejectedUntil == base::TimePoint{}) return;
     const auto over = std::min(kEjectDoublings, runner.faults - std::min(runner.faults, kFaultsToEject));
     runner.ejectedUntil = now + bounds_.policy.ejectMs * (1u << over);
   } else {
+    if (mark == Mark::Good) lateShare_.add(false);
     runner.faults = 0;
     runner.ejectedUntil = {};
   }
 }
 
+void Table::late(const std::string& instanceId, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  lateShare_.add(true);
+  const auto found = runners_.find(instanceId);
+  if (found != runners_.end() && !lateShare_.general()) met(found->second, now);
+}
+
+bool Table::suspended(const std::string& instanceId, base::TimePoint now) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  return found != runners_.end() && found->second.suspension.holds(now);
+}
+
+// Own requests met trouble there: for its assessors, of which this router may be one.
+void Table::met(Runner& runner, base::TimePoint now) {
+  if (!picture_->view || runner.suspension.holds(now) || now - runner.toldAt < kTellAgain) return;
+  runner.toldAt = now;
+  const auto routers = routersOf(*picture_->view);
+  for (const auto to : assessorsOf(routers, runner.entry.instanceId)) {
+    if (to != picture_->self) {
+      suspicions_[to].insert(runner.entry.instanceId);
+      continue;
+    }
+    const auto self = std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == to; });
+    gather(runner, *self, now);
+  }
+}
+
+void Table::gather(Runner& runner, const RouterId& reporter, base::TimePoint now) {
+  if (runner.suspension.holds(now)) return;
+  runner.evidence.told(reporter, now);
+  const auto& service = runner.entry.service;
+  std::size_t there = 0;
+  for (const auto& [id, other] : runners_) there += usable(other, service);
+  const auto routers = routersOf(*picture_->view);
+  // What it gets is guessed from what comes in here.
+  const double expected = static_cast<double>(budgets_[service].requests.sum) * base::seconds(kEvidenceLife) /
+                          base::seconds(bounds_.retryWindow) * static_cast<double>(routers.size()) /
+                          static_cast<double>(std::max<std::size_t>(1, there));
+  const bool zonesApart = std::any_of(routers.begin(), routers.end(),
+                                      [&](const auto& r) { return r.zone != routers.front().zone; });
+  const bool probation = runner.suspension.probation(now);
+  if (!runner.evidence.agreed(reportsNeeded(expected, probation), !zonesApart ? 0 : probation ? 1 : 2, now)) return;
+  if (suspend(runner, now)) agreed_.insert(runner.entry.instanceId);
+}
+
+// Never more than the rest can carry: at most a quarter of the runners are left out on the word of others, and only
+// while the others have the slots for what is demanded of all.
+bool Table::suspend(Runner& runner, base::TimePoint now) {
+  std::size_t there = 0, out = 0;
+  double asked = 0, slots = 0;
+  for (const auto& [id, other] : runners_) {
+    if (!usable(other, runner.entry.service)) continue;
+    ++there;
+    asked += demand(other, now);
+    if (&other == &runner) continue;
+    if (leftOut(other, now))
+      ++out;
+    else
+      slots += other.entry.slots;
+  }
+  if (4 * (out + 1) > there || asked > slots) return false;
+  runner.evidence.clear();
+  runner.suspension.begin(bounds_.policy.ejectMs, now);
+  return true;
+}
+
+std::vector<std::pair<std::uint64_t, schema::Suspicions>> Table::takeSuspicions(base::TimePoint) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::pair<std::uint64_t, schema::Suspicions>> out;
+  for (auto& [to, ids] : std::exchange(suspicions_, {}))
+    out.push_back({to, {picture_->self, false, {ids.begin(), ids.end()}}});
+  if (const auto ids = std::exchange(agreed_, {}); !ids.empty())
+    out.push_back({0, {picture_->self, true, {ids.begin(), ids.end()}}});
+  return out;
+}
+
+void Table::heard(const schema::Suspicions& suspicions, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (!picture_->view) return;
+  const auto routers = routersOf(*picture_->view);
+  const auto from = std::find_if(routers.begin(), routers.end(),
+                                 [&](const auto& r) { return r.incarnation == suspicions.reporter; });
+  if (from == routers.end()) return;
+  for (const auto& id : suspicions.instanceIds) {
+    const auto found = runners_.find(id);
+    if (found == runners_.end()) continue;
+    if (suspicions.agreed)
+      suspend(found->second, now);
+    else
+      gather(found->second, *from, now);
+  }
+}
+
 void Table::load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t,
                  base::TimePoint now) {
   const std::lock_guard lock(mutex_);
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -25,6 +25,8 @@
   std::size_t losses = 1;  // faultTolerance: core machines that may be lost at once
   std::size_t zones = 0;   // 0: one for each controller
   std::size_t relays = 0;  // controllers without a disk
+  // Bounds of cold runners; so small that even a few routers cannot all hold a part.
+  double warmupOvershoot = 1.5, warmupSlack = 2;
 };
 
 struct Node {
