Runners ill toward one zone, that turn away with room, or that answer 5xx

Cause: runners may be ill toward the callers of one zone, may shed while they have room (and then look idle and draw more), and a 5xx of a runner's own counted as a good answer.

Change: evidence from one zone alone makes that zone alone leave a runner out; turning away below its slots and its own 5xx (but its 504 at the deadline) are evidence; a request that may run again is tried elsewhere after a 5xx, within the budget, and the first answer is passed on if nobody does better.

--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -188,6 +188,7 @@
   base::TimePoint firstAt{};          // when the first event left
   base::TimePoint sentAt{};           // when it went to the runner that has it now
   routing::Taking* taking = nullptr;  // the place at the runner that has it now
+  std::optional<http::Response> failure;  // a runner's own 5xx, passed on if no other runner does better
 };
 
 struct Executor::Outcome {
@@ -360,7 +361,7 @@
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, {}, {}, nullptr};
+             true, {}, {}, {}, {}, nullptr, {}};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -420,6 +421,12 @@
     client.close();
     co_return false;
   }
+  if (x.failure) {
+    ++counters_.failed;
+    x.client.expires_after(Millis(10000));
+    auto [error, bytes] = co_await wire::async_write(client, *x.failure, http::kTuple);
+    co_return !error && x.failure->keep_alive();
+  }
   ++(ending->status == 503 ? counters_.shed : counters_.failed);
   spdlog::debug("request {} ends with {}: {}", x.attemptId, ending->status, ending->why);
   co_return co_await reply(x, ending->status, ending->why, ending->retryAfterS);
@@ -512,7 +519,9 @@
     outcome = co_await answerWhole(x, *connection, *parser, to.instanceId);
   }
   const auto now = base::Clock::now();
-  if (outcome.end == End::Answered) table_.mark(to.instanceId, routing::Mark::Good, now);
+  // Its 504 at the deadline says nothing of its health.
+  const bool failed = status >= 500 && status != 504;
+  if (outcome.end == End::Answered) table_.mark(to.instanceId, failed ? routing::Mark::Fault : routing::Mark::Good, now);
   if (outcome.end == End::Fault && now < x.deadline) table_.mark(to.instanceId, routing::Mark::Fault, now);
   if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
     pool_.giveBack(to.instanceId, std::move(connection), idle);
@@ -546,6 +555,12 @@
     out.content_length(boost::none);
   else
     out.prepare_payload();
+  // A failure of the runner's own has run. What may run again is tried elsewhere, and this answer kept for the case that
+  // nobody does better.
+  if (status >= 500 && x.route.repeatable()) {
+    x.failure = std::move(out);
+    co_return Outcome{End::Fault, Verdict::MayHaveRun, instanceId + " answered " + std::to_string(status)};
+  }
   x.client.expires_after(Millis(10000));
   auto [error, bytes] = co_await wire::async_write(x.client, out, http::kTuple);
   if (error) co_return Outcome{End::ClientGone, Verdict::Ran, error.message()};
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -28,13 +28,25 @@
     reporters_[reporter.incarnation] = {reporter.zone, now};
 }
 
-bool Evidence::agreed(std::size_t needed, std::size_t elsewhere, base::TimePoint now) {
+std::optional<std::uint64_t> Evidence::agreed(const Routers& routers, double expected, bool probation,
+                                              base::TimePoint now) {
   std::erase_if(reporters_, [&](const auto& r) { return now - r.second.second >= kEvidenceLife; });
-  if (reporters_.size() < needed) return false;
-  std::map<std::uint64_t, std::size_t> ofZone;
+  std::map<std::uint64_t, std::size_t> reports;
+  std::uint64_t commonest = kEveryZone;
   std::size_t most = 0;
-  for (const auto& [incarnation, r] : reporters_) most = std::max(most, ++ofZone[r.first]);
-  return reporters_.size() - most >= elsewhere;
+  for (const auto& [incarnation, r] : reporters_)
+    if (const auto n = ++reports[r.first]; n > most) {
+      most = n;
+      commonest = r.first;
+    }
+  const auto inZone = static_cast<std::size_t>(
+      std::count_if(routers.begin(), routers.end(), [&](const auto& r) { return r.zone == commonest; }));
+  const std::size_t elsewhere = inZone == routers.size() ? 0 : probation ? 1 : 2;
+  if (reporters_.size() >= reportsNeeded(expected, probation) && reporters_.size() - most >= elsewhere)
+    return kEveryZone;
+  const double ofZone = expected * static_cast<double>(inZone) / static_cast<double>(std::max<std::size_t>(1, routers.size()));
+  if (most >= reportsNeeded(ofZone, probation)) return commonest;
+  return std::nullopt;
 }
 
 void Suspension::begin(base::Millis first, base::TimePoint now) {
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,9 +21,10 @@
 class Evidence {
  public:
   void told(const RouterId& reporter, base::TimePoint now);
-  // Whether enough routers agree, and `elsewhere` of them outside the zone that most of them are of: a cut between two
-  // zones, or one router's own bad path, is no evidence against a runner, nor are both together.
-  bool agreed(std::size_t needed, std::size_t elsewhere, base::TimePoint now);
+  // For whom enough routers agree. For all: `needed` of them, two of which are outside the zone that most are of (one is
+  // enough on probation). Else for the routers of that zone alone, when enough of it agree: a cut between two zones is no
+  // evidence for the others, nor is one router's own bad path, and a runner may be ill toward one zone only.
+  std::optional<std::uint64_t> agreed(const Routers& routers, double expected, bool probation, base::TimePoint now);
   void clear() { reporters_.clear(); }
 
  private:
@@ -57,5 +59,6 @@
 // on probation). `expected`: requests that it gets from all routers while evidence lasts.
 std::size_t reportsNeeded(double expected, bool probation);
 constexpr base::Millis kEvidenceLife{3000};
+constexpr std::uint64_t kEveryZone = 0;
 
 }  // namespace indigohill::routing
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -409,6 +409,8 @@
     runner.ejectedUntil = now + bounds_.policy.ejectMs * (1u << over);
   } else {
     if (mark == Mark::Good) lateShare_.add(false);
+    // Turned away where there is room: a runner that is ill this way looks idle and draws more and more.
+    if (mark == Mark::Refused && demand(runner, now) < runner.entry.slots) met(runner, now);
     runner.faults = 0;
     runner.ejectedUntil = {};
   }
@@ -453,11 +455,14 @@
   const double expected = static_cast<double>(budgets_[service].requests.sum) * base::seconds(kEvidenceLife) /
                           base::seconds(bounds_.retryWindow) * static_cast<double>(routers.size()) /
                           static_cast<double>(std::max<std::size_t>(1, there));
-  const bool zonesApart = std::any_of(routers.begin(), routers.end(),
-                                      [&](const auto& r) { return r.zone != routers.front().zone; });
-  const bool probation = runner.suspension.probation(now);
-  if (!runner.evidence.agreed(reportsNeeded(expected, probation), !zonesApart ? 0 : probation ? 1 : 2, now)) return;
-  if (suspend(runner, now)) agreed_.insert(runner.entry.instanceId);
+  const auto forWhom = runner.evidence.agreed(routers, expected, runner.suspension.probation(now), now);
+  if (!forWhom) return;
+  const auto own = std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == picture_->self; });
+  const bool here = *forWhom == kEveryZone || (own != routers.end() && own->zone == *forWhom);
+  // What this router would not follow itself it tells nobody.
+  if (here && !suspend(runner, now)) return;
+  runner.evidence.clear();
+  agreed_[*forWhom].insert(runner.entry.instanceId);
 }
 
 // Never more than the rest can carry: at most a quarter of the runners are left out on the word of others, and only
@@ -476,7 +481,6 @@
       slots += other.entry.slots;
   }
   if (4 * (out + 1) > there || asked > slots) return false;
-  runner.evidence.clear();
   runner.suspension.begin(bounds_.policy.ejectMs, now);
   return true;
 }
@@ -485,9 +489,9 @@
   const std::lock_guard lock(mutex_);
   std::vector<std::pair<std::uint64_t, schema::Suspicions>> out;
   for (auto& [to, ids] : std::exchange(suspicions_, {}))
-    out.push_back({to, {picture_->self, false, {ids.begin(), ids.end()}}});
-  if (const auto ids = std::exchange(agreed_, {}); !ids.empty())
-    out.push_back({0, {picture_->self, true, {ids.begin(), ids.end()}}});
+    out.push_back({to, {picture_->self, false, kEveryZone, {ids.begin(), ids.end()}}});
+  for (auto& [zone, ids] : std::exchange(agreed_, {}))
+    out.push_back({0, {picture_->self, true, zone, {ids.begin(), ids.end()}}});
   return out;
 }
 
@@ -498,13 +502,15 @@
   const auto from = std::find_if(routers.begin(), routers.end(),
                                  [&](const auto& r) { return r.incarnation == suspicions.reporter; });
   if (from == routers.end()) return;
+  if (suspicions.agreed && suspicions.zone != kEveryZone && suspicions.zone != base::hash(zone_)) return;
   for (const auto& id : suspicions.instanceIds) {
     const auto found = runners_.find(id);
     if (found == runners_.end()) continue;
-    if (suspicions.agreed)
-      suspend(found->second, now);
-    else
+    if (!suspicions.agreed) {
       gather(found->second, *from, now);
+    } else if (suspend(found->second, now)) {
+      found->second.evidence.clear();
+    }
   }
 }
 
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -225,7 +225,7 @@
   WarmShares warm_;
   LateShare lateShare_;
   std::map<std::uint64_t, std::set<std::string>> suspicions_;  // to be told: assessor, runners
-  std::set<std::string> agreed_;                               // to be told to all
+  std::map<std::uint64_t, std::set<std::string>> agreed_;      // to be told to all: for which zone, runners
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
   std::function<void(const schema::Demand&)> tell_;
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -274,6 +274,24 @@
   cr_assert_eq(three.count(), 4u);
 }
 
+Test(pass, a_runners_own_failure_is_tried_elsewhere_if_it_may_be_and_passed_on_if_not) {
+  const auto failing = raw("HTTP/1.1 500 Broken\r\n{id}Content-Length: 4\r\n\r\noops");
+  {
+    Runner ill({failing}), well({whole("ok")});
+    Front front({&ill, &well});
+    for (int i = 0; i < 12; ++i) {
+      const auto out = front.exchange(get("/check/1"));
+      cr_assert(starts(out, "HTTP/1.1 200") && has(out, "ok"), "%s", out.c_str());
+    }
+    cr_assert(ill.count() > 0 && ill.count() < 12, "%zu", ill.count());
+  }
+  Runner one({failing}), two({failing});
+  Front front({&one, &two});
+  const auto out = front.exchange(get("/check/1"));
+  cr_assert(starts(out, "HTTP/1.1 500") && has(out, "oops"), "%s", out.c_str());
+  cr_assert_eq(one.count() + two.count(), 2u);
+}
+
 Test(pass, what_may_have_run_is_never_promised_not_to_have) {
   // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
   const std::vector<std::string> answers{
