Idle connections that a runner may have forgotten carry nothing that must not run twice

Cause: any idle connection within the announced time was reused for any request; runners may forget one earlier and without notice, and what is then sent may have run, so a request that is not repeatable was lost to it. Such a reset also counted as a fault of the runner.

Change: pass::IdleLimit learns for each service the shortest idle time after which a connection was found closed or reset, for a minute; non-repeatable requests keep to half of it (0.4 s while nothing was seen, never below 50 ms of margin), repeatable ones to seven eighths. Resets of reused connections are no evidence of illness.

Measured: test_pass, two new tests; against a runner that resets every reused connection ten of ten requests that run once are served (the old code reuses and loses every second one by its rule; that was not run).

--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -179,6 +179,7 @@
   const http::Request& request;
   const control::Route& route;
   std::string attemptId;
+  std::string service;
   base::TimePoint deadline;
   bool stream = false;      // answered as events come
   bool started = false;     // the client has bytes of the answer
@@ -360,8 +361,8 @@
   }
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
-  Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, {}, {}, nullptr, {}};
+  Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, {}, false,
+             false, true, {}, {}, {}, {}, nullptr, {}};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -374,6 +375,7 @@
   conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
   const auto usage = view(request[kUsage]);
   conduct.asked().promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
+  x.service = conduct.asked().service;
   conduct.arrived(arrivedAt);
 
   std::optional<routing::Ending> ending;
@@ -449,7 +451,7 @@
 
 asio::awaitable<Executor::Outcome> Executor::attempt(Exchange& x, routing::PassTo& to) {
   using End = Outcome::End;
-  auto taken = co_await pool_.take(to.instanceId, to.address, x.deadline);
+  auto taken = co_await pool_.take(x.service, to.instanceId, to.address, x.route.repeatable(), x.deadline);
   if (const auto* bad = base::fault(taken)) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
     co_return Outcome{End::Unreached, Verdict::NotRun, bad->what};
@@ -460,9 +462,17 @@
   const auto left = std::chrono::duration_cast<Millis>(x.deadline - base::Clock::now());
   if (left.count() <= 0) co_return Outcome{End::Fault, Verdict::NotRun, "out of time"};
   const auto outgoing = forRunner(x.request, to.instanceId, left, x.resumeFrom);
+  // A reset on a reused connection before any byte of an answer: the runner had forgotten it, which is no fault of its
+  // health. Whether it has read the request is not known all the same.
+  const auto failed = [&](const boost::system::error_code& error, bool answered) {
+    if (connection->reused && !answered && error != beast::error::timeout)
+      pool_.forgotten(x.service, *connection);
+    else
+      table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+  };
   auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
   if (writeError) {
-    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    failed(writeError, false);
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "sending: " + writeError.message()};
   }
 
@@ -477,9 +487,8 @@
     if (x.request.method() == wire::verb::head) parser->skip(true);
     auto [error, bytes] = co_await wire::async_read_header(stream, connection->buffer, *parser, http::kTuple);
     if (error) {
-      const auto now = base::Clock::now();
       if (watch.tookAway()) co_return Outcome{End::Fault, Verdict::MayHaveRun, "silent, and held to be ill"};
-      if (error != beast::error::timeout) table_.mark(to.instanceId, routing::Mark::Fault, now);
+      if (error != beast::error::timeout) failed(error, bytes > 0 || connection->buffer.size() > 0);
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "waiting for the answer: " + error.message()};
     }
     const auto echoed = parser->get()[kAttemptId];
@@ -520,8 +529,9 @@
   }
   const auto now = base::Clock::now();
   // Its 504 at the deadline says nothing of its health.
-  const bool failed = status >= 500 && status != 504;
-  if (outcome.end == End::Answered) table_.mark(to.instanceId, failed ? routing::Mark::Fault : routing::Mark::Good, now);
+  const bool ownFailure = status >= 500 && status != 504;
+  if (outcome.end == End::Answered)
+    table_.mark(to.instanceId, ownFailure ? routing::Mark::Fault : routing::Mark::Good, now);
   if (outcome.end == End::Fault && now < x.deadline) table_.mark(to.instanceId, routing::Mark::Fault, now);
   if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
     pool_.giveBack(to.instanceId, std::move(connection), idle);
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -34,6 +34,7 @@
 // A runner that answers the n-th request it gets with the n-th script (the last for all further ones) and keeps what
 // it was sent. A script gives the bytes to write; an empty one closes without a word.
 struct Runner {
+  bool forgets = false;  // every connection that has carried a request: whatever comes on it next is reset
   struct Step {
     std::string bytes;
     bool close = false;
@@ -81,10 +82,15 @@
   }
   asio::awaitable<void> serve(tcp::socket socket) {
     http::beast::flat_buffer buffer;
+    bool served = false;
     for (;;) {
       http::Request request;
       auto [error, n] = co_await http::wire::async_read(socket, buffer, request, http::kTuple);
       if (error) co_return;
+      if (forgets && std::exchange(served, true)) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+        co_return;
+      }
       Script script;
       {
         const std::lock_guard lock(mutex);
@@ -180,6 +186,12 @@
 bool starts(const std::string& text, const std::string& head) { return text.compare(0, head.size(), head) == 0; }
 bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
+const std::string kOnce =
+    R"(,{"name":"once","hostname":"a.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"targetService":"plain","maxAttempts":1})";
+std::string once() {
+  return "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\nContent-Length: 0\r\n\r\n";
+}
+
 using Lists = std::vector<base::Result<std::vector<schema::RunnerEntry>>>;
 asio::awaitable<void> readTimes(runners::Reader& reader, int times, Lists& out) {
   for (int i = 0; i < times; ++i) out.push_back(co_await reader.read(Millis(5000)));
@@ -260,15 +272,14 @@
 Test(pass, a_runner_that_cannot_be_reached_is_no_try_and_draws_on_no_budget) {
   // A request that may be sent to one runner alone, and no budget at all: it still gets past the dead ones.
   Runner one({whole("ok")}), two({whole("ok")}), three({whole("ok")});
-  Front front({&one, &two, &three}, "plain",
-              R"(,{"name":"once","hostname":"a.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"targetService":"plain","maxAttempts":1})");
+  Front front({&one, &two, &three}, "plain", kOnce);
   auto bounds = routing::Bounds{};
   bounds.retryRatio = bounds.retrySlack = 0;
   front.table.setBounds(bounds);
   one.close();
   two.close();
   for (int i = 0; i < 4; ++i) {
-    const auto out = front.exchange("POST /once/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\nContent-Length: 0\r\n\r\n");
+    const auto out = front.exchange(once());
     cr_assert(starts(out, "HTTP/1.1 200"), "%s", out.c_str());
   }
   cr_assert_eq(three.count(), 4u);
@@ -292,6 +303,37 @@
   cr_assert_eq(one.count() + two.count(), 2u);
 }
 
+Test(pass, what_may_run_once_is_not_lost_to_a_connection_that_the_runner_has_forgotten) {
+  Runner runner({whole("ok")});
+  runner.forgets = true;
+  Front front({&runner}, "plain", kOnce);
+  // A request that may be repeated finds out, is tried again on another connection, and no health is held against the
+  // runner.
+  for (int i = 0; i < 2; ++i) {
+    const auto out = front.exchange(get("/check/1"));
+    cr_assert(starts(out, "HTTP/1.1 200") || starts(out, "HTTP/1.1 502"), "%s", out.c_str());
+  }
+  for (int i = 0; i < 10; ++i) {
+    const auto out = front.exchange(once());
+    cr_assert(starts(out, "HTTP/1.1 200"), "%d: %s", i, out.c_str());
+  }
+}
+
+Test(pass, how_long_connections_are_kept_is_learned) {
+  pass::IdleLimit limit;
+  const auto now = base::Clock::now();
+  const auto most = [&](bool repeatable, Millis later = Millis(0)) { return limit.most(repeatable, now + later); };
+  cr_assert(most(true) > std::chrono::hours(1) && most(false) <= Millis(500));
+  limit.forgotten(Millis(600), now);
+  limit.forgotten(Millis(900), now);
+  cr_assert(most(true) < Millis(600) && most(true) > Millis(400));
+  cr_assert(most(false) <= Millis(300) && most(false) > Millis(100));
+  limit.forgotten(Millis(20), now);
+  cr_assert(most(false) <= Millis(10));
+  // Not for ever: runners change.
+  cr_assert(most(false, Millis(120000)) > Millis(100));
+}
+
 Test(pass, what_may_have_run_is_never_promised_not_to_have) {
   // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
   const std::vector<std::string> answers{
