--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -79,7 +79,10 @@
   http::Response readiness(const http::Request& request) {
     if (request.target() != "/v1/readiness") return http::answer(request, 404, "no such call");
     const bool is = isReady_;
-    return http::answer(request, is ? 200 : 503, is ? "ready" : "not ready");
+    std::string body = is ? "ready" : "not ready";
+    if (const auto ms = unvouchedMs_.load(); ms > 0)
+      body += fmt::format("; no controller has vouched for the configuration for {} ms", ms);
+    return http::answer(request, is ? 200 : 503, std::move(body));
   }
 
   void receive(const schema::Message& message, const settings::Endpoint& from) {
@@ -97,6 +100,7 @@
     if (!fx.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
     isReady_ = core_.informed() && !leaving_;
+    unvouchedMs_ = core_.unvouched(now).value_or(Millis(0)).count();
     link_.send(fx.out);
   }
 
@@ -170,6 +174,7 @@
   net::Link link_;
   runners::Reader reader_;
   std::atomic<bool> isReady_{false};
+  std::atomic<std::int64_t> unvouchedMs_{0};
   bool leaving_ = false, reading_ = false;
   base::TimePoint leftAt_{}, lookedAt_{};
 };
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -83,9 +83,7 @@
     const bool ofRunners = runnerSink_.receive(*news, from, now);
     for (const auto& frame : news->frames)
       if (!replica_.active() && source_.setFrame(frame)) group_.setHeld(frame.stamp);
-    const bool known = source_.hasRunners() && news->runnersStamp == source_.runnersStamp();
-    if (ofRunners && (news->hasRunners || known))
-      source_.setRunners(news->runnersStamp, news->runners, now - base::Millis(news->runnersAgeMs));
+    source_.takeRunners(*news, ofRunners ? now - base::Millis(news->runnersAgeMs) : base::TimePoint{});
   } else {
     group_.receive(message, from, now, fx.out);
     replica_.receive(message, from, now, fx);
@@ -111,7 +109,7 @@
   if (group_.view() && !group_.isLister())
     for (const auto& m : group_.view()->members)
       if (m.incarnation == group_.view()->lister)
-        runnerSink_.tick(now, {{m.ip, m.port}}, kNothing, source_.runnersStamp(), out);
+        runnerSink_.tick(now, {{m.ip, m.port}}, kNothing, source_.askRunners(), out);
 }
 
 // After anything that may have moved the group or the control state: what is in force goes to those that ask.
@@ -161,6 +159,7 @@
                         Effects& fx) {
   if (!group_.view() || !group_.isLister()) return;
   auto stamp = source_.runnersStamp();
+  std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) { return a.instanceId < b.instanceId; });
   const auto between = std::chrono::duration_cast<base::Millis>(askedAt - source_.listedAt());
   // Versions rise with the view that made this daemon the reader, so a later reader's always count as newer.
   if (!source_.hasRunners() || !runners::sameRunners(source_.runners(), runners, between))
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -1,7 +1,28 @@
 #include "feed/feed.hpp"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "base/hash.hpp"
+
 namespace indigohill::feed {
 
+namespace {
+constexpr std::size_t kChangesKept = 32;
+constexpr std::uint32_t kTellTries = 4;  // beyond that the asker is taken to be gone; its next ask begins anew
+
+std::uint64_t digestOf(const std::vector<schema::RunnerEntry>& runners) {
+  std::uint64_t sum = runners.size();
+  for (const auto& e : runners)
+    sum = base::hash(fmt::format("{} {} {} {} {} {} {} {}", e.instanceId, e.service, e.zone, e.ip, e.port, e.slots,
+                                 e.draining, e.warmupLeftMs),
+                     sum);
+  return sum;
+}
+}  // namespace
+
 bool Source::setFrame(const schema::Frame& frame) {
   if (frame_ && frame.stamp <= frame_->stamp) return false;
   frame_ = frame;
@@ -12,13 +33,80 @@
                         base::TimePoint listedAt) {
   if (hasRunners_ && stamp < runnersStamp_) return false;
   listedAt_ = std::max(listedAt_, listedAt);
-  const bool changed = !hasRunners_ || stamp > runnersStamp_;
-  if (changed) {
-    runners_ = std::move(runners);
-    runnersStamp_ = stamp;
-    hasRunners_ = true;
+  if (hasRunners_ && stamp == runnersStamp_) return false;
+  // In order of the ids, so that everybody who holds a version holds the same.
+  const auto byId = [](const auto& a, const auto& b) { return a.instanceId < b.instanceId; };
+  std::sort(runners.begin(), runners.end(), byId);
+  if (hasRunners_) {
+    Change change{runnersStamp_, {}};
+    std::size_t i = 0, j = 0;
+    while (i < runners_.size() || j < runners.size()) {
+      if (j == runners.size() || (i < runners_.size() && byId(runners_[i], runners[j]))) {
+        change.ids.push_back(runners_[i++].instanceId);
+      } else if (i == runners_.size() || byId(runners[j], runners_[i])) {
+        change.ids.push_back(runners[j++].instanceId);
+      } else {
+        if (!(runners_[i] == runners[j])) change.ids.push_back(runners[j].instanceId);
+        ++i;
+        ++j;
+      }
+    }
+    changes_.push_back(std::move(change));
+    if (changes_.size() > kChangesKept) changes_.pop_front();
+  }
+  runners_ = std::move(runners);
+  runnersDigest_ = digestOf(runners_);
+  runnersStamp_ = stamp;
+  hasRunners_ = true;
+  wholeWanted_ = false;
+  return true;
+}
+
+bool Source::takeRunners(const schema::News& news, base::TimePoint listedAt) {
+  if (!news.hasRunners) {
+    // The same version, seen again by the platform's reader.
+    if (hasRunners_ && news.runnersStamp == runnersStamp_) listedAt_ = std::max(listedAt_, listedAt);
+    return false;
+  }
+  if (hasRunners_ && news.runnersStamp <= runnersStamp_) {
+    wholeWanted_ = false;  // nobody has more
+    return false;
+  }
+  auto runners = news.runners;
+  if (news.runnersBase != schema::Stamp{}) {
+    if (!hasRunners_ || news.runnersBase != runnersStamp_) {
+      wholeWanted_ = true;
+      return false;
+    }
+    std::set<std::string_view> changed(news.gone.begin(), news.gone.end());
+    for (const auto& entry : news.runners) changed.insert(entry.instanceId);
+    for (const auto& entry : runners_)
+      if (!changed.contains(entry.instanceId)) runners.push_back(entry);
+  }
+  std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) { return a.instanceId < b.instanceId; });
+  if (digestOf(runners) != news.runnersDigest) {
+    wholeWanted_ = true;
+    return false;
   }
-  return changed;
+  return setRunners(news.runnersStamp, std::move(runners), listedAt);
+}
+
+// The changes since the asker's version, if this daemon has held that version and they are fewer than the list.
+void Source::putRunners(const schema::Ask& ask, schema::News& news) const {
+  news.hasRunners = true;
+  news.runnersDigest = runnersDigest_;
+  std::set<std::string_view> ids;
+  auto change = std::find_if(changes_.begin(), changes_.end(), [&](const auto& c) { return c.from == ask.runners; });
+  const bool known = change != changes_.end();
+  for (; change != changes_.end(); ++change) ids.insert(change->ids.begin(), change->ids.end());
+  if (!known || ids.size() >= runners_.size()) {
+    news.runners = runners_;
+    return;
+  }
+  news.runnersBase = ask.runners;
+  for (const auto& entry : runners_)
+    if (ids.erase(entry.instanceId) > 0) news.runners.push_back(entry);
+  news.gone.assign(ids.begin(), ids.end());
 }
 
 bool Source::hasNews(const schema::Ask& ask) const {
@@ -38,42 +126,52 @@
   news.runnersStamp = runnersStamp_;
   const auto age = hasRunners_ ? std::chrono::duration_cast<base::Millis>(now - listedAt_).count() : 1'000'000;
   news.runnersAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, 1'000'000));
-  if (hasRunners_ && runnersStamp_ > ask.runners) {
-    news.hasRunners = true;
-    news.runners = runners_;
+  if (hasRunners_ && runnersStamp_ > ask.runners) putRunners(ask, news);
+  out.push_back({to, std::move(news)});
+}
+
+void Source::setConfirmed(bool confirmed) {
+  // Those that were told of something unconfirmed, or that wait, learn at once that it is.
+  if (confirmed && !confirmed_)
+    for (auto& [key, asker] : askers_)
+      if (asker.open) asker.at -= times_.hold;
+  confirmed_ = confirmed;
+}
+
+// Tells an asker what it lacks: at once what it was not sent yet, after a while what it does not show to have.
+void Source::consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const {
+  if (hasNews(asker.ask)) {
+    const bool newer = (frame_ && frame_->stamp > asker.frame && frame_->stamp > asker.ask.frame) ||
+                       (hasRunners_ && runnersStamp_ > asker.runners && runnersStamp_ > asker.ask.runners);
+    if (newer) asker.tries = 0;
+    if (asker.tries >= kTellTries || (asker.tries > 0 && now - asker.sentAt < times_.repeat * (1 << (asker.tries - 1))))
+      return;
+    ++asker.tries;
+    asker.sentAt = now;
+    if (frame_) asker.frame = frame_->stamp;
+    if (hasRunners_) asker.runners = runnersStamp_;
+  } else if (!asker.open || now - asker.at < times_.hold) {
+    return;
   }
-  out.push_back({to, news});
+  asker.open = false;
+  answer(key.from, asker.ask, now, out);
 }
 
 void Source::receive(const schema::Ask& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
-  if (hasNews(ask)) {
-    held_.erase(from);
-    answer(from, ask, now, out);
-  } else {
-    held_[from] = {ask, now};
-  }
+  constexpr schema::Stamp nothing{~0ULL, ~0ULL};
+  const Key key{from, static_cast<std::uint8_t>((ask.frame == nothing ? 1 : 0) | (ask.runners == nothing ? 2 : 0) |
+                                                (ask.token == 0 ? 4 : 0))};
+  auto& asker = askers_[key] = Asker{ask, now, {}, true, 0, {}, {}};
+  consider(key, asker, now, out);
 }
 
 void Source::tick(base::TimePoint now, net::Outbox& out) {
-  for (auto it = held_.begin(); it != held_.end();) {
-    if (now - it->second.at >= times_.hold) {
-      answer(it->first, it->second.ask, now, out);
-      it = held_.erase(it);
-    } else {
-      ++it;
-    }
-  }
+  publish(now, out);
+  std::erase_if(askers_, [&](const auto& entry) { return now - entry.second.at > 3 * times_.hold; });
 }
 
 void Source::publish(base::TimePoint now, net::Outbox& out) {
-  for (auto it = held_.begin(); it != held_.end();) {
-    if (hasNews(it->second.ask)) {
-      answer(it->first, it->second.ask, now, out);
-      it = held_.erase(it);
-    } else {
-      ++it;
-    }
-  }
+  for (auto& [key, asker] : askers_) consider(key, asker, now, out);
 }
 
 void Sink::tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::Stamp& frame,
@@ -86,18 +184,20 @@
   rotate_ = false;
   waiting_ = true;
   askedAt_ = now;
+  recent_.emplace_back(token_ + 1, now);
   out.push_back({targets[target_ % targets.size()], schema::Ask{++token_, frame, runners}});
 }
 
 bool Sink::receive(const schema::News& news, const settings::Endpoint&, base::TimePoint now) {
-  if (!waiting_ || news.token != token_) return false;
+  while (!recent_.empty() && now - recent_.front().second > 2 * times_.again) recent_.pop_front();
+  const auto asked = [&](const auto& ask) { return ask.first == news.token; };
+  if (std::none_of(recent_.begin(), recent_.end(), asked)) return false;
   waiting_ = false;
   answeredAt_ = now;
-  if (news.confirmed) {
-    confirmedSeen_ = true;
-  } else {
+  if (news.confirmed)
+    confirmedAt_ = now;
+  else if (news.token == token_)
     rotate_ = true;
-  }
   return true;
 }
 
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -7,13 +8,17 @@
 #include "net/codec.hpp"
 
 // How news reaches the daemons that carry traffic: each asks with the versions it holds and is answered when there is
-// something newer, or after a while with how old the list of runners is by now.
+// something newer, or after a while with how old the list of runners is by now. One that has asked lately is told of
+// what is newer whether or not it asks just then, and told again until it shows by its next ask that it has it: a lost
+// message costs one repeat.
+// Of the list of runners the changes since the asker's version are sent, with a digest of the whole.
 namespace indigohill::feed {
 
 struct Times {
   base::Millis hold{700};    // an ask without news is answered after this
-  base::Millis again{1500};  // an ask without an answer is sent again after this, to another daemon
-  base::Millis first{300};   // the same as long as nothing has ever been answered: the other side may just start too
+  base::Millis again{1000};  // an ask without an answer is sent again after this, to another daemon
+  base::Millis first{150};   // the same as long as nothing has ever been answered: the other side may just start too
+  base::Millis repeat{150};  // news that nobody shows to have is told again after this, twice this, and so on
 };
 
 // Holds the newest of everything and the asks that wait for newer.
@@ -24,7 +29,10 @@
   // Versions only rise within one life: what is older than what is held is not taken.
   bool setFrame(const schema::Frame& frame);
   bool setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners, base::TimePoint listedAt);
-  void setConfirmed(bool confirmed) { confirmed_ = confirmed; }
+  // The same from another's news, whole or as changes. Changes of a version that is not held here, or that don't give
+  // the list they should, are not taken; the whole is asked for next.
+  bool takeRunners(const schema::News& news, base::TimePoint listedAt);
+  void setConfirmed(bool confirmed);
 
   void receive(const schema::Ask& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void tick(base::TimePoint now, net::Outbox& out);
@@ -34,24 +42,44 @@
   const std::optional<schema::Frame>& frame() const { return frame_; }
   const std::vector<schema::RunnerEntry>& runners() const { return runners_; }
   const schema::Stamp& runnersStamp() const { return runnersStamp_; }
+  // The version to ask with: none when the changes would be of no use here.
+  schema::Stamp askRunners() const { return wholeWanted_ ? schema::Stamp{} : runnersStamp_; }
   base::TimePoint listedAt() const { return listedAt_; }
   bool hasRunners() const { return hasRunners_; }
 
  private:
-  struct Held {
+  struct Asker {
     schema::Ask ask;
-    base::TimePoint at;
+    base::TimePoint at, sentAt{};
+    bool open = true;              // not answered yet
+    std::uint32_t tries = 0;       // how often the newest was sent
+    schema::Stamp frame, runners;  // what was sent
+  };
+  // One daemon may follow the configuration and the runners by asks of their own, and fetch for a flush besides.
+  struct Key {
+    settings::Endpoint from;
+    std::uint8_t what = 0;
+    auto operator<=>(const Key&) const = default;
+  };
+  // The runners that differ between a version held earlier and the one after it.
+  struct Change {
+    schema::Stamp from;
+    std::vector<std::string> ids;
   };
   bool hasNews(const schema::Ask& ask) const;
+  void consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const;
   void answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now, net::Outbox& out) const;
+  void putRunners(const schema::Ask& ask, schema::News& news) const;
 
   Times times_;
   std::optional<schema::Frame> frame_;
   schema::Stamp runnersStamp_;
   std::vector<schema::RunnerEntry> runners_;
   base::TimePoint listedAt_{};
-  bool hasRunners_ = false, confirmed_ = false;
-  std::map<settings::Endpoint, Held> held_;
+  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false;
+  std::uint64_t runnersDigest_ = 0;
+  std::deque<Change> changes_;
+  std::map<Key, Asker> askers_;
 };
 
 // Asks one daemon after the other.
@@ -61,18 +89,20 @@
 
   void tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::Stamp& frame,
             const schema::Stamp& runners, net::Outbox& out);
-  // True when the news answers the ask that is under way; the next is then sent with the next tick.
+  // True when the news answers one of the last asks, and is as young as that says; the next may then be sent.
   bool receive(const schema::News& news, const settings::Endpoint& from, base::TimePoint now);
 
-  // Within this life, a configuration was once confirmed as the newest.
-  bool everConfirmed() const { return confirmedSeen_; }
+  // Within this life, a configuration was once confirmed as the newest; and when last.
+  bool everConfirmed() const { return confirmedAt_ != base::TimePoint{}; }
+  base::TimePoint confirmedAt() const { return confirmedAt_; }
 
  private:
   Times times_;
   std::uint64_t token_;
   std::size_t target_ = 0;
-  bool waiting_ = false, confirmedSeen_ = false, rotate_ = false;
-  base::TimePoint askedAt_{}, answeredAt_{};
+  std::deque<std::pair<std::uint64_t, base::TimePoint>> recent_;  // tokens of the last asks, and when
+  bool waiting_ = false, rotate_ = false;
+  base::TimePoint askedAt_{}, answeredAt_{}, confirmedAt_{};
 };
 
 }  // namespace indigohill::feed
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -13,21 +13,39 @@
     : self_(std::move(self)), seeds_(seeds), drainBound_(drainBound), seed_(seed),
       group_({self_.nodeName + "/router", "", self_.zone, membership::Role::Router, self_.cohort}, std::move(seeds),
              group, seed),
-      source_(times), sink_(times, seed), startedAt_(startedAt) {}
+      source_(times), sink_(times, seed), times_(times), startedAt_(startedAt) {}
 
 void Follower::tick(base::TimePoint now, Followed& fx) {
   group_.tick(now, fx.out);
   source_.tick(now, fx.out);
   askForNews(now, fx.out);
+  noteUnvouched(now, fx);
   settle(fx);
 }
 
+std::optional<Millis> Follower::unvouched(base::TimePoint now) const {
+  const auto since = std::chrono::duration_cast<Millis>(now - std::max(startedAt_, sink_.confirmedAt()));
+  // An answer that is held, one that is lost and the next daemon's: all that is usual.
+  if (since < 2 * (times_.hold + times_.again)) return std::nullopt;
+  return since;
+}
+
+// Said once, and once when it is over: the operator sees which machines were cut off from control, and how long.
+void Follower::noteUnvouched(base::TimePoint now, Followed& fx) {
+  const auto since = unvouched(now);
+  if (since.has_value() == unvouchedNoted_) return;
+  unvouchedNoted_ = since.has_value();
+  fx.notes.push_back(since ? fmt::format("no controller has vouched for the configuration for {} ms; it is kept", since->count())
+                           : std::string("a controller vouches for the configuration again"));
+}
+
 void Follower::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
                        Followed& fx) {
   if (const auto* ask = std::get_if<schema::Ask>(&message)) {
     source_.receive(*ask, from, now, fx.out);
   } else if (const auto* news = std::get_if<schema::News>(&message)) {
-    // Frames are taken from any member: only what is in force is ever sent, and versions only rise.
+    // Taken from any member and also when not asked for just now: only what is in force is ever sent, and versions
+    // only rise.
     const bool asked = sink_.receive(*news, from, now);
     take(*news, asked, now, fx);
     if (asked) askForNews(now, fx.out);
@@ -58,11 +76,12 @@
                                    frame.stamp.epoch, frame.stamp.serial));
     fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated});
   }
-  if (!asked) return;
-  const auto listedAt = now - Millis(news.runnersAgeMs);
-  const bool known = source_.hasRunners() && news.runnersStamp == source_.runnersStamp();
-  if ((news.hasRunners || known) && source_.setRunners(news.runnersStamp, news.runners, listedAt))
-    fx.events.push_back(routing::RunnersCame{news.runnersStamp, news.runners, listedAt});
+  // How old the list is counts only in the answer to an ask under way: other news may have lain in a buffer.
+  const auto listedAt = asked ? now - Millis(news.runnersAgeMs) : base::TimePoint{};
+  const bool first = !source_.hasRunners();
+  if (!source_.takeRunners(news, listedAt)) return;
+  fx.events.push_back(routing::RunnersCame{source_.runnersStamp(), source_.runners(), source_.listedAt()});
+  if (first) fx.notes.push_back(fmt::format("list of runners: {} of them", source_.runners().size()));
 }
 
 // The controllers of the view, the own domain first; the seeds while there is no view.
@@ -75,7 +94,7 @@
   if (!others.empty())
     std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(seed_ % others.size()), others.end());
   own.insert(own.end(), others.begin(), others.end());
-  sink_.tick(now, own.empty() ? seeds_ : own, frameStamp(), source_.runnersStamp(), out);
+  sink_.tick(now, own.empty() ? seeds_ : own, frameStamp(), source_.askRunners(), out);
 }
 
 void Follower::settle(Followed& fx) {
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -45,10 +45,13 @@
   bool informed() const {
     return sink_.everConfirmed() && source_.frame() && source_.frame()->revision > 0 && source_.hasRunners();
   }
+  // How long no controller has vouched for the configuration held here; nothing while that is usual.
+  std::optional<base::Millis> unvouched(base::TimePoint now) const;
   const membership::Group& group() const { return group_; }
   const Source& source() const { return source_; }
 
  private:
+  void noteUnvouched(base::TimePoint now, Followed& fx);
   void take(const schema::News& news, bool asked, base::TimePoint now, Followed& fx);
   void askForNews(base::TimePoint now, net::Outbox& out);
   void settle(Followed& fx);
@@ -61,6 +64,8 @@
   membership::Group group_;
   Source source_;
   Sink sink_;
+  Times times_;
+  bool unvouchedNoted_ = false;
   std::size_t proposed_ = 0;
   base::TimePoint startedAt_, readAt_{};
 };
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -4,15 +4,39 @@
 
 #include <algorithm>
 
+#include "base/hash.hpp"
 #include "base/lists.hpp"
 
 namespace indigohill::membership {
 
 namespace {
-constexpr std::size_t kHistory = 32;
 constexpr std::size_t kOldestWatched = 2;
+constexpr std::uint32_t kReminders = 3;
 // Numbers set aside at each founding. Far more than the views and incarnations of one life of the whole group.
 constexpr std::uint64_t kFoundingBlock = 1u << 20;
+
+// Over all that a view holds: two daemons that agree on it have the same view.
+std::uint64_t digestOf(const schema::View& view) {
+  std::string text = fmt::format("{} {} {}", view.number, view.epoch, view.lister);
+  for (const auto& voter : view.voters) text += fmt::format(" {}", voter);
+  for (const auto& m : view.members)
+    text += fmt::format("\n{} {} {} {} {} {} {} {}", m.id, m.voterId, m.zone, m.role, m.ip, m.port, m.bootId, m.incarnation);
+  return base::hash(text);
+}
+
+// The view that the changes make of `base`. Both sides make it so, and the digest tells when they differ.
+schema::View extended(const schema::View& base, const schema::Extend& changes) {
+  auto result = base;
+  for (const auto& step : changes.steps) {
+    std::erase_if(result.members, [&](const auto& m) { return base::contains(step.faults, m.incarnation); });
+    result.members.insert(result.members.end(), step.joins.begin(), step.joins.end());
+  }
+  result.number = changes.number;
+  result.epoch = changes.epoch;
+  result.lister = changes.lister;
+  result.voters = changes.voters;
+  return result;
+}
 }  // namespace
 
 Group::Group(Self self, std::vector<settings::Endpoint> seeds, Times times, std::uint64_t seed)
@@ -119,13 +143,17 @@
 
 void Group::tick(base::TimePoint now, net::Outbox& out) {
   if (viewlessSince_ == base::TimePoint{}) viewlessSince_ = now;
-  std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 3 * times_.join; });
+  std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 5 * times_.join; });
+  std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second; });
   tryDelivery(now);
   if (!view_) {
-    if (now - joinAt_ >= times_.join) sendJoin(now, out);
+    // One that holds a proposal with itself in it has been heard; it asks on, more slowly, as the commit may be lost.
+    if (now - joinAt_ >= (pending_ ? 2 : 1) * times_.join) sendJoin(now, out);
     considerFounding(now, out);
   } else {
     suspectSilent(now);
+    dropSilentJoiners(now);
+    remind(now, out);
     if (now - helloAt_ >= times_.hello) sendHellos(now, out);
     considerExtension(now, out);
   }
@@ -185,7 +213,9 @@
   std::set<settings::Endpoint> targets(seeds_.begin(), seeds_.end());
   targets.insert(lastKnown_.begin(), lastKnown_.end());
   // Those that ask to join are answered with the same: one of them may be the founder and know nobody else's address.
-  for (const auto& [id, joiner] : joiners_) targets.insert(addressOf(joiner.member));
+  // Routers found nothing, so they need not hear of others that have no view either.
+  for (const auto& [id, joiner] : joiners_)
+    if (joiner.member.role == static_cast<std::uint8_t>(Role::Controller)) targets.insert(addressOf(joiner.member));
   targets.erase(self_.address);
   for (const auto& to : targets) out.push_back({to, join});
   // Its own word counts when the group is founded.
@@ -204,8 +234,11 @@
   auto base = floor_;
   std::string first = self_.voterId;
   for (const auto& [id, joiner] : joiners_) {
-    view.members.push_back(joiner.member);
     base = std::max(base, joiner.floor);
+    // The controllers alone: their few acknowledgements come within moments whatever the size of the fleet, and the
+    // routers are taken in together by the first extension.
+    if (joiner.member.role != static_cast<std::uint8_t>(Role::Controller)) continue;
+    view.members.push_back(joiner.member);
     const auto& voter = joiner.member.voterId;
     if (base::contains(knownVoters_, voter)) first = std::min(first, voter);
   }
@@ -228,12 +261,33 @@
   proposal.founding = true;
   proposal.round = random_();
   proposal.result = view;
-  round_ = Round{proposal, {}, now, now, {}, 0};
+  round_ = Round{proposal, {}, now, now, {}, 0, {}, {}};
   propose(now, out);
 }
 
-// The changes that are known and not yet in `result`; true when there are some.
-bool Group::extend(schema::View& result, schema::Step& step, base::TimePoint now) const {
+// A joiner that does not acknowledge would hold up every view. It is left out like a member that is silent, and waits
+// before it is taken in again.
+void Group::dropSilentJoiners(base::TimePoint now) {
+  if (!round_ || now - round_->startedAt <= times_.suspect) return;
+  for (const auto& m : round_->proposal.result.members)
+    if (!in(*view_, m.incarnation) && !round_->acked.contains(m.incarnation)) {
+      suspected_.insert(m.incarnation);
+      barred_[m.id] = now + 2 * times_.suspect;
+    }
+}
+
+// A commit that was lost would be noticed by the next hello; told again at once, the view is everywhere sooner.
+void Group::remind(base::TimePoint now, net::Outbox& out) {
+  if (unshown_.empty() || now - deliveredAt_ < times_.resend || waiting_) return;
+  deliveredAt_ = now;
+  for (const auto incarnation : unshown_)
+    if (const auto* m = find(*view_, incarnation)) sendView(addressOf(*m), out);
+  if (++shownTries_ >= kReminders) unshown_.clear();
+}
+
+// The changes that are known and not yet in `result`; true when there are some. Joins make an extension only if
+// `joinsAlone`: they come along with any other change, but a round that is under way is not begun again for them.
+bool Group::extend(schema::View& result, schema::Step& step, bool joinsAlone, base::TimePoint now) const {
   bool changed = false;
   std::vector<std::uint64_t> gone;
   for (const auto& m : result.members) {
@@ -249,12 +303,14 @@
     step.faults.push_back(incarnation);
     changed = true;
   }
+  changed |= knownEpoch_ > result.epoch;
+  if (!changed && !joinsAlone) return false;
   auto next = result.number;
   for (const auto& m : result.members) next = std::max(next, m.incarnation);
   for (const auto& [id, joiner] : joiners_) {
     const bool there =
         std::any_of(result.members.begin(), result.members.end(), [&](const auto& m) { return m.id == joiner.member.id; });
-    if (there || id == self_.id || now - joiner.heardAt > 2 * times_.join) continue;
+    if (there || id == self_.id || barred_.contains(id) || now - joiner.heardAt > 4 * times_.join) continue;
     auto m = joiner.member;
     m.incarnation = ++next;
     result.members.push_back(m);
@@ -264,7 +320,6 @@
   if (knownEpoch_ > result.epoch) {
     result.epoch = knownEpoch_;
     result.voters = knownVoters_;
-    changed = true;
   }
   if (!changed) return false;
   // The holder of the duty stays while it is a member. Leaving, it has named its successor; failed, the view (which
@@ -281,21 +336,30 @@
 }
 
 // The changes of an extension of an older view, made to the present one. Its number stays ahead of both.
-schema::View Group::rebased(const schema::Propose& old) const {
-  auto result = *view_;
-  // Incarnations are granted anew: the present view may have given the same numbers to others.
+void Group::rebase(const schema::Propose& old, schema::Propose& proposal) const {
+  auto& result = proposal.result = *view_;
+  // Incarnations are granted anew: the present view may have given the same numbers to others. So a failure counts
+  // here only if it is not that of one who joined in the same extension; such a one is left out from the start.
+  std::set<std::uint64_t> faults, joined;
+  for (const auto& s : old.steps) {
+    faults.insert(s.faults.begin(), s.faults.end());
+    for (const auto& join : s.joins) joined.insert(join.incarnation);
+  }
+  schema::Step step;
+  for (const auto f : faults)
+    if (!joined.contains(f) && in(result, f)) step.faults.push_back(f);
+  std::erase_if(result.members, [&](const auto& m) { return base::contains(step.faults, m.incarnation); });
   auto next = std::max(result.number, old.result.number);
-  for (const auto& step : old.steps) {
-    for (const auto f : step.faults) std::erase_if(result.members, [&](const auto& m) { return m.incarnation == f; });
-    for (auto join : step.joins) {
+  for (const auto& s : old.steps)
+    for (auto join : s.joins) {
       const auto same = [&](const auto& m) { return m.id == join.id; };
-      if (std::any_of(result.members.begin(), result.members.end(), same)) continue;
+      if (faults.contains(join.incarnation) || std::any_of(result.members.begin(), result.members.end(), same)) continue;
       join.incarnation = ++next;
       result.members.push_back(join);
+      step.joins.push_back(join);
     }
-  }
   result.number = next + 1;
-  return result;
+  proposal.steps = {step};
 }
 
 void Group::considerExtension(base::TimePoint now, net::Outbox& out) {
@@ -312,13 +376,17 @@
     // Taking over from a failed manager: an uncommitted extension may have been committed elsewhere, so it is kept
     // and the failure appended (paper, 4.2, rule 4). Without one, the last committed view is extended (rule 5).
     if (pending_ && pending_->result.number > view_->number && in(pending_->result, incarnation_)) {
-      proposal.result = pending_->base == view_->number ? pending_->result : rebased(*pending_);
-      proposal.steps = pending_->steps;
+      if (pending_->base == view_->number) {
+        proposal.result = pending_->result;
+        proposal.steps = pending_->steps;
+      } else {
+        rebase(*pending_, proposal);
+      }
     }
   }
   schema::Step step;
   auto result = proposal.result;
-  if (!extend(result, step, now)) {
+  if (!extend(result, step, !round_, now)) {
     if (round_ || result.number == view_->number) return;
   } else {
     proposal.steps.push_back(step);
@@ -334,7 +402,10 @@
   proposal.proposer = incarnation_;
   proposal.round = random_();
   proposal.insist = false;
-  round_ = Round{proposal, {}, now, now, {}, 0};
+  proposal.founding = false;
+  // Joiners count their patience from when they were last added to.
+  const auto startedAt = round_ && step.joins.empty() ? round_->startedAt : now;
+  round_ = Round{proposal, {}, startedAt, now, {}, 0, {}, {}};
   propose(now, out);
 }
 
@@ -349,16 +420,37 @@
     round_->flushed = held_;
     round_->holder = round_->proposal.proposer;
   }
-  for (const auto& m : result.members)
-    if (!round_->acked.contains(m.incarnation)) out.push_back({addressOf(m), round_->proposal});
+  // To those that have the view before, the changes; the whole, less often, to those that join.
+  const auto changes = changesOf(round_->proposal);
+  // The whole goes out again only when no answer has come for a while: much of it may still be on its way.
+  const bool wholeToo = now - std::max(round_->wholeAt, round_->ackedAt) >= times_.resend;
+  if (wholeToo) round_->wholeAt = now;
+  std::vector<const schema::Member*> lacking;
+  for (const auto& m : result.members) {
+    if (round_->acked.contains(m.incarnation)) continue;
+    if (changes && in(*view_, m.incarnation))
+      out.push_back({addressOf(m), *changes});
+    else if (wholeToo)
+      lacking.push_back(&m);
+  }
+  for (const auto* m : lacking) out.push_back({addressOf(*m), round_->proposal});
   considerCommit(now, out);
 }
 
-schema::Commit Group::commitMessage() const {
-  schema::Commit commit;
-  commit.result = *view_;
-  for (const auto& [number, step] : history_) commit.steps.push_back(step);
-  return commit;
+// A proposal as changes of the present view; nothing if it is none (a founding).
+std::optional<schema::Extend> Group::changesOf(const schema::Propose& proposal) const {
+  if (!view_ || proposal.founding || proposal.base != view_->number) return std::nullopt;
+  const auto& result = proposal.result;
+  schema::Extend changes{proposal.base, viewDigest_, proposal.round, proposal.proposer, proposal.insist,
+                         proposal.steps, result.number,  result.epoch,   result.lister,     result.voters,
+                         digestOf(result)};
+  if (digestOf(extended(*view_, changes)) != changes.digest) return std::nullopt;
+  return changes;
+}
+
+// Tells of the view: one that acknowledged it needs no more, any other asks for the whole.
+void Group::sendView(const settings::Endpoint& to, net::Outbox& out) const {
+  out.push_back({to, schema::Deliver{view_->number, viewDigest_, {}, 0}});
 }
 
 void Group::considerCommit(base::TimePoint now, net::Outbox& out) {
@@ -368,13 +460,18 @@
   if (!quorate(result)) return;
   schema::Commit commit;
   commit.result = result;
-  commit.steps = round_->proposal.steps;
   commit.flushed = round_->flushed;
   commit.flushHolder = round_->holder;
+  const schema::Deliver deliverMessage{result.number, digestOf(result), commit.flushed, commit.flushHolder};
   for (const auto& m : result.members)
-    if (m.incarnation != round_->proposal.proposer) out.push_back({addressOf(m), commit});
+    if (m.incarnation != round_->proposal.proposer) out.push_back({addressOf(m), deliverMessage});
   if (round_->proposal.founding) incarnation_ = round_->proposal.proposer;
   round_.reset();
+  unshown_.clear();
+  for (const auto& m : commit.result.members)
+    if (m.incarnation != incarnation_) unshown_.insert(m.incarnation);
+  shownTries_ = 0;
+  deliveredAt_ = now;
   deliver(commit, now);
 }
 
@@ -396,11 +493,8 @@
 
 void Group::install(const schema::Commit& commit, base::TimePoint now) {
   const auto& next = commit.result;
-  for (const auto& step : commit.steps) {
-    history_.emplace_back(next.number, step);
-    if (history_.size() > kHistory) history_.pop_front();
-  }
   view_ = next;
+  viewDigest_ = digestOf(next);
   if (pending_ && pending_->result.number <= next.number) pending_.reset();
   // A round that extends an older view would be turned away as stale by everybody: it is begun anew.
   if (round_ && round_->proposal.base < next.number) round_.reset();
@@ -445,7 +539,8 @@
   leaving_.clear();
   watchedSince_.clear();
   joiners_.clear();
-  history_.clear();
+  barred_.clear();
+  unshown_.clear();
   leaseUntil_ = {};
   viewlessSince_ = now;
   joinAt_ = {};
@@ -484,7 +579,12 @@
 }
 
 void Group::on(const schema::Hello& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
-  if (!view_) return;
+  if (!view_) {
+    // The view that this daemon has acknowledged is in place at others: its own commit was lost.
+    if (pending_ && in(pending_->result, m.incarnation) && m.view >= pending_->result.number)
+      out.push_back({from, schema::WantView{0, m.view}});
+    return;
+  }
   const auto* sender = find(*view_, m.incarnation);
   if (sender == nullptr) {
     ++rejected_;
@@ -506,10 +606,11 @@
     return;
   }
   heardAt_[m.incarnation] = now;
+  if (m.view >= view_->number) unshown_.erase(m.incarnation);
   if (m.view < view_->number) {
     // Stale: rejected, and the newer view is sent again.
     ++rejected_;
-    out.push_back({addressOf(*sender), commitMessage()});
+    sendView(addressOf(*sender), out);
     return;
   }
   if (m.view > view_->number) {
@@ -532,7 +633,7 @@
     for (const auto& known : view_->members)
       if (known.id == m.member.id && known.bootId == m.member.bootId) {
         // Taken in already; it has missed the commit.
-        out.push_back({addressOf(known), commitMessage()});
+        sendView(addressOf(known), out);
         return;
       }
     if (m.member.id == self_.id) return;
@@ -546,8 +647,51 @@
         }
     }
   }
+  // Taken in with the next tick: many come at once when machines return together.
   joiners_[m.member.id] = {m.member, now, m.floor};
-  if (view_) considerExtension(now, out);
+}
+
+// A proposal from an incarnation that has failed, or from one that has missed a commit: answered here.
+bool Group::stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
+                  base::TimePoint now, net::Outbox& out) {
+  if (base <= view_->number && !in(*view_, proposer)) {
+    // Its numbers may look new, but they extend a view that was left behind.
+    ++rejected_;
+    if (leaseHeld(now)) out.push_back({from, schema::YouAreDead{proposer, view_->number}});
+    return true;
+  }
+  if (base < view_->number || number <= view_->number) {
+    ++rejected_;
+    sendView(from, out);
+    return true;
+  }
+  return false;
+}
+
+void Group::on(const schema::Extend& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+  if (view_ && stale(m.base, m.number, m.proposer, from, now, out)) return;
+  schema::Propose whole{m.base, m.round, m.proposer, m.insist, false, m.steps, {}};
+  if (view_ && view_->number == m.base && viewDigest_ == m.baseDigest) whole.result = extended(*view_, m);
+  if (whole.result.number != m.number || digestOf(whole.result) != m.digest)
+    out.push_back({from, schema::WantView{m.round, m.number}});
+  else
+    on(whole, from, now, out);
+}
+
+void Group::on(const schema::Deliver& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+  if ((view_ && m.number <= view_->number) || (waiting_ && m.number <= waiting_->result.number)) return;
+  if (pending_ && pending_->result.number == m.number && digestOf(pending_->result) == m.digest)
+    on(schema::Commit{pending_->result, m.flushed, m.flushHolder}, from, now, out);
+  else
+    out.push_back({from, schema::WantView{0, m.number}});
+}
+
+void Group::on(const schema::WantView& m, const settings::Endpoint& from, base::TimePoint, net::Outbox& out) {
+  if (m.round != 0) {
+    if (round_ && round_->proposal.round == m.round) out.push_back({from, round_->proposal});
+  } else if (view_ && view_->number >= m.number) {
+    out.push_back({from, schema::Commit{*view_, {}, 0}});
+  }
 }
 
 void Group::on(const schema::Propose& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
@@ -558,19 +702,13 @@
     ++rejected_;
     return;
   }
-  if (view_ && !m.founding && m.base <= view_->number && !in(*view_, m.proposer)) {
-    // From an incarnation that has failed: its numbers may look new, but they extend a view that was left behind.
-    ++rejected_;
-    if (leaseHeld(now)) out.push_back({from, schema::YouAreDead{m.proposer, view_->number}});
-    return;
-  }
-  if (view_ && (m.base < view_->number || m.result.number <= view_->number)) {
-    // Stale: the proposer has missed a commit.
+  if (view_ && m.founding) {
+    // Who founds a group has missed that there is one.
     ++rejected_;
-    out.push_back({from, commitMessage()});
+    sendView(from, out);
     return;
   }
-  if (view_ && m.founding) return;
+  if (view_ && stale(m.base, m.result.number, m.proposer, from, now, out)) return;
   if (pending_ && pending_->round != m.round && !m.insist) {
     schema::Nack nack;
     nack.round = m.round;
@@ -608,6 +746,7 @@
   const auto* sender = find(round_->proposal.result, m.incarnation);
   if (sender == nullptr || sender->bootId != m.bootId) return;
   round_->acked.insert(m.incarnation);
+  round_->ackedAt = now;
   heardAt_[m.incarnation] = now;
   if (m.held > round_->flushed) {
     round_->flushed = m.held;
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -1,5 +1,4 @@
 #pragma once
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,7 +22,7 @@
   base::Millis lease{1500};
   base::Millis join{250};
   base::Millis found{800};
-  base::Millis resend{300};
+  base::Millis resend{200};
 };
 
 enum class Role : std::uint8_t { Router = 1, Controller = 2 };
@@ -80,6 +79,8 @@
     base::TimePoint startedAt, sentAt;
     schema::Stamp flushed;
     std::uint64_t holder = 0;
+    base::TimePoint wholeAt{};  // when the whole was last sent to those that lack the base
+    base::TimePoint ackedAt{};
   };
   struct Joiner {
     schema::Member member;
@@ -102,8 +103,14 @@
   void sendJoin(base::TimePoint now, net::Outbox& out);
   void considerFounding(base::TimePoint now, net::Outbox& out);
   void considerExtension(base::TimePoint now, net::Outbox& out);
-  schema::View rebased(const schema::Propose& old) const;
-  bool extend(schema::View& result, schema::Step& step, base::TimePoint now) const;
+  void rebase(const schema::Propose& old, schema::Propose& proposal) const;
+  bool extend(schema::View& result, schema::Step& step, bool joinsAlone, base::TimePoint now) const;
+  void dropSilentJoiners(base::TimePoint now);
+  void remind(base::TimePoint now, net::Outbox& out);
+  std::optional<schema::Extend> changesOf(const schema::Propose& proposal) const;
+  bool stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
+             base::TimePoint now, net::Outbox& out);
+  void sendView(const settings::Endpoint& to, net::Outbox& out) const;
   void propose(base::TimePoint now, net::Outbox& out);
   void considerCommit(base::TimePoint now, net::Outbox& out);
   void deliver(const schema::Commit& commit, base::TimePoint now);
@@ -111,11 +118,13 @@
   void install(const schema::Commit& commit, base::TimePoint now);
   void die(const char* why, base::TimePoint now);
   void renewLease(base::TimePoint now);
-  schema::Commit commitMessage() const;
 
   void on(const schema::Hello& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Join& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Propose& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::Extend& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::Deliver& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::WantView& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Ack& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Nack& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Commit& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
@@ -134,10 +143,14 @@
   schema::Stamp held_;
 
   std::optional<schema::View> view_;
-  std::deque<std::pair<std::uint64_t, schema::Step>> history_;
+  std::uint64_t viewDigest_ = 0;
   std::optional<schema::Propose> pending_;
   std::optional<schema::Commit> waiting_;  // committed, held back by the flush
   std::optional<Round> round_;
+  // The members that have not shown the view that this daemon has committed; they are told again, a few times.
+  std::set<std::uint64_t> unshown_;
+  std::uint32_t shownTries_ = 0;
+  base::TimePoint deliveredAt_{};
   std::map<std::uint64_t, base::TimePoint> heardAt_;
   std::map<std::uint64_t, std::int64_t> stampOf_;  // the newest stamp each member sent, to be echoed
   std::map<std::uint64_t, base::TimePoint> echoAt_;
@@ -146,6 +159,7 @@
   std::set<std::uint64_t> leaving_;
   std::uint64_t successor_ = 0;
   std::map<std::string, Joiner> joiners_;
+  std::map<std::string, base::TimePoint> barred_;  // joiners that did not acknowledge, until when they wait
   std::vector<settings::Endpoint> lastKnown_;
   std::vector<Delivered> delivered_;
   base::TimePoint leaseUntil_{}, helloAt_{}, joinAt_{}, viewlessSince_{}, pendingAt_{};
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -2,8 +2,11 @@
 
 #include <boost/archive/binary_iarchive.hpp>
 #include <boost/archive/binary_oarchive.hpp>
+#include <boost/beast/zlib/deflate_stream.hpp>
+#include <boost/beast/zlib/inflate_stream.hpp>
 #include <boost/crc.hpp>
 #include <cstring>
+#include <optional>
 #include <sstream>
 
 namespace indigohill::net {
@@ -35,26 +38,77 @@
   }
 }
 
-std::string sealed(std::uint8_t kind, const std::string& body) {
+namespace zlib = boost::beast::zlib;
+
+// The length of the plain archive, then the deflated one; empty if that saves nothing.
+std::string deflated(const std::string& body) {
+  const auto length = static_cast<std::uint32_t>(body.size());
+  std::string out(reinterpret_cast<const char*>(&length), sizeof length);
+  out.resize(body.size());
+  zlib::deflate_stream stream;
+  zlib::z_params at;
+  at.next_in = body.data();
+  at.avail_in = body.size();
+  at.next_out = out.data() + sizeof length;
+  at.avail_out = out.size() - sizeof length;
+  boost::system::error_code error;
+  stream.write(at, zlib::Flush::finish, error);
+  if (error != zlib::error::end_of_stream) return {};
+  out.resize(sizeof length + at.total_out);
+  return out;
+}
+
+// The plain archive, or nothing if the bytes are no deflated message.
+std::optional<std::string> inflated(std::string_view bytes) {
+  std::uint32_t length = 0;
+  if (bytes.size() < sizeof length) return std::nullopt;
+  std::memcpy(&length, bytes.data(), sizeof length);
+  if (length > kMaxMessageBytes) return std::nullopt;
+  std::string out(length + 1, '\0');  // room to see more than there should be
+  zlib::inflate_stream stream;
+  zlib::z_params at;
+  at.next_in = bytes.data() + sizeof length;
+  at.avail_in = bytes.size() - sizeof length;
+  at.next_out = out.data();
+  at.avail_out = out.size();
+  boost::system::error_code error;
+  stream.write(at, zlib::Flush::sync, error);
+  // Whatever the end of the stream is called: the checksum was right, so it is whole if the length is.
+  if (at.total_out != length) return std::nullopt;
+  out.resize(length);
+  return out;
+}
+
+std::string sealed(std::uint8_t version, std::uint8_t kind, const std::string& body) {
   std::string out;
   out.reserve(body.size() + 6);
-  out.push_back(static_cast<char>(kWireVersion));
+  out.push_back(static_cast<char>(version));
   out.push_back(static_cast<char>(kind));
   const auto sum = checksum(body);
   out.append(reinterpret_cast<const char*>(&sum), sizeof sum);
   return out += body;
 }
 
-base::Result<std::pair<std::uint8_t, std::string_view>> unsealed(std::string_view bytes) {
+std::string sealedMessage(std::uint8_t kind, const std::string& body) {
+  if (body.size() >= kDeflateFrom)
+    if (const auto shorter = deflated(body); !shorter.empty())
+      return sealed(kDeflatedVersion, kind, shorter);
+  return sealed(kWireVersion, kind, body);
+}
+
+struct Opened {
+  std::uint8_t version, kind;
+  std::string_view body;
+};
+base::Result<Opened> unsealed(std::string_view bytes) {
   const auto wrong = [](const char* what) { return base::Fault{base::Verdict::NotRun, what}; };
   if (bytes.size() < 6) return wrong("cut short");
   if (bytes.size() > kMaxMessageBytes) return wrong("too large");
-  if (static_cast<std::uint8_t>(bytes[0]) != kWireVersion) return wrong("of another version");
   std::uint32_t sum = 0;
   std::memcpy(&sum, bytes.data() + 2, sizeof sum);
   const auto body = bytes.substr(6);
   if (sum != checksum(body)) return wrong("checksum differs");
-  return std::pair{static_cast<std::uint8_t>(bytes[1]), body};
+  return Opened{static_cast<std::uint8_t>(bytes[0]), static_cast<std::uint8_t>(bytes[1]), body};
 }
 
 // Numbers that no message has, for what is kept on disk.
@@ -64,9 +118,10 @@
 base::Result<T> unpackKind(std::uint8_t kind, std::string_view bytes) {
   auto opened = unsealed(bytes);
   if (const auto* bad = base::fault(opened)) return *bad;
-  const auto [found, body] = std::get<0>(opened);
-  if (found != kind) return base::Fault{base::Verdict::NotRun, "of another kind"};
-  return unpack<T>(body);
+  const auto& found = std::get<0>(opened);
+  if (found.version != kDiskVersion) return base::Fault{base::Verdict::NotRun, "of another version"};
+  if (found.kind != kind) return base::Fault{base::Verdict::NotRun, "of another kind"};
+  return unpack<T>(found.body);
 }
 
 }  // namespace
@@ -79,7 +134,7 @@
 
 std::string encode(const schema::Message& message) {
 #define INDIGOHILL_ENCODE(number, name) \
-  if (const auto* m = std::get_if<schema::name>(&message)) return sealed(number, pack(*m));
+  if (const auto* m = std::get_if<schema::name>(&message)) return sealedMessage(number, pack(*m));
   INDIGOHILL_MESSAGES(INDIGOHILL_ENCODE)
 #undef INDIGOHILL_ENCODE
   return {};
@@ -88,7 +143,15 @@
 base::Result<schema::Message> decode(std::string_view bytes) {
   auto opened = unsealed(bytes);
   if (const auto* bad = base::fault(opened)) return *bad;
-  const auto [kind, body] = std::get<0>(opened);
+  auto [version, kind, body] = std::get<0>(opened);
+  std::string plain;
+  if (version == kDeflatedVersion) {
+    auto whole = inflated(body);
+    if (!whole) return base::Fault{base::Verdict::NotRun, "cannot be inflated"};
+    body = plain = std::move(*whole);
+  } else if (version != kWireVersion) {
+    return base::Fault{base::Verdict::NotRun, "of another version"};
+  }
   switch (kind) {
 #define INDIGOHILL_DECODE(number, name)                         \
   case number: {                                                \
@@ -103,9 +166,9 @@
   }
 }
 
-std::string encodeRecord(const schema::EpochRecord& record) { return sealed(kRecord, pack(record)); }
-std::string encodeFrame(const schema::Frame& frame) { return sealed(kFrame, pack(frame)); }
-std::string encodeVote(const schema::Vote& vote) { return sealed(kVote, pack(vote)); }
+std::string encodeRecord(const schema::EpochRecord& record) { return sealed(kDiskVersion, kRecord, pack(record)); }
+std::string encodeFrame(const schema::Frame& frame) { return sealed(kDiskVersion, kFrame, pack(frame)); }
+std::string encodeVote(const schema::Vote& vote) { return sealed(kDiskVersion, kVote, pack(vote)); }
 base::Result<schema::EpochRecord> decodeRecord(std::string_view bytes) {
   return unpackKind<schema::EpochRecord>(kRecord, bytes);
 }
--- a/src/net/codec.hpp
+++ b/src/net/codec.hpp
@@ -16,11 +16,14 @@
 };
 using Outbox = std::vector<Outgoing>;
 
-constexpr std::uint8_t kWireVersion = 1;
+// What lies on disk keeps its version; of messages there are plain ones and those whose archive is deflated.
+constexpr std::uint8_t kDiskVersion = 1, kWireVersion = 2, kDeflatedVersion = 3;
+// From here on deflating pays: views and lists of runners shrink to a fifth, which fits a datagram.
+constexpr std::size_t kDeflateFrom = 600;
 constexpr std::size_t kMaxMessageBytes = 16u << 20;
 
-// version, number of the message, checksum of the rest, then the Boost.Serialization archive. The checksum is looked
-// at before the archive is: a spoilt length inside it must not make the reader reserve memory for it.
+// version, number of the message, checksum of the rest, then the Boost.Serialization archive, deflated if it is long.
+// The checksum is looked at before the rest is: a spoilt length must not make the reader reserve memory for it.
 std::string encode(const schema::Message& message);
 base::Result<schema::Message> decode(std::string_view bytes);
 
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -33,7 +33,7 @@
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr std::size_t kEventMost = 1u << 20;
 constexpr Millis kRunnerIdle{60000};
-constexpr Millis kFirstNews{600};  // how long a request waits for the first configuration of a process
+constexpr Millis kFirstNews{600};  // how long a request waits for the first configuration and runners of a process
 
 template <class T>
 T number(std::string_view text, T fallback) {
@@ -301,10 +301,10 @@
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
   auto picture = table_.picture();
   const Millis told(std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
-  // Just started: a configuration comes within moments, and a request that waits for it is served sooner than one
-  // that is sent away. Bounded, so that a client sent away has most of its time left.
+  // Just started: a configuration and runners come within moments, and a request that waits for them is served sooner
+  // than one that is sent away. Bounded, so that a client sent away has most of its time left.
   const auto patience = arrivedAt + std::min(kFirstNews, told / 4);
-  while (!picture->configuration && base::Clock::now() < patience) {
+  while ((!picture->configuration || !picture->hasRunners) && base::Clock::now() < patience) {
     if (!co_await waitlist_.wait(0, std::min(patience, base::Clock::now() + Millis(50)))) break;
     picture = table_.picture();
   }
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -181,6 +181,23 @@
   cr_assert(base::fault(net::decode(std::string(net::kMaxMessageBytes + 1, '\1'))) != nullptr);
 }
 
+Test(codec, long_messages_are_deflated_and_come_back_whole) {
+  std::mt19937_64 random(11);
+  for (std::size_t n = 0; n < 400; n += 7) {
+    schema::Commit commit;
+    for (std::size_t i = 0; i < n; ++i)
+      commit.result.members.push_back({fmt::format("edge-{}/router", i), "", "zone-1", 1, static_cast<std::uint32_t>(i), 7000,
+                                       random(), 1048576 + i});
+    const auto bytes = net::encode(commit);
+    const auto back = net::decode(bytes);
+    cr_assert(base::fault(back) == nullptr && std::get<schema::Commit>(std::get<0>(back)) == commit, "%zu members", n);
+    if (n > 50) cr_assert_lt(bytes.size(), 25 * n, "%zu bytes", bytes.size());
+    auto spoilt = bytes;
+    spoilt[spoilt.size() / 2] = static_cast<char>(spoilt[spoilt.size() / 2] ^ 0x41);
+    cr_assert(base::fault(net::decode(spoilt)) != nullptr);
+  }
+}
+
 Test(journal, folds_every_event_and_keeps_a_bounded_number) {
   base::Journal<int, std::vector<int>> journal([](std::vector<int>& sum, int e) { sum.push_back(e); }, 4);
   const auto before = journal.picture();
@@ -424,6 +441,89 @@
   cr_assert(out.size() == 1 && std::get<schema::News>(out[0].message).frames.empty());
 }
 
+namespace {
+schema::News onlyNews(net::Outbox& out) {
+  cr_assert_eq(out.size(), 1u);
+  auto news = std::get<schema::News>(std::exchange(out, {})[0].message);
+  return news;
+}
+schema::RunnerEntry runner(const std::string& id, bool draining = false) {
+  return {id, "engine", "z", 1, 80, 24, draining, 0};
+}
+}  // namespace
+
+Test(feed, news_is_told_again_until_the_asker_shows_that_it_has_it) {
+  base::TimePoint now{std::chrono::hours(1)};
+  const feed::Times times;
+  feed::Source source(times);
+  net::Outbox out;
+  const settings::Endpoint who{1, 1};
+  source.receive(schema::Ask{1, {}, {}}, who, now, out);
+  source.tick(now + times.hold, out);  // answered that there is none
+  onlyNews(out);
+  now += times.hold;
+  source.setFrame({{1, 1}, 3, "{}", {}, {}});
+  source.publish(now, out);  // told although no ask is open: its next one may be lost
+  cr_assert_eq(onlyNews(out).frames.size(), 1u);
+  source.publish(now, out);
+  cr_assert(out.empty());
+  source.tick(now + times.repeat, out);
+  cr_assert_eq(onlyNews(out).frames.size(), 1u);
+  source.receive(schema::Ask{2, {1, 1}, {}}, who, now + times.repeat, out);
+  source.tick(now + 3 * times.repeat, out);
+  cr_assert(out.empty(), "told again after it was shown");
+}
+
+Test(feed, two_asks_of_one_daemon_stand_side_by_side) {
+  base::TimePoint now{std::chrono::hours(1)};
+  feed::Source source({});
+  net::Outbox out;
+  constexpr schema::Stamp nothing{~0ULL, ~0ULL};
+  source.receive(schema::Ask{1, {}, nothing}, {1, 1}, now, out);
+  source.receive(schema::Ask{2, nothing, {}}, {1, 1}, now, out);
+  source.setFrame({{1, 1}, 3, "{}", {}, {}});
+  source.publish(now, out);
+  cr_assert_eq(onlyNews(out).token, 1u);
+}
+
+Test(feed, a_list_of_runners_travels_as_changes_and_whole_where_the_base_is_lacking) {
+  base::TimePoint now{std::chrono::hours(1)};
+  feed::Source source({}), sink({}), late({});
+  net::Outbox out;
+  std::vector<schema::RunnerEntry> list;
+  for (int i = 0; i < 20; ++i) list.push_back(runner(fmt::format("i-{:02}", 19 - i)));
+  source.setRunners({5, 1}, list, now);
+  const auto ask = [&](const feed::Source& asker) {
+    source.receive(schema::Ask{1, {}, asker.askRunners()}, {1, 1}, now, out);
+    return onlyNews(out);
+  };
+  cr_assert(sink.takeRunners(ask(sink), now));
+  cr_assert(late.takeRunners(ask(late), now));
+  cr_assert(sink.runners() == source.runners() && sink.runners().size() == 20);
+  list[3].draining = true;
+  list.erase(list.begin() + 7);
+  list.push_back(runner("i-new"));
+  source.setRunners({5, 2}, list, now);
+  auto changes = ask(sink);
+  cr_assert(changes.runners.size() == 2 && changes.gone.size() == 1);
+  // Spoilt on the way, or of a base that is another list: not taken, and the whole asked for.
+  auto other = changes;
+  other.gone.clear();
+  cr_assert_not(late.takeRunners(other, now));
+  cr_assert(late.askRunners() == schema::Stamp{} && late.runnersStamp() == (schema::Stamp{5, 1}));
+  cr_assert(late.takeRunners(ask(late), now) && late.runners() == source.runners());
+  cr_assert(sink.takeRunners(changes, now) && sink.runners() == source.runners());
+  cr_assert_not(sink.takeRunners(changes, now), "taken twice");
+  // Several versions behind: one answer holds what changed in all of them.
+  for (std::uint64_t v = 3; v < 6; ++v) {
+    list.push_back(runner(fmt::format("i-late-{}", v)));
+    source.setRunners({5, v}, list, now);
+  }
+  changes = ask(sink);
+  cr_assert_eq(changes.runners.size(), 3u);
+  cr_assert(sink.takeRunners(changes, now) && sink.runners() == source.runners());
+}
+
 Test(store, keeps_what_was_written_and_sets_a_spoilt_file_aside) {
   char folder[] = "/tmp/indigohill-store-XXXXXX";
   cr_assert(mkdtemp(folder) != nullptr);
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -336,7 +336,7 @@
     view.members = {{"a", "v", "z", 2, 2, 2, 5, 50}, me};
     view.members[1].incarnation = 51;
     out.clear();
-    return {view, {}, {}, 0};
+    return {view, {}, 0};
   }
   void hello(std::int64_t echoMs) { group.receive(schema::Hello{50, 100, 1, echoMs, false, 0, {}}, {2, 2}, now, out); }
 };
@@ -389,7 +389,10 @@
   p.out.clear();
   p.group.receive(schema::Hello{50, 90, 1, 0, true, 0, {}}, {2, 2}, p.now, p.out);
   cr_assert_eq(p.out.size(), 1u);
-  cr_assert_eq(std::get<schema::Commit>(p.out[0].message).result.number, 100u);
+  cr_assert_eq(std::get<schema::Deliver>(p.out[0].message).number, 100u);
+  p.out.clear();
+  p.group.receive(schema::WantView{0, 100}, {2, 2}, p.now, p.out);
+  cr_assert(p.out.size() == 1 && std::get<schema::Commit>(p.out[0].message).result == *p.group.view());
   cr_assert_eq(p.group.rejected(), 1u);
   // A failed incarnation is told so, by one that holds the lease.
   p.hello(indigohill::base::toMs(p.now));
@@ -418,7 +421,7 @@
   view.voters = {"v"};
   view.members = {{"a", "v", "z", 2, 2, 2, 5, 50}, me};
   view.members[1].incarnation = 51;
-  seeded.receive(schema::Commit{view, {}, {}, 0}, {2, 2}, now, out);
+  seeded.receive(schema::Commit{view, {}, 0}, {2, 2}, now, out);
   cr_assert(seeded.view().has_value());
   auto result = view;
   result.number = 110;
