Engines are chosen by the index of kept prompt parts and the logit, ranked once a request

Cause: the choice looked at every runner by string, sorted all, and knew of kept parts only by rendezvous order. A failed look-up leaves the request to the loads, counted and logged once. Shared parts that more is asked for than one engine reads get further homes, reckoned from the router's own part of the traffic. Replay counts tokens of shared parts read again.

--- a/src/base/hash.hpp
+++ b/src/base/hash.hpp
@@ -13,4 +13,13 @@
   return seed;
 }
 
+// One number into another with all bits stirred; also the same on every daemon.
+constexpr std::uint64_t mix(std::uint64_t x) {
+  x ^= x >> 33;
+  x *= 0xff51afd7ed558ccdULL;
+  x ^= x >> 33;
+  x *= 0xc4ceb9fe1a85ec53ULL;
+  return x ^ x >> 33;
+}
+
 }  // namespace indigohill::base
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -23,7 +23,8 @@
 
 routing::Bounds boundsOf(const settings::Settings& s) {
   return {s.retryBudgetRatio, s.retryBudgetSlack, s.warmupOvershoot, s.warmupSlack, s.retryWindowS,
-          groupTimes(s).lease, s.policy};
+          groupTimes(s).lease, s.policy,
+          static_cast<std::size_t>((s.policy.indexMb > 0 ? s.policy.indexMb : 0.1 * static_cast<double>(s.memoryMb)) * (1 << 20))};
 }
 
 class Router {
@@ -68,6 +69,11 @@
     spdlog::info("router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed, "
                  "{} connections to runners",
                  c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed, executor_.pool().opened());
+    const auto i = table_.indexState();
+    spdlog::info("index of prompt parts: {} hits, {} misses, {} stores, {} removes, {} forgotten, {} blocks in {} bytes, "
+                 "{} failed look-ups, {} rankings",
+                 i.counters.hits, i.counters.misses, i.counters.stores, i.counters.removes, i.counters.forgotten, i.blocks,
+                 i.bytes, i.failed, i.rankings);
     return 0;
   }
 
--- a/src/kvindex/index.cpp
+++ b/src/kvindex/index.cpp
@@ -2,24 +2,19 @@
 
 #include <algorithm>
 
+#include "base/hash.hpp"
+
 namespace indigohill::kvindex {
 
 namespace {
-constexpr std::uint64_t mix(std::uint64_t x) {
-  x ^= x >> 33;
-  x *= 0xff51afd7ed558ccdULL;
-  x ^= x >> 33;
-  x *= 0xc4ceb9fe1a85ec53ULL;
-  return x ^ x >> 33;
-}
 std::uint64_t held(NodeId node, RunnerId runner) { return std::uint64_t{node} << 32 | runner; }
 // A hash table's place for one entry, counted at the load that it has just after it has grown.
 template <class Map>
 constexpr std::size_t kPlace = 2 * (sizeof(typename Map::value_type) + 1);
 }  // namespace
 
-std::size_t Index::EdgeHash::operator()(const Edge& e) const { return mix(e.part ^ mix(e.parent)); }
-std::size_t Index::PairHash::operator()(std::uint64_t key) const { return mix(key); }
+std::size_t Index::EdgeHash::operator()(const Edge& e) const { return base::mix(e.part ^ base::mix(e.parent)); }
+std::size_t Index::PairHash::operator()(std::uint64_t key) const { return base::mix(key); }
 
 std::size_t Index::bytes() const {
   return liveNodes_ * (sizeof(Node) + kPlace<decltype(edges_)>) + liveBlocks_ * (sizeof(Block) + kPlace<decltype(held_)>);
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -8,6 +8,7 @@
 #include <gsl/util>
 #include <sstream>
 
+#include "base/hash.hpp"
 #include "base/log.hpp"
 
 namespace indigohill::pass {
@@ -28,6 +29,8 @@
 constexpr const char* kLoad = "Indigohill-Instance-Load";
 constexpr const char* kPrompt = "Indigohill-Prompt-Prefix";
 constexpr const char* kUsage = "Indigohill-Token-Usage";
+constexpr const char* kModel = "Indigohill-Model";
+constexpr const char* kWeights = "Indigohill-Weight-Versions";
 constexpr const char* kLastEventId = "Last-Event-Id";
 
 constexpr std::size_t kBodyBuffered = 32u << 20;
@@ -322,6 +325,7 @@
 
   routing::Conduct conduct(table_, *route, x.attemptId, arrivedAt, x.deadline);
   conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
+  conduct.asked().model = base::hash(view(request[kModel]));
   const auto usage = view(request[kUsage]);
   conduct.asked().promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
   conduct.arrived(arrivedAt);
@@ -438,6 +442,8 @@
                   number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
                   number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
   }
+  if (const auto weights = view(head[kWeights]); !weights.empty())
+    table_.weights(to.instanceId, base::hash(view(x.request[kModel])), base::hash(weights));
   const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
   const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
   Outcome outcome;
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -212,23 +212,27 @@
 }
 
 // Reads the prompt behind those accepted before it; parts that are kept are not read again.
-Millis Fleet::readPrompt(Runner& runner, const routing::Asked& asked) {
+Millis Fleet::readPrompt(Runner& runner, const routing::Asked& asked, Outcome& outcome) {
   std::uint64_t toRead = 0;
   bool chain = true;
   for (const auto& [id, tokens] : asked.prompt) {
-    const auto kept = std::find_if(runner.kept.begin(), runner.kept.end(), [id = id](const auto& k) { return k.first == id; });
-    if (kept == runner.kept.end()) {
+    const auto kept = runner.keptAt.find(id);
+    if (kept == runner.keptAt.end()) {
       chain = false;
       runner.kept.emplace_front(id, tokens);
+      runner.keptAt[id] = runner.kept.begin();
       runner.keptTokens += tokens;
     } else {
-      runner.kept.splice(runner.kept.begin(), runner.kept, kept);
+      runner.kept.splice(runner.kept.begin(), runner.kept, kept->second);
     }
-    if (!chain) toRead += tokens;
+    if (chain) continue;
+    toRead += tokens;
+    if (!readOnce_.insert(id).second) outcome.again += tokens;
   }
   if (asked.prompt.empty()) toRead = asked.promptTokens;
   while (runner.keptTokens > runner.group->cacheTokens && !runner.kept.empty()) {
     runner.keptTokens -= runner.kept.back().second;
+    runner.keptAt.erase(runner.kept.back().first);
     runner.kept.pop_back();
   }
   const auto ms = runner.group->speed * static_cast<double>(toRead) / runner.group->promptTokensPerMs;
@@ -244,7 +248,7 @@
   const auto& g = *runner.group;
   Millis first, whole;
   if (g.promptTokensPerMs > 0) {
-    first = readPrompt(runner, job->conduct->asked());
+    first = readPrompt(runner, job->conduct->asked(), outcome);
     const double step = g.speed * (g.stepMs + g.stepMsPerSlot * runner.running);
     whole = first + Millis(static_cast<std::int64_t>(step * std::max(1u, job->outTokens)));
     // A stream that is taken up goes on behind what the client has.
@@ -340,6 +344,7 @@
     runner.running = 0;
     runner.queue.clear();
     runner.kept.clear();
+    runner.keptAt.clear();
     runner.keptTokens = 0;
     const auto gone = runner.instanceId;
     for (auto& weak : open_)
--- a/src/replay/fleet.hpp
+++ b/src/replay/fleet.hpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <queue>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "control/configuration.hpp"
@@ -25,6 +27,7 @@
   std::uint32_t runs = 0;      // runs that a runner began
   std::uint32_t allowed = 0;   // runs it may have had: any number if repeatable, else one for each of the client's tries
   std::uint32_t tries = 0;     // sends to runners
+  std::uint64_t again = 0;     // tokens of shared parts that were read although some runner had read them before
   base::Millis took{0};
   bool doubled() const { return allowed != 0 && runs > allowed; }
 };
@@ -48,7 +51,8 @@
     std::uint32_t running = 0;
     std::list<std::function<void()>> queue;
     base::TimePoint promptsReadAt{};  // when the prompts accepted so far have been read
-    std::list<std::pair<std::uint64_t, std::uint32_t>> kept;  // parts, the newest first
+    std::list<std::pair<std::uint64_t, std::uint32_t>> kept;  // parts, the latest used first
+    std::unordered_map<std::uint64_t, std::list<std::pair<std::uint64_t, std::uint32_t>>::iterator> keptAt;
     std::uint64_t keptTokens = 0;
   };
   struct Router {
@@ -77,7 +81,7 @@
   void answered(std::shared_ptr<Job> job);
   void ended(std::shared_ptr<Job> job, const routing::Ending& ending);
   void leaveSlot(Runner& runner);
-  base::Millis readPrompt(Runner& runner, const routing::Asked& asked);
+  base::Millis readPrompt(Runner& runner, const routing::Asked& asked, Outcome& outcome);
   void trouble(const Trouble& t);
 
   Model model_;
@@ -91,6 +95,7 @@
   std::vector<std::weak_ptr<Job>> open_;
   const std::vector<Recorded>* traffic_ = nullptr;
   std::vector<Outcome> outcomes_;
+  std::unordered_set<std::uint64_t> readOnce_;  // parts that some runner has read
 };
 
 }  // namespace indigohill::replay
--- a/src/replay/report.cpp
+++ b/src/replay/report.cpp
@@ -26,16 +26,18 @@
     ++(o.late ? c.late : c.inAim);
   if (o.doubled()) ++c.doubled;
   if (o.runs > 1) c.furtherRuns += o.runs - 1;
+  c.tokensAgain += o.again;
 }
 
 std::string row(const char* policy, const Counts& c) {
-  return fmt::format("  {:<8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13}\n", policy, c.requests, c.inAim, c.late, c.missing,
-                     c.doubled, c.furtherRuns);
+  return fmt::format("  {:<8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13} {:>13}\n", policy, c.requests, c.inAim, c.late,
+                     c.missing, c.doubled, c.furtherRuns, c.tokensAgain);
 }
 
 json::object object(const Counts& c) {
   return {{"requests", c.requests}, {"inAim", c.inAim},     {"late", c.late},
-          {"missing", c.missing},   {"doubled", c.doubled}, {"furtherRuns", c.furtherRuns}};
+          {"missing", c.missing},   {"doubled", c.doubled}, {"furtherRuns", c.furtherRuns},
+          {"tokensAgain", c.tokensAgain}};
 }
 
 json::array list(const std::vector<Change>& changes) {
@@ -65,8 +67,8 @@
 }
 
 std::string asText(const Comparison& c, std::size_t most) {
-  auto out = fmt::format("{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13}\n", "route", "requests", "in aim", "late",
-                         "missing", "doubled", "further runs");
+  auto out = fmt::format("{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13} {:>13}\n", "route", "requests", "in aim",
+                         "late", "missing", "doubled", "further runs", "tokens again");
   for (const auto& [route, counts] : c.current) {
     out += route + "\n" + row("current", counts);
     if (const auto found = c.changed.find(route); found != c.changed.end()) out += row("changed", found->second);
--- /dev/null
+++ b/src/routing/heat.hpp
@@ -0,0 +1,41 @@
+#pragma once
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cmath>
+#include <cstdint>
+
+#include "base/time.hpp"
+
+namespace indigohill::routing {
+
+// How many tokens a second come for the same shared parts, here. Clients spread over routers by chance, so what comes
+// to one is a fair sample of what comes to all.
+class Heat {
+ public:
+  // Tokens a second that had come for the key before these.
+  double add(std::uint64_t key, double tokens, base::TimePoint now) {
+    if (seen_.size() >= kMost) sweep(now);
+    auto& s = seen_[key];
+    const double before = s.tokens * left(s, now);
+    s = {before + tokens, now};
+    return before / base::seconds(kFade);
+  }
+
+ private:
+  struct Seen {
+    double tokens = 0;
+    base::TimePoint at{};
+  };
+  static constexpr base::Millis kFade{4000};
+  static constexpr std::size_t kMost = 4096;
+  static double left(const Seen& s, base::TimePoint now) {
+    return std::exp(-base::seconds(now - s.at) / base::seconds(kFade));
+  }
+  // All that has nearly faded goes; if that is not enough, everything does.
+  void sweep(base::TimePoint now) {
+    erase_if(seen_, [&](const auto& item) { return left(item.second, now) < 0.1; });
+    if (seen_.size() > kMost / 2) seen_.clear();
+  }
+  boost::unordered_flat_map<std::uint64_t, Seen> seen_;
+};
+
+}  // namespace indigohill::routing
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -4,7 +4,9 @@
 #include <cmath>
 
 #include "base/hash.hpp"
+#include "base/log.hpp"
 #include "membership/group.hpp"
+#include "routing/rendezvous.hpp"
 
 namespace indigohill::routing {
 
@@ -18,16 +20,8 @@
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
 
-// The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
-std::uint64_t promptKey(const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) {
-  std::uint64_t key = 0;
-  for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-    key = base::hash({reinterpret_cast<const char*>(&prompt[i].first), sizeof(std::uint64_t)}, key + 1);
-  return key;
-}
-
-// Rendezvous hashing: the runner with the highest rank for a key is the same for every router.
-std::uint64_t rankOf(const std::string& instanceId, std::uint64_t key) { return base::hash(instanceId, key + 1); }
+constexpr std::size_t kOverlaps = 8;  // runners that the index is asked for
+constexpr std::size_t kPlaces = 8;    // of the rendezvous order
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -73,7 +67,9 @@
 }
 
 void Taking::begun(base::Clock::duration after) {
-  if (table_ != nullptr) table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
+  if (table_ == nullptr) return;
+  table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
+  if (!parts_.empty()) table_->stored(instanceId_, model_, std::exchange(parts_, {}));
 }
 
 void Taking::release() {
@@ -81,8 +77,8 @@
 }
 
 Table::Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt)
-    : zone_(std::move(zone)), bounds_(bounds), picture_(std::make_shared<const Picture>()), startedAt_(startedAt),
-      random_(seed) {}
+    : zone_(std::move(zone)), bounds_(bounds), picture_(std::make_shared<const Picture>()),
+      index_(std::make_unique<kvindex::Index>(bounds.indexBytes)), startedAt_(startedAt), random_(seed) {}
 
 std::shared_ptr<const Picture> Table::picture() const {
   const std::lock_guard lock(mutex_);
@@ -95,8 +91,15 @@
 }
 
 void Table::setBounds(const Bounds& bounds) {
-  const std::lock_guard lock(mutex_);
-  bounds_ = bounds;
+  bool another;
+  {
+    const std::lock_guard lock(mutex_);
+    another = bounds.indexBytes != bounds_.indexBytes;
+    bounds_ = bounds;
+    if (another) index_.reset();
+  }
+  // Built outside the lock: until then, requests go by load alone.
+  if (another) setIndex(std::make_unique<kvindex::Index>(bounds.indexBytes));
 }
 
 void Table::setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now) {
@@ -113,7 +116,12 @@
     routerCounts_.pop_front();
   for (auto& [id, runner] : runners_) runner.listed = false;
   for (const auto& entry : picture_->runners) {
-    auto& runner = runners_[entry.instanceId];
+    const auto [found, added] = runners_.try_emplace(entry.instanceId);
+    auto& runner = found->second;
+    if (added) {
+      runner.entry = entry;
+      number(runner);
+    }
     runner.listed = true;
     const bool newsOfIt = picture_->runnersStamp != before->runnersStamp;
     runner.entry = entry;
@@ -125,7 +133,123 @@
       if (const auto* service = picture_->configuration->service(entry.service))
         runner.coldUntil = std::max(runner.coldUntil, now + service->warmup);
   }
-  std::erase_if(runners_, [](const auto& item) { return !item.second.listed && item.second.own == 0; });
+  std::erase_if(runners_, [this](const auto& item) {
+    const bool gone = !item.second.listed && item.second.own == 0;
+    if (gone) forget(item.second);
+    return gone;
+  });
+  if (std::exchange(remake_, false)) index_ = std::make_unique<kvindex::Index>(bounds_.indexBytes);
+  pools_.clear();
+  for (auto& [id, runner] : runners_)
+    if (usable(runner, runner.entry.service)) {
+      auto& pool = pools_[runner.entry.service];
+      pool.runners.push_back(&runner);
+      pool.hashes.push_back(runner.idHash);
+      if (const auto* service = picture_->configuration ? picture_->configuration->service(runner.entry.service) : nullptr)
+        if (index_) index_->setCapacity(runner.number, service->kvCacheTokens);
+    }
+}
+
+// A number for a runner's life: its place in the index. A new life has a new instance id and so an empty place.
+void Table::number(Runner& runner) {
+  runner.idHash = base::hash(runner.entry.instanceId);
+  const auto free = std::find(byNumber_.begin(), byNumber_.end(), nullptr);
+  runner.number = static_cast<kvindex::RunnerId>(free - byNumber_.begin());
+  if (free == byNumber_.end()) {
+    byNumber_.push_back(&runner);
+    seenIn_.push_back(0);
+  } else {
+    *free = &runner;
+  }
+}
+
+void Table::forget(const Runner& runner) {
+  byNumber_[runner.number] = nullptr;
+  if (index_) index_->clear(runner.number);
+}
+
+const Table::Pool* Table::poolOf(const std::string& service) const {
+  const auto found = pools_.find(service);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+Table::Runner* Table::ranked(const Ranked& ranked) const {
+  auto* runner = ranked.runner < byNumber_.size() ? byNumber_[ranked.runner] : nullptr;
+  return runner != nullptr && runner->idHash == ranked.idHash ? runner : nullptr;
+}
+
+void Table::setSharedPool(std::shared_ptr<kvindex::SharedPool> pool) {
+  const std::lock_guard lock(mutex_);
+  shared_ = std::move(pool);
+}
+
+void Table::setIndex(std::unique_ptr<kvindex::Index> index) {
+  const std::lock_guard lock(mutex_);
+  index_ = std::move(index);
+  if (index_ && picture_->configuration)
+    for (const auto& [name, pool] : pools_)
+      if (const auto* service = picture_->configuration->service(name))
+        for (const auto* runner : pool.runners) index_->setCapacity(runner->number, service->kvCacheTokens);
+}
+
+void Table::weights(const std::string& instanceId, std::uint64_t model, std::uint64_t revision) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found != runners_.end() && index_) index_->setRevision(found->second.number, model, revision);
+}
+
+void Table::stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end() || !index_) return;
+  try {
+    index_->store(found->second.number, model, prompt);
+  } catch (const std::exception& error) {
+    // What an interrupted store leaves is not to be trusted.
+    lookUpFailed(error.what());
+    index_.reset();
+    remake_ = true;
+  }
+}
+
+// The request goes on by load alone. Said once: where one fails, many do.
+void Table::lookUpFailed(const char* what) {
+  if (failedLookUps_++ == 0) spdlog::warn("look-up of kept prompt parts failed, routing by load alone: {}", what);
+}
+
+std::vector<kvindex::Overlap> Table::overlaps(const Asked& asked) {
+  try {
+    if (!index_) throw std::runtime_error("the index is being built anew");
+    auto found = index_->match(asked.model, asked.prompt, kOverlaps);
+    if (const auto* bad = base::fault(found)) throw std::runtime_error(bad->what);
+    return std::get<0>(std::move(found));
+  } catch (const std::exception& error) {
+    lookUpFailed(error.what());
+    return {};
+  }
+}
+
+// Prompt tokens that any runner can fetch from the shared pool, if there is one.
+double Table::pooledTokens(const Asked& asked) {
+  if (!shared_) return 0;
+  try {
+    const auto held = shared_->held(asked.model, asked.prompt);
+    if (const auto* bad = base::fault(held)) throw std::runtime_error(bad->what);
+    return static_cast<double>(std::get<0>(held));
+  } catch (const std::exception& error) {
+    if (failedPool_++ == 0) spdlog::warn("shared pool not asked, scoring by the index alone: {}", error.what());
+    return 0;
+  }
+}
+
+Table::IndexState Table::indexState() const {
+  const std::lock_guard lock(mutex_);
+  IndexState out;
+  if (index_) out = {index_->counters(), index_->blocks(), index_->bytes()};
+  out.failed = failedLookUps_;
+  out.poolFailed = failedPool_;
+  out.rankings = rankings_;
+  return out;
 }
 
 void Table::Window::expire(base::TimePoint now, base::Millis window) {
@@ -234,51 +358,88 @@
 std::string Table::home(const std::string& service,
                         const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const {
   const std::lock_guard lock(mutex_);
-  const auto key = promptKey(prompt);
-  std::string best;
-  std::uint64_t most = 0;
-  for (const auto& [id, runner] : runners_)
-    if (const auto rank = rankOf(id, key); usable(runner, service) && (best.empty() || rank > most)) {
-      best = id;
-      most = rank;
+  const auto* pool = poolOf(service);
+  if (pool == nullptr) return {};
+  const auto first = places(sharedKey(prompt), pool->hashes, 1);
+  return first.empty() ? std::string() : pool->runners[first.front()]->entry.instanceId;
+}
+
+// Scores the runners that are worth a look: those that the index names, the first places of the rendezvous order, and
+// others by chance. Few runners are all looked at.
+void Table::rank(Asked& asked, const Pool& pool, bool engine, base::TimePoint now) {
+  const auto& policy = bounds_.policy;
+  auto& ranking = asked.ranking;
+  ranking.order.clear();
+  ++rankings_;
+  const auto size = pool.runners.size();
+  ranking.all = size <= policy.candidates;
+  const auto shared = sharedParts(asked.prompt);
+  std::uint64_t sharedTokens = 0;
+  for (const auto& part : shared) sharedTokens += part.second;
+  const double ownTokens = std::max(1.0, asked.promptTokens - static_cast<double>(sharedTokens));
+  const double pooled = engine ? pooledTokens(asked) : 0;
+  const auto add = [&](Runner& runner, double kept) {
+    if (std::exchange(seenIn_[runner.number], rankings_) == rankings_) return;
+    Ranked r{runner.number, runner.idHash, 0, 0};
+    if (engine && !asked.prompt.empty()) {
+      // Near equals are told apart by chance, or all routers would go to the same one.
+      const double running = demand(runner, now) + std::uniform_real_distribution<double>(0, 0.5)(random_);
+      const double left = std::max(1.0, ownTokens + static_cast<double>(sharedTokens) - kept);
+      r.toRead = static_cast<std::uint32_t>(left);
+      r.logit = kvindex::logit({policy.overlapWeight, policy.blockTokens, left, running, policy.sharedMultiplier,
+                                 std::max(0.0, pooled - kept) / policy.blockTokens});
     }
-  return best;
+    ranking.order.push_back(r);
+  };
+  if (engine && !shared.empty()) {
+    // The home is where every router expects the shared parts, whether this one knows of them there or not. Parts that
+    // more is asked for than one engine can read have several.
+    const auto key = sharedKey(asked.prompt);
+    const auto places = routing::places(key, pool.hashes, kPlaces);
+    std::size_t homes = 1;
+    const double perS = heat_.add(key, ownTokens, now) *
+                        static_cast<double>(routersLocked(now, bounds_.lease));
+    if (tokensPerMs_ > 0 && policy.homeFill > 0)
+      homes += static_cast<std::size_t>(std::min(100.0, perS / (1000 * tokensPerMs_ * policy.homeFill)));
+    // The place behind the homes is where they spill to.
+    const auto expected = [&](std::size_t place) {
+      const double some = place < homes ? 1 : place == homes ? 0.5 : 0;
+      return some * static_cast<double>(sharedTokens);
+    };
+    std::vector<std::pair<Runner*, double>> known;
+    for (const auto& o : overlaps(asked))
+      if (auto* runner = byNumber_[o.runner]; runner != nullptr && usable(*runner, asked.service))
+        known.emplace_back(runner, static_cast<double>(o.tokens));
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      auto* runner = pool.runners[places[i]];
+      double kept = expected(i);
+      for (const auto& [other, tokens] : known)
+        if (other == runner) kept = std::max(kept, tokens);
+      add(*runner, kept);
+    }
+    for (const auto& [runner, tokens] : known) add(*runner, tokens);
+  }
+  if (ranking.all) {
+    for (auto* runner : pool.runners) add(*runner, 0);
+  } else {
+    for (auto left = 2 * policy.candidates; left > 0 && ranking.order.size() < policy.candidates; --left)
+      add(*pool.runners[random_() % size], 0);
+  }
+  std::sort(ranking.order.begin(), ranking.order.end(), [](const Ranked& a, const Ranked& b) { return a.logit < b.logit; });
 }
 
-Decision Table::decide(const Asked& asked, base::TimePoint now) {
+Decision Table::decide(Asked& asked, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
   if (service == nullptr) return Shed{503, 0.5, "service unknown"};
-  struct Choice {
-    Runner* runner;
-    double demand;
-    std::uint64_t rank;
-    double cost = 0;
-    std::uint32_t toRead = 0;  // prompt tokens that are probably not kept there
-  };
   const auto& policy = bounds_.policy;
-  std::vector<Choice> choices, ejected;
-  std::size_t there = 0;
   const bool engine = service->kvCacheTokens > 0;
-  const auto key = promptKey(asked.prompt);
+  const auto* pool = poolOf(asked.service);
   const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
   const auto connections =
       std::max<std::uint32_t>(1, service->maxConnections == 0
                                      ? 64
                                      : static_cast<std::uint32_t>(service->maxConnections / routersNow));
-  for (auto& [id, runner] : runners_) {
-    if (!usable(runner, asked.service)) continue;
-    ++there;
-    if (asked.tried.contains(id) || runner.own >= connections) continue;
-    const double d = demand(runner, now);
-    Choice choice{&runner, d, rankOf(id, key)};
-    if (runner.ejectedUntil > now || runner.trial)
-      ejected.push_back(choice);
-    else
-      choices.push_back(choice);
-  }
-  // When every runner looks ill, the daemon's own sight is the likelier fault: all are used again.
-  if (choices.empty()) choices = std::move(ejected);
   const auto waitUntil = [&] {
     const auto aim = asked.route->targetLatency.count() > 0 ? asked.route->targetLatency : base::Millis(1000);
     const base::Millis part(static_cast<std::int64_t>(policy.waitShare * static_cast<double>(aim.count())));
@@ -288,39 +449,53 @@
     if (now >= waitUntil()) return Shed{503, policy.retryAfterS, why};
     return Wait{waitUntil()};
   };
-  if (choices.empty()) return none(there == 0 ? "no runner" : "no runner left to try");
-  for (auto& choice : choices) choice.demand += std::uniform_real_distribution<double>(0, 0.5)(random_);
-  if (engine && key != 0) {
-    // In prompt tokens: what has to be read there before the first token, and what is already going on. The first in
-    // rendezvous order is where every router expects the shared parts to be kept, the second where they spill to. A
-    // part read again delays this request and takes the runner from others, so it weighs more.
+  if (pool == nullptr) return none("no runner");
+
+  struct Choice {
+    Runner* runner;
+    double demand, cost;
+    std::uint32_t toRead;
+  };
+  std::vector<Choice> choices, ejected;
+  const auto gather = [&] {
+    choices.clear();
+    ejected.clear();
     const double aimMs = static_cast<double>(asked.route->targetLatency.count());
-    std::uint64_t shared = 0;
-    for (std::size_t i = 0; i + 1 < asked.prompt.size(); ++i) shared += asked.prompt[i].second;
-    std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.rank > b.rank; });
-    for (std::size_t i = 0; i < choices.size(); ++i) {
-      const double missing = i == 0 ? 0 : i == 1 ? 0.5 : 1;
-      const double again = missing * static_cast<double>(shared);
-      const double own = std::max(1.0, asked.promptTokens - static_cast<double>(shared) + again);
-      choices[i].toRead = static_cast<std::uint32_t>(own);
-      const double ahead = unread(*choices[i].runner, now) + own;
-      choices[i].cost = policy.missedWeight * again + policy.requestTokens * choices[i].demand + ahead;
-      // What comes too late for the aim is worth little however little it costs the runner.
-      const double over = tokensPerMs_ == 0 ? 0 : ahead - tokensPerMs_ * policy.aimShare * aimMs;
-      if (over > 0) choices[i].cost += policy.lateWeight * over;
+    for (const auto& r : asked.ranking.order) {
+      auto* runner = ranked(r);
+      if (runner == nullptr || !usable(*runner, asked.service)) continue;
+      if (asked.tried.contains(runner->entry.instanceId) || runner->own >= connections) continue;
+      Choice choice{runner, demand(*runner, now), r.logit, r.toRead};
+      if (engine && r.toRead != 0) {
+        // Admission: the prompts that are read there first, and what of the time to the first token comes too late
+        // for the aim, in blocks. A late answer is worth little however little it costs the runner.
+        const double ahead = unread(*runner, now) + r.toRead;
+        const double over = tokensPerMs_ == 0 ? 0 : std::max(0.0, ahead - tokensPerMs_ * policy.aimShare * aimMs);
+        choice.cost += (ahead + policy.lateWeight * over) / policy.blockTokens;
+      } else {
+        // Least demand for its slots; the own domain when that makes no difference.
+        choice.demand += std::uniform_real_distribution<double>(0, 0.5)(random_);
+        choice.cost = choice.demand / runner->entry.slots + (runner->entry.zone == zone_ ? 0 : policy.otherZone);
+      }
+      (runner->ejectedUntil > now || runner->trial ? ejected : choices).push_back(choice);
     }
+    // When every runner looks ill, the daemon's own sight is the likelier fault: all are used again.
+    if (choices.empty()) choices = std::move(ejected);
     std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
-  } else {
-    // Least demand for its slots; the own domain when that makes no difference.
-    const auto cost = [&](const Choice& c) {
-      return c.demand / c.runner->entry.slots + (c.runner->entry.zone == zone_ ? 0 : policy.otherZone);
-    };
-    std::sort(choices.begin(), choices.end(), [&](const Choice& a, const Choice& b) { return cost(a) < cost(b); });
+  };
+  // One ranking a request, unless it holds nobody any more that could take it.
+  const auto full = [&](const Choice& c) {
+    return c.demand >= (engine ? policy.engineFill : policy.plainFill) * c.runner->entry.slots;
+  };
+  gather();
+  if (std::all_of(choices.begin(), choices.end(), full) && (asked.ranking.order.empty() || !asked.ranking.all)) {
+    rank(asked, *pool, engine, now);
+    gather();
   }
+  if (choices.empty()) return none("no runner left to try");
   for (auto& choice : choices) {
     auto& runner = *choice.runner;
-    const double most = (engine ? policy.engineFill : policy.plainFill) * runner.entry.slots;
-    if (choice.demand >= most) continue;
+    if (full(choice)) continue;
     if (runner.coldUntil > now && !takeWarm(runner, *service, now)) continue;
     runner.own += 1;
     const auto toRead = choice.toRead != 0 ? choice.toRead : asked.promptTokens;
@@ -335,7 +510,8 @@
                   {runner.entry.ip, runner.entry.port},
                   runner.entry.zone,
                   connections,
-                  Taking(this, runner.entry.instanceId, toRead, told)};
+                  Taking(this, runner.entry.instanceId, toRead, told, asked.model,
+                         engine ? asked.prompt : decltype(asked.prompt){})};
   }
   return none("every runner is full");
 }
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -14,6 +14,8 @@
 
 #include "base/time.hpp"
 #include "control/configuration.hpp"
+#include "kvindex/index.hpp"
+#include "routing/heat.hpp"
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
 
@@ -56,12 +58,27 @@
 std::size_t routersIn(const schema::View& view);
 void fold(Picture& picture, const Event& event);
 
+// The runners that a request may go to, as they were scored when it came: computed once, the lower the better. Admission
+// and stream recovery take the next one from it.
+struct Ranked {
+  kvindex::RunnerId runner = 0;
+  std::uint64_t idHash = 0;    // tells whether it is still that runner
+  double logit = 0;
+  std::uint32_t toRead = 0;    // prompt tokens that are probably not kept there
+};
+struct Ranking {
+  std::vector<Ranked> order;
+  bool all = false;  // holds every runner of the service
+};
+
 struct Asked {
   const control::Route* route = nullptr;
   std::string service;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt;  // parts: id, tokens
+  std::uint64_t model = 0;  // the model's name, hashed
   std::uint32_t promptTokens = 0, outTokens = 0;
   std::uint32_t tries = 0;
+  Ranking ranking;
   std::set<std::string> tried;  // runners that had it already
   base::TimePoint arrivedAt, deadline;
 };
@@ -72,11 +89,13 @@
 class Taking {
  public:
   Taking() = default;
-  Taking(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told) noexcept
-      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt), told_(told) {}
+  Taking(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told, std::uint64_t model = 0,
+         std::vector<std::pair<std::uint64_t, std::uint32_t>> parts = {}) noexcept
+      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt), told_(told), model_(model),
+        parts_(std::move(parts)) {}
   Taking(Taking&& other) noexcept
       : table_(std::exchange(other.table_, nullptr)), instanceId_(std::move(other.instanceId_)), prompt_(other.prompt_),
-        told_(other.told_) {}
+        told_(other.told_), model_(other.model_), parts_(std::move(other.parts_)) {}
   Taking& operator=(Taking&& other) noexcept {
     if (this != &other) {
       release();
@@ -84,12 +103,14 @@
       instanceId_ = std::move(other.instanceId_);
       prompt_ = other.prompt_;
       told_ = other.told_;
+      model_ = other.model_;
+      parts_ = std::move(other.parts_);
     }
     return *this;
   }
   ~Taking() { release(); }
   void release();
-  // The first token is there after this long: the prompt has been read and holds nobody up any more.
+  // The first token is there after this long: the prompt has been read, holds nobody up any more, and is kept there.
   void begun(base::Clock::duration after);
 
  private:
@@ -97,6 +118,8 @@
   std::string instanceId_;
   std::uint32_t prompt_ = 0;
   std::uint64_t told_ = 0;  // under which number the other routers know of the prompt; 0: they do not
+  std::uint64_t model_ = 0;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> parts_;  // until they are recorded as kept
 };
 
 struct PassTo {
@@ -123,6 +146,7 @@
   double retryRatio = 0.2, retrySlack = 0, warmupOvershoot = 1.5, warmupSlack = 5;
   base::Millis retryWindow{10000}, lease{1500};
   settings::Policy policy = settings::defaultPolicy();
+  std::size_t indexBytes = 8u << 20;  // what the index of kept prompt parts may take
 };
 
 // One router's part of what all routers share, for a number of routers: further tries beyond the ratio in each window,
@@ -144,13 +168,31 @@
   void arrived(const std::string& service, base::TimePoint now);
   // Which service of a split a request goes to; the same for the same id.
   static std::string pick(const control::Route& route, std::string_view attemptId);
-  Decision decide(const Asked& asked, base::TimePoint now);
+  // Ranks the runners if the request has no ranking yet, and admits it to one of them.
+  Decision decide(Asked& asked, base::TimePoint now);
+  Decision decide(Asked&& asked, base::TimePoint now) { return decide(asked, now); }
   // Whether one further try may be made now; it is counted if so.
   bool drawRetry(const std::string& service, base::TimePoint now);
   void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
+  // A runner keeps this prompt now: it has answered it.
+  void stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
+  struct IndexState {
+    kvindex::Counters counters;
+    std::size_t blocks = 0, bytes = 0;
+    std::uint64_t failed = 0;      // look-ups that failed; their requests went by load alone
+    std::uint64_t poolFailed = 0;  // the same for the shared pool
+    std::uint64_t rankings = 0;  // computed
+  };
+  IndexState indexState() const;
+  // A pool that every runner can fetch from; none here.
+  void setSharedPool(std::shared_ptr<kvindex::SharedPool> pool);
+  // Another index, empty or filled; none while one is built.
+  void setIndex(std::unique_ptr<kvindex::Index> index);
+  // Which weights the runner has under the model's name, as it told in an answer.
+  void weights(const std::string& instanceId, std::uint64_t model, std::uint64_t revision);
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
   std::string home(const std::string& service, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
 
@@ -163,6 +205,8 @@
   friend class Taking;
   struct Runner {
     schema::RunnerEntry entry;
+    kvindex::RunnerId number = 0;
+    std::uint64_t idHash = 0;
     std::uint32_t own = 0;        // own requests there
     std::uint64_t ownPrompt = 0;  // prompt tokens of those that have no first token yet
     std::map<std::uint64_t, std::pair<std::uint32_t, base::TimePoint>> others;  // long prompts of other routers, until
@@ -186,6 +230,20 @@
     Window requests, tries;
   };
 
+  // The runners of a service that requests may go to, side by side for speed.
+  struct Pool {
+    std::vector<Runner*> runners;
+    std::vector<std::uint64_t> hashes;
+  };
+
+  void number(Runner& runner);
+  void forget(const Runner& runner);
+  const Pool* poolOf(const std::string& service) const;
+  std::vector<kvindex::Overlap> overlaps(const Asked& asked);
+  double pooledTokens(const Asked& asked);
+  void lookUpFailed(const char* what);
+  void rank(Asked& asked, const Pool& pool, bool engine, base::TimePoint now);
+  Runner* ranked(const Ranked& ranked) const;
   bool usable(const Runner& runner, const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
@@ -200,6 +258,14 @@
   mutable std::mutex mutex_;  // lock order: docs/design.md, "Threads and locks"
   std::shared_ptr<const Picture> picture_;
   std::map<std::string, Runner> runners_;
+  std::vector<Runner*> byNumber_;  // runners by their number; a number is free where there is none
+  std::map<std::string, Pool> pools_;
+  std::unique_ptr<kvindex::Index> index_;  // none while it is built anew
+  std::shared_ptr<kvindex::SharedPool> shared_;
+  Heat heat_;
+  bool remake_ = false;            // the index is spoilt
+  std::uint64_t failedLookUps_ = 0, failedPool_ = 0, rankings_ = 0;
+  std::vector<std::uint64_t> seenIn_;  // by number: the ranking that has the runner
   std::map<std::string, Budget> budgets_;
   std::deque<std::pair<base::TimePoint, std::size_t>> routerCounts_;
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -92,7 +92,7 @@
                 .starts_with("troubles[0].kind:"));
   cr_assert(fieldOf(replaced(kFleet, "TROUBLES", R"(,"troubles":[{"kind":"router_kill","name":"router/9"}])"))
                 .starts_with("troubles[0].name:"));
-  cr_assert(base::fault(settings::parsePolicy("policy.missedWeight=many"))->what.starts_with("policy.missedWeight:"));
+  cr_assert(base::fault(settings::parsePolicy("policy.overlapWeight=many"))->what.starts_with("policy.overlapWeight:"));
 }
 
 Test(replay, a_calm_mix_is_served_in_aim_and_the_same_twice) {
@@ -131,7 +131,7 @@
   const auto requests = traffic(mix(400, 30));
   const auto rules = configuration(tests::document(1, 3000, kBooking));
   replay::Fleet current(model, rules, rules, settings::defaultPolicy(), 7);
-  replay::Fleet changed(model, rules, rules, policy("policy.missedWeight=0\npolicy.requestTokens=1000000\npolicy.lateWeight=0\n"), 7);
+  replay::Fleet changed(model, rules, rules, policy("policy.overlapWeight=0\npolicy.blockTokens=1000000\npolicy.lateWeight=0\n"), 7);
   const auto comparison = replay::compare(current.play(requests), changed.play(requests));
   cr_assert(comparison.changed.at("r-text").late > comparison.current.at("r-text").late + 3, "%zu, %zu",
             comparison.changed.at("r-text").late, comparison.current.at("r-text").late);
