--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -378,6 +378,7 @@
   for (const auto& part : shared) sharedTokens += part.second;
   const double ownTokens = std::max(1.0, asked.promptTokens - static_cast<double>(sharedTokens));
   const double pooled = engine ? pooledTokens(asked) : 0;
+  ranking.order.reserve(policy.candidates + kOverlaps);
   const auto add = [&](Runner& runner, double kept) {
     if (std::exchange(seenIn_[runner.number], rankings_) == rankings_) return;
     Ranked r{runner.number, runner.idHash, 0, 0};
@@ -398,7 +399,7 @@
     const auto places = routing::places(key, pool.hashes, kPlaces);
     std::size_t homes = 1;
     const double perS = heat_.add(key, ownTokens, now) *
-                        static_cast<double>(routersLocked(now, bounds_.lease));
+                        static_cast<double>(std::max<std::size_t>(1, routersLocked(now, bounds_.lease)));
     if (tokensPerMs_ > 0 && policy.homeFill > 0)
       homes += static_cast<std::size_t>(std::min(100.0, perS / (1000 * tokensPerMs_ * policy.homeFill)));
     // The place behind the homes is where they spill to.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -135,6 +135,9 @@
 
 std::string readPolicy(const Tree& tree, Policy& out) {
   INDIGOHILL_POLICY(INDIGOHILL_READ)
+  if (out.blockTokens < 1) return "policy.blockTokens: 1 or more is wanted";
+  if (out.candidates < 2) return "policy.candidates: 2 or more is wanted";
+  if (out.sharedMultiplier > 1) return "policy.sharedMultiplier: 0 to 1 is wanted";
   return {};
 }
 
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -1,10 +1,13 @@
-// The index of kept prompt parts against a plain model, and the score against the source's worked example.
+// The index of kept prompt parts against a plain model, the score against the source's worked example, and the choice
+// that rests on both.
 #include <list>
 #include <map>
 #include <random>
 #include <set>
 
+#include "documents.hpp"
 #include "kvindex/index.hpp"
+#include "routing/table.hpp"
 // Criterion's macros get in the way of Boost's headers, so it comes last.
 #include <criterion/criterion.h>
 
@@ -273,3 +276,186 @@
   // What the pool holds beyond the prompt saves no more than the prompt.
   cr_assert_float_eq(kvindex::logit({1.0, 1.0, 4, 1, 1.0, 40}), 1.0, 1e-12);
 }
+
+namespace {
+
+using base::Millis;
+
+// One router's table before engines of one service.
+struct Chooser {
+  explicit Chooser(std::size_t engines, settings::Policy policy = settings::defaultPolicy())
+      : table("z0", bounds(policy), 7, now) {
+    routing::fold(picture, routing::FrameCame{{1, 1}, configuration(), {}});
+    for (std::uint32_t i = 0; i < engines; ++i)
+      list.push_back({"e" + std::to_string(i), "engine", "z0", 100 + i, 80, 128, false, 0});
+    show();
+    table.setLease(now + std::chrono::hours(1));
+  }
+  static routing::Bounds bounds(const settings::Policy& policy) {
+    routing::Bounds b;
+    b.policy = policy;
+    return b;
+  }
+  static std::shared_ptr<const control::Configuration> configuration() {
+    return std::make_shared<const control::Configuration>(
+        std::get<0>(control::parseConfiguration(tests::document(1, 3000))));
+  }
+  void show() {
+    routing::fold(picture, routing::RunnersCame{{1, ++version}, list, now});
+    table.setPicture(std::make_shared<const routing::Picture>(picture), now);
+  }
+  routing::Asked ask(std::uint64_t thing, std::uint64_t own = 1) {
+    routing::Asked asked;
+    asked.route = picture.route("a.example", "/text/1");
+    asked.service = "engine";
+    asked.prompt = {{1, 500}, {thing, 4000}, {1'000'000 + own, 300}};
+    asked.promptTokens = 4800;
+    asked.arrivedAt = now;
+    asked.deadline = now + Millis(3000);
+    return asked;
+  }
+  // Passes and answers a request; where it went.
+  std::string serve(routing::Asked asked) {
+    auto decision = table.decide(asked, now);
+    cr_assert(std::holds_alternative<routing::PassTo>(decision), "not served");
+    auto& to = std::get<routing::PassTo>(decision);
+    to.taking.begun(Millis(50));
+    return to.instanceId;
+  }
+
+  base::TimePoint now{std::chrono::hours(1)};
+  routing::Picture picture;
+  routing::Table table;
+  std::vector<schema::RunnerEntry> list;
+  std::uint64_t version = 0;
+};
+
+struct BadPool : kvindex::SharedPool {
+  base::Result<std::uint64_t> held(std::uint64_t, Chain) override {
+    if (++asked % 2 == 0) throw std::runtime_error("pool: connection refused");
+    return base::Fault{base::Verdict::NotRun, "pool: no answer"};
+  }
+  int asked = 0;
+};
+
+}  // namespace
+
+Test(choice, an_answer_stores_and_a_new_life_starts_empty) {
+  Chooser c(40);
+  const auto where = c.serve(c.ask(5));
+  cr_assert_eq(c.table.indexState().blocks, 3u);
+  cr_assert_eq(c.serve(c.ask(5, 2)), where);
+  cr_assert_eq(c.table.indexState().counters.hits, 1u);
+  // Other weights: what was computed with the old ones goes.
+  c.table.weights(where, 0, 1);
+  cr_assert_eq(c.table.indexState().blocks, 4u);
+  c.table.weights(where, 0, 2);
+  cr_assert_eq(c.table.indexState().blocks, 0u);
+  c.serve(c.ask(5, 3));
+  for (auto& entry : c.list) entry.instanceId += "-again";
+  c.show();
+  cr_assert_eq(c.table.indexState().blocks, 0u);
+}
+
+Test(choice, what_was_stored_elsewhere_draws_the_next_one_there) {
+  // Neither the first place nor the second of the rendezvous order: only the record speaks for it.
+  Chooser c(40);
+  const auto home = c.table.home("engine", c.ask(5).prompt);
+  std::string other;
+  for (const auto& entry : c.list)
+    if (entry.instanceId != home) other = entry.instanceId;
+  c.table.stored(other, 0, c.ask(5).prompt);
+  std::vector<routing::Decision> held;
+  std::set<std::string> seen;
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    auto asked = c.ask(5, 10 + i);
+    held.push_back(c.table.decide(asked, c.now));
+    seen.insert(std::get<routing::PassTo>(held.back()).instanceId);
+  }
+  cr_assert(seen == std::set<std::string>({home, other}), "%zu runners", seen.size());
+}
+
+// A look-up that fails lets the request go by load alone: by a bound without room, while the index is built anew, and by
+// an exception or a fault of the shared pool. It is counted each time.
+Test(choice, a_failed_look_up_never_fails_a_request) {
+  Chooser c(40);
+  c.table.setIndex(nullptr);
+  for (std::uint64_t i = 0; i < 5; ++i) c.serve(c.ask(i));
+  cr_assert_eq(c.table.indexState().failed, 5u);
+  c.table.setIndex(std::make_unique<Index>(10));
+  for (std::uint64_t i = 0; i < 5; ++i) c.serve(c.ask(i));
+  cr_assert_eq(c.table.indexState().failed, 9u, "the first look-up comes before the bound was met");
+  auto bad = std::make_shared<BadPool>();
+  c.table.setIndex(std::make_unique<Index>(kRoomy));
+  c.table.setSharedPool(bad);
+  for (std::uint64_t i = 0; i < 5; ++i) c.serve(c.ask(i));
+  cr_assert(bad->asked == 5 && c.table.indexState().poolFailed == 5u);
+  cr_assert_eq(c.table.indexState().failed, 9u, "the index itself goes on");
+  cr_assert_gt(c.table.indexState().counters.stores, 0u);
+  // A store that is broken off by an exception: the index is given up, requests go on, and the next picture has a new one.
+  auto breaking = std::make_unique<Index>(kRoomy);
+  breaking->setWatch([](const kvindex::Event&) { throw std::bad_alloc(); });
+  c.table.setIndex(std::move(breaking));
+  for (std::uint64_t i = 0; i < 3; ++i) c.serve(c.ask(i));
+  cr_assert_eq(c.table.indexState().failed, 12u);
+  c.show();
+  c.serve(c.ask(1));
+  cr_assert(c.table.indexState().failed == 12u && c.table.indexState().blocks > 0);
+}
+
+Test(choice, one_ranking_a_request_and_a_further_try_takes_the_next) {
+  Chooser c(40);
+  auto asked = c.ask(5);
+  auto first = c.table.decide(asked, c.now);
+  const auto ranked = asked.ranking.order;
+  cr_assert_eq(c.table.indexState().rankings, 1u);
+  std::vector<std::string> order;
+  order.push_back(std::get<routing::PassTo>(first).instanceId);
+  for (int further = 0; further < 3; ++further) {
+    asked.tried.insert(order.back());
+    auto next = c.table.decide(asked, c.now + Millis(20));
+    order.push_back(std::get<routing::PassTo>(next).instanceId);
+    std::get<routing::PassTo>(next).taking.release();
+  }
+  cr_assert_eq(c.table.indexState().rankings, 1u, "asked again, not ranked again");
+  cr_assert_eq(std::set<std::string>(order.begin(), order.end()).size(), order.size(), "each another runner");
+  for (std::size_t i = 1; i < ranked.size(); ++i) cr_assert_leq(ranked[i - 1].logit, ranked[i].logit);
+  // The home, the place it spills to, then by load.
+  for (std::size_t i = 0; i < 2; ++i) cr_assert_eq(order[i], "e" + std::to_string(ranked[i].runner));
+}
+
+Test(choice, when_nobody_of_the_ranking_is_left_others_are_found) {
+  Chooser c(120);
+  auto asked = c.ask(5);
+  { const auto first = c.table.decide(asked, c.now); }
+  cr_assert(!asked.ranking.all && asked.ranking.order.size() <= 32);
+  for (const auto& r : asked.ranking.order) c.list[r.runner].draining = true;
+  c.show();
+  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(asked, c.now)));
+  cr_assert_eq(c.table.indexState().rankings, 2u);
+}
+
+Test(choice, parts_that_one_engine_cannot_read_for_all_get_further_homes) {
+  Chooser c(40);
+  std::set<std::string> seen;
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    c.now += Millis(1);
+    auto asked = c.ask(5, i);
+    asked.prompt.back().second = 9000;
+    asked.promptTokens = 13500;
+    seen.insert(c.serve(asked));
+  }
+  cr_assert_gt(seen.size(), 3u, "%zu", seen.size());
+  cr_assert_leq(seen.size(), 16u, "and not all of them");
+}
+
+Test(choice, settings_of_the_policy_are_checked_by_name) {
+  for (const auto* name : {"policy.overlapWeight", "policy.blockTokens", "policy.candidates", "policy.sharedMultiplier"}) {
+    auto bad = settings::parsePolicy(std::string(name) + "=-1\n");
+    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(name), "%s", name);
+  }
+  for (const auto* line : {"policy.blockTokens=0", "policy.candidates=0", "policy.sharedMultiplier=1.5"}) {
+    auto bad = settings::parsePolicy(std::string(line) + "\n");
+    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(std::string(line).substr(0, 12)), "%s", line);
+  }
+}
