--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -6,6 +6,7 @@
 
 #include "documents.hpp"
 #include "membership/group.hpp"
+#include "net/codec.hpp"
 #include "routing/table.hpp"
 #include "sim/world.hpp"
 #include <criterion/criterion.h>
@@ -195,10 +196,12 @@
 
 namespace {
 
-// The routers hear each other: what one has to tell reaches the others, in the test's own time.
-void exchange(Fleet& fleet) {
+// The routers hear each other: what one has to tell reaches the others, in the test's own time. Returns the bytes heard.
+std::size_t exchange(Fleet& fleet) {
+  std::size_t heard = 0;
   for (std::size_t i = 0; i < fleet.tables.size(); ++i)
     for (const auto& [to, said] : fleet.tables[i]->takeSuspicions(fleet.now)) {
+      heard += net::encode(said).size() * (to != 0 ? 1 : fleet.tables.size() - 1);
       if (to != 0) {
         fleet.tables[to - 1]->heard(said, fleet.now);
         continue;
@@ -206,10 +209,12 @@
       for (std::size_t j = 0; j < fleet.tables.size(); ++j)
         if (j != i) fleet.tables[j]->heard(said, fleet.now);
     }
+  return heard;
 }
 
 struct Played {
   std::size_t sent = 0, hit = 0;      // requests, and those that met trouble
+  std::size_t heard = 0;              // bytes of evidence
   std::map<std::string, std::size_t> at;  // requests at each runner
 };
 
@@ -221,7 +226,7 @@
   for (int i = 0; i < ms; ++i) {
     fleet.now += Millis(1);
     fleet.lease();
-    if (i % 200 == 0) exchange(fleet);
+    if (i % 200 == 0) out.heard += exchange(fleet);
     if (i % 5 == 0) continue;
     std::erase_if(running, [&](const auto& r) { return r.first <= fleet.now; });
     const auto router = random() % kRouters;
@@ -250,6 +255,9 @@
   const auto bad = play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
   // Left alone, a ninth of the requests go there and half of them fail.
   cr_assert(bad.hit * 40 < bad.sent, "%zu of %zu met trouble", bad.hit, bad.sent);
+  // What each router hears for it stays under 1 KB a second.
+  cr_log_info("%zu bytes of evidence a second at each router", bad.heard / 7 / kRouters);
+  cr_assert(bad.heard < 7 * kRouters * 1000, "%zu bytes", bad.heard);
   // They are tried again, and used as before when they are well.
   play(fleet, random, 12000, [](auto, const auto&) { return false; });
   const auto well = play(fleet, random, 7000, [](auto, const auto&) { return false; });
