--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -133,6 +133,7 @@
     state_->timer.cancel();
   }
   bool tookAway() const { return state_->tookAway; }
+  bool late() const { return state_->told; }
 
  private:
   struct State {
@@ -517,6 +518,7 @@
   if (const auto weights = view(head[kWeights]); !weights.empty())
     table_.weights(to.instanceId, base::hash(view(x.request[kModel])), base::hash(weights));
   const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
+  if (!notRun && status < 500 && !watch.late()) table_.inTime(to.instanceId, base::Clock::now());
   const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
   Outcome outcome;
   const auto idle = idleOf(head);
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -6,6 +6,7 @@
 
 #include "documents.hpp"
 #include "membership/group.hpp"
+#include "net/codec.hpp"
 #include "routing/table.hpp"
 #include "sim/world.hpp"
 #include <criterion/criterion.h>
@@ -195,10 +196,12 @@
 
 namespace {
 
-// The routers hear each other: what one has to tell reaches the others, in the test's own time.
-void exchange(Fleet& fleet) {
+// The routers hear each other: what one has to tell reaches the others, in the test's own time. Returns the bytes heard.
+std::size_t exchange(Fleet& fleet) {
+  std::size_t heard = 0;
   for (std::size_t i = 0; i < fleet.tables.size(); ++i)
     for (const auto& [to, said] : fleet.tables[i]->takeSuspicions(fleet.now)) {
+      heard += net::encode(said).size() * (to != 0 ? 1 : fleet.tables.size() - 1);
       if (to != 0) {
         fleet.tables[to - 1]->heard(said, fleet.now);
         continue;
@@ -206,10 +209,12 @@
       for (std::size_t j = 0; j < fleet.tables.size(); ++j)
         if (j != i) fleet.tables[j]->heard(said, fleet.now);
     }
+  return heard;
 }
 
 struct Played {
   std::size_t sent = 0, hit = 0;      // requests, and those that met trouble
+  std::size_t heard = 0;              // bytes of evidence
   std::map<std::string, std::size_t> at;  // requests at each runner
 };
 
@@ -221,7 +226,7 @@
   for (int i = 0; i < ms; ++i) {
     fleet.now += Millis(1);
     fleet.lease();
-    if (i % 200 == 0) exchange(fleet);
+    if (i % 200 == 0) out.heard += exchange(fleet);
     if (i % 5 == 0) continue;
     std::erase_if(running, [&](const auto& r) { return r.first <= fleet.now; });
     const auto router = random() % kRouters;
@@ -250,6 +255,9 @@
   const auto bad = play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
   // Left alone, a ninth of the requests go there and half of them fail.
   cr_assert(bad.hit * 40 < bad.sent, "%zu of %zu met trouble", bad.hit, bad.sent);
+  // What each router hears for it stays under 1 KB a second.
+  cr_log_info("%zu bytes of evidence a second at each router", bad.heard / 7 / kRouters);
+  cr_assert(bad.heard < 7 * kRouters * 1000, "%zu bytes", bad.heard);
   // They are tried again, and used as before when they are well.
   play(fleet, random, 12000, [](auto, const auto&) { return false; });
   const auto well = play(fleet, random, 7000, [](auto, const auto&) { return false; });
@@ -315,20 +323,27 @@
   }
 }
 
+namespace {
+void answer(Fleet& fleet, std::size_t router, const std::string& id, bool late) {
+  fleet.tables[router]->arrived(id[0] == 'p' ? "plain" : "engine", fleet.now);
+  late ? fleet.tables[router]->late(id, fleet.now) : fleet.tables[router]->inTime(id, fleet.now);
+  fleet.tables[router]->mark(id, routing::Mark::Good, fleet.now);
+}
+}  // namespace
+
 Test(health, a_late_first_byte_is_evidence_unless_they_are_late_everywhere) {
   for (const bool everywhere : {false, true}) {
     Fleet fleet;
     std::mt19937_64 random(6);
     std::set<std::string> slow{"e3", "e40", "e77"};
     std::map<std::string, std::size_t> seen;
-    play(fleet, random, 3000, [](auto, const auto&) { return false; });
+    play(fleet, random, 10000, [](auto, const auto&) { return false; });
     for (int i = 0; i < 4000; ++i) {
       const auto router = random() % kRouters;
       fleet.now += Millis(1);
       if (i % 200 == 0) exchange(fleet);
       const auto& id = fleet.runners[random() % kRunners].instanceId;
-      if (everywhere ? random() % 2 == 0 : slow.contains(id)) fleet.tables[router]->late(id, fleet.now);
-      fleet.tables[router]->mark(id, routing::Mark::Good, fleet.now);
+      answer(fleet, router, id, everywhere ? random() % 2 == 0 : slow.contains(id));
       if (i >= 2000 && i % 100 == 0)
         for (const auto& r : fleet.runners) seen[r.instanceId] += fleet.tables[50]->suspended(r.instanceId, fleet.now);
     }
@@ -343,3 +358,25 @@
     cr_assert(out <= 2, "%zu left out", out);
   }
 }
+
+Test(health, load_on_one_service_is_no_illness_of_its_runners_though_another_is_calm) {
+  Fleet fleet;
+  std::mt19937_64 random(7);
+  for (std::size_t i = 0; i < 4; ++i)
+    fleet.runners.push_back({"p" + std::to_string(i), "plain", "z" + std::to_string(i % 3),
+                             static_cast<std::uint32_t>(300 + i), 80, 6, false, 0});
+  fleet.show();
+  std::size_t out = 0;
+  // Ten seconds in which all is well, then six in which half of the loaded service's answers are late.
+  for (int i = -10000; i < 6000; ++i) {
+    fleet.now += Millis(1);
+    if (i % 200 == 0) exchange(fleet);
+    const auto router = random() % kRouters;
+    answer(fleet, router, fleet.runners[random() % kRunners].instanceId, false);
+    // A fifth of the requests go to the loaded service, and half of them are late.
+    if (i % 4 != 0) continue;
+    answer(fleet, router, "p" + std::to_string(random() % 4), i >= 0 && random() % 2 == 0);
+    if (i >= 0) for (int p = 0; p < 4; ++p) out += fleet.tables[40]->suspended("p" + std::to_string(p), fleet.now);
+  }
+  cr_assert(out < 4 * 1500 / 20, "left out in %zu of 6000 moments", out);
+}
