Hold orders until the view rests on the new voters; find the others by the voters' names

Change: an order waits (1.5 s at most) until the view's voters are the record's. Besides the seeds a controller asks the addresses that its record's voters have in their names.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -48,20 +48,37 @@
                        std::uint64_t seed)
     : self_(std::move(self)), tuning_(tuning),
       group_({self_.nodeName + "/controller", identity.voterId, self_.zone, membership::Role::Controller, self_.cohort},
-             std::move(seeds), tuning.group, seed),
+             seeds, tuning.group, seed),
       replica_({identity.voterId, self_.cohort, tuning.losses}, identity.loaded, tuning.replica, seed + 1),
       source_(tuning.feed), frameSink_(tuning.feed, seed), runnerSink_(tuning.feed, ~seed) {
+  group_.setSeeds(known(seeds));
   group_.setFloor(identity.floor);
   floorKept_ = identity.floor;
   if (identity.loaded.record) group_.setVoters(identity.loaded.record->epoch, identity.loaded.record->voters);
 }
 
+// Where the group may be found: besides the seeds, which may all have been lost together, at the voters that the disk
+// tells of. A voter's name begins with its address, and the cohort's ports are alike everywhere.
+std::vector<settings::Endpoint> Controller::known(std::vector<settings::Endpoint> seeds) const {
+  if (!replica_.record()) return seeds;
+  for (const auto& voter : replica_.record()->voters) {
+    const auto address = settings::parseEndpoint(voter.substr(0, voter.find('/')));
+    if (base::fault(address)) continue;
+    const settings::Endpoint at{std::get<settings::Endpoint>(address).ip, self_.cohort.port};
+    if (!base::contains(seeds, at)) seeds.push_back(at);
+  }
+  return seeds;
+}
+
+void Controller::setSeeds(std::vector<settings::Endpoint> seeds) { group_.setSeeds(known(std::move(seeds))); }
+
 Around Controller::around(base::TimePoint now) const {
   Around out;
   out.lease = group_.leaseHeld(now);
-  if (group_.view())
-    for (const auto& m : group_.view()->members)
-      if (m.role == static_cast<std::uint8_t>(membership::Role::Controller)) out.controllers.push_back(m);
+  if (!group_.view()) return out;
+  out.voters = group_.view()->voters;
+  for (const auto& m : group_.view()->members)
+    if (m.role == static_cast<std::uint8_t>(membership::Role::Controller)) out.controllers.push_back(m);
   return out;
 }
 
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -46,7 +46,7 @@
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx);
   void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx);
   void order(Order order, base::TimePoint now, Effects& fx);
-  void setSeeds(std::vector<settings::Endpoint> seeds) { group_.setSeeds(std::move(seeds)); }
+  void setSeeds(std::vector<settings::Endpoint> seeds);
 
   // The duty of reading the platform's list: whether it is due here, and what came of it.
   bool readingDue(base::TimePoint now);
@@ -61,6 +61,7 @@
   const feed::Source& source() const { return source_; }
 
  private:
+  std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
   Around around(base::TimePoint now) const;
   void askForNews(base::TimePoint now, net::Outbox& out);
   void settle(base::TimePoint now, Effects& fx);
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -736,11 +736,11 @@
 
 void Replica::nextOrder(base::TimePoint now, Effects& fx) {
   while (active() && !current_ && !candidacy_ && !orders_.empty()) {
-    // Before anything was acknowledged there is time for the machines that are still starting.
+    // Before anything was acknowledged there is time for the machines that are still starting. And as long as the
+    // group's view rests on the voters before, it does not bear the loss of as many as this record's voters.
     const bool untouched = frame_->revision == 0 && frame_->evacuated.empty();
-    if (untouched && !complete() && now - activeSince_ < times_.gather &&
-        orders_.front().first.kind != OrderKind::Describe)
-      return;
+    const bool wanting = (untouched && !complete()) || around_.voters != record_->voters;
+    if (wanting && now - activeSince_ < times_.gather && orders_.front().first.kind != OrderKind::Describe) return;
     auto order = std::move(orders_.front().first);
     const auto at = orders_.front().second;
     orders_.pop_front();
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -52,6 +52,7 @@
 // What of the view the control state rests on.
 struct Around {
   std::vector<schema::Member> controllers;
+  std::vector<std::string> voters;  // that the view rests on
   bool lease = false;
 };
 
@@ -64,7 +65,7 @@
   base::Millis orderLife{3500};  // an order not finished by then is answered 503
   base::Millis exchange{3000};   // a voter missing for so long is exchanged
   base::Millis turn{500};        // of several backups that would take over, each waits so much longer than the one before
-  base::Millis gather{1500};     // the first order waits so long for the machines that faultTolerance calls for
+  base::Millis gather{1500};     // an order waits so long for the machines that faultTolerance calls for
 };
 
 class Replica {
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -63,7 +64,8 @@
   std::optional<std::size_t> active() const;
   // The core machines that the record of the active primary names, the primary first.
   std::vector<std::size_t> copies() const;
-  std::size_t losses() const { return shape_.losses; }
+  // How many of the core may be lost at once: as many as are stated, as far as there are machines for it.
+  std::size_t losses() const { return std::min(shape_.losses, (shape_.controllers - 1) / 2); }
 
   void start(std::size_t i);
   void kill(std::size_t i);       // the process ends; the disk keeps what had reached it
