--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -57,8 +57,8 @@
   return std::pair{static_cast<std::uint8_t>(bytes[1]), body};
 }
 
-// Numbers that no message has, for what is kept on disk.
-constexpr std::uint8_t kRecord = 200, kFrame = 201, kVote = 202;
+// Numbers that no message has, for what is kept on disk. 200 and 202 were a record with a single backup and votes on it.
+constexpr std::uint8_t kFrame = 201, kRecord = 203, kVote = 204;
 
 template <class T>
 base::Result<T> unpackKind(std::uint8_t kind, std::string_view bytes) {
