The list of runners is read as often as its pages allow

Cause: the period was an eighth of the platform's calls for a list of one page. Twelve pages (600 runners) every 0.8 s at 10 calls a second are 15 calls a second: each reading ends in 429 and the list stays as it was. Change: the period counts the pages of the last reading; an eighth of the calls while that is within a third of the drain bound, up to half beyond.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -57,7 +57,7 @@
   static control::Controller::Tuning tuningOf(const settings::Settings& s) {
     control::Controller::Tuning tuning;
     tuning.group = groupTimes(s);
-    tuning.listPeriod = runners::listPeriod(s);
+    tuning.listPeriod = runners::listPeriod(s, 1);
     tuning.grace = s.gracePeriodS;
     return tuning;
   }
@@ -174,6 +174,7 @@
       asio::co_spawn(io_,
                      readRunners(reader_, reading_,
                                  [this](std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt) {
+                                   core_.setListPeriod(runners::listPeriod(watch_.now(), reader_.pages()));
                                    control::Effects after;
                                    core_.listed(std::move(runners), askedAt, base::Clock::now(), after);
                                    apply(after);
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -47,6 +47,7 @@
 
   // The duty of reading the platform's list: whether it is due here, and what came of it.
   bool readingDue(base::TimePoint now);
+  void setListPeriod(base::Millis period) { tuning_.listPeriod = period; }
   void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Effects& fx);
 
   // Leaves in order; `left` says when the process may end.
--- a/src/runners/list.cpp
+++ b/src/runners/list.cpp
@@ -51,10 +51,12 @@
   return page;
 }
 
-base::Millis listPeriod(const settings::Settings& s) {
+base::Millis listPeriod(const settings::Settings& s, std::size_t pages) {
   const auto wanted = std::clamp(s.drainTimeoutMs / 6, base::Millis(100), base::Millis(1000));
-  const base::Millis least(static_cast<std::int64_t>(8000.0 / std::max(1.0, s.ratePerS)));
-  return std::max(wanted, least);
+  // The time in which the platform takes the calls of one reading, if nobody else called.
+  const auto reading = 1000.0 * static_cast<double>(std::max<std::size_t>(1, pages)) / std::max(1.0, s.ratePerS);
+  const base::Millis spared(static_cast<std::int64_t>(8 * reading)), least(static_cast<std::int64_t>(2 * reading));
+  return std::max({wanted, least, std::min(spared, s.drainTimeoutMs / 3)});
 }
 
 bool sameRunners(const std::vector<schema::RunnerEntry>& a, const std::vector<schema::RunnerEntry>& b,
--- a/src/runners/reader.hpp
+++ b/src/runners/reader.hpp
@@ -13,7 +13,7 @@
     std::vector<schema::RunnerEntry> all;
     std::string token;
     // Bounded: a platform that never ends its pages must not hold the duty for ever.
-    for (int page = 0; page < 200; ++page) {
+    for (std::size_t page = 0; page < 200; ++page) {
       http::Request request(http::wire::verb::get,
                             token.empty() ? "/instances" : "/instances?pageToken=" + token, 11);
       auto called = co_await client_.call(std::move(request), limit);
@@ -26,12 +26,17 @@
       auto& part = std::get<Page>(parsed);
       std::move(part.runners.begin(), part.runners.end(), std::back_inserter(all));
       token = part.nextPageToken;
+      pages_ = page + 1;
       if (token.empty()) co_return all;
     }
     co_return base::Fault{base::Verdict::NotRun, "the list of runners does not end"};
   }
 
+  // How many calls the last reading took.
+  std::size_t pages() const { return pages_; }
+
  private:
+  std::size_t pages_ = 1;
   http::Client client_;
 };
 
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -221,6 +221,19 @@
     cr_assert(base::fault(runners::parsePage(bad)) != nullptr, "%s", bad);
 }
 
+Test(runners, the_list_is_read_as_often_as_the_platform_bears) {
+  settings::Settings s;
+  s.drainTimeoutMs = Millis(4000);
+  s.ratePerS = 300;
+  cr_assert_eq(runners::listPeriod(s, 1), Millis(666));
+  cr_assert_eq(runners::listPeriod(s, 12), Millis(666), "twelve pages are still a small part");
+  s.ratePerS = 10;
+  cr_assert_eq(runners::listPeriod(s, 1), Millis(800));
+  cr_assert_eq(runners::listPeriod(s, 12), Millis(2400), "half of the calls");
+  s.ratePerS = 40;
+  cr_assert_eq(runners::listPeriod(s, 12), Millis(4000 / 3), "soon enough for one that drains");
+}
+
 Test(events, only_whole_events_are_passed) {
   pass::EventCutter cutter;
   cr_assert_eq(cutter.take("id: 1\nda"), "");
