indigohill-hollow: many daemons' cores in one process, measured

Cause: what the control side costs at 380 daemons and 600 runners was only read from the code. Change: src/hollow runs the real group, controller, follower and table on a simulated network and clock, with a seed, loss, delays and a link of limited speed; it counts messages and encoded bytes by kind and role, processor time around the calls into the cores, and each daemon's memory by an account in operator new. indigohill-hollow prints CSV, JSON and tables; test_hollow runs it at 11 daemons.

--- /dev/null
+++ b/src/hollow/daemon.cpp
@@ -0,0 +1,139 @@
+#include "hollow/daemon.hpp"
+
+#include "base/lists.hpp"
+
+namespace indigohill::hollow {
+
+namespace {
+
+// Far fewer events than a daemon keeps, so that hundreds of daemons fit in a process; what a full journal takes is
+// measured on one (measureRouter).
+constexpr std::size_t kJournalKept = 8;
+
+// The record names one backup or several, as the state of the code has it.
+template <class Record>
+bool isBackup(const Record& record, const std::string& voterId) {
+  if constexpr (requires { record.backups; })
+    return base::contains(record.backups, voterId);
+  else
+    return record.backup == voterId;
+}
+
+}  // namespace
+
+Daemon::Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::uint64_t seed,
+               base::TimePoint now, Output& fx) {
+  std::vector<settings::Endpoint> cohorts, controls;
+  for (const auto& s : seeds) {
+    cohorts.push_back(s.cohort);
+    controls.push_back(s.control);
+  }
+  if (place.isController) {
+    auto identity = control::identify(
+        [&](control::Slot slot) -> std::optional<std::string> {
+          const auto found = disk.find(slot);
+          return found == disk.end() ? std::nullopt : std::optional(found->second);
+        },
+        first, controls, place.control, seed, fx.writes);
+    controller_ = std::make_unique<control::Controller>(control::Controller::Self{place.name, place.zone, place.cohort},
+                                                        std::move(identity), cohorts, control::Controller::Tuning{},
+                                                        seed + 1);
+  } else {
+    follower_ = std::make_unique<feed::Follower>(feed::Follower::Self{place.name, place.zone, place.cohort}, cohorts,
+                                                 membership::Times{}, feed::Times{}, base::Millis(3000), seed, now);
+    journal_ = std::make_unique<base::Journal<routing::Event, routing::Picture>>(routing::fold, kJournalKept);
+    table_ = std::make_unique<routing::Table>(place.zone, routing::Bounds{}, seed + 1, now);
+  }
+}
+
+// As the daemons have them (src/cli).
+base::Millis Daemon::tickPeriod(bool isController) { return base::Millis(isController ? 100 : 200); }
+
+void Daemon::tick(base::TimePoint now, Output& fx) {
+  if (controller_) {
+    control::Effects effects;
+    controller_->tick(now, effects);
+    perform(effects, fx);
+  } else {
+    feed::Followed followed;
+    follower_->tick(now, followed);
+    perform(followed, now, fx);
+  }
+}
+
+void Daemon::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Output& fx) {
+  if (controller_) {
+    control::Effects effects;
+    controller_->receive(message, from, now, effects);
+    perform(effects, fx);
+  } else {
+    feed::Followed followed;
+    follower_->receive(message, from, now, followed);
+    perform(followed, now, fx);
+  }
+}
+
+void Daemon::synced(std::uint64_t token, bool ok, base::TimePoint now, Output& fx) {
+  control::Effects effects;
+  controller_->synced(token, ok, now, effects);
+  perform(effects, fx);
+}
+
+void Daemon::replace(std::uint64_t call, std::uint64_t baseVersion, std::string document, base::TimePoint now,
+                     Output& fx) {
+  control::Effects effects;
+  controller_->order({call, control::OrderKind::Replace, baseVersion, std::move(document)}, now, effects);
+  perform(effects, fx);
+}
+
+void Daemon::update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now, Output& fx) {
+  control::Effects effects;
+  controller_->order({call, control::OrderKind::Update, baseVersion, std::move(change)}, now, effects);
+  perform(effects, fx);
+}
+
+bool Daemon::readingDue(base::TimePoint now) {
+  return controller_ ? controller_->readingDue(now) : follower_->readingDue(now);
+}
+
+void Daemon::listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Output& fx) {
+  if (controller_) {
+    control::Effects effects;
+    controller_->listed(std::move(runners), askedAt, now, effects);
+    perform(effects, fx);
+  } else {
+    feed::Followed followed;
+    follower_->listed(std::move(runners), askedAt, followed);
+    perform(followed, now, fx);
+  }
+}
+
+void Daemon::tell(const schema::Demand& demand, Output& fx) const {
+  if (follower_) follower_->tell(demand, fx.out);
+}
+
+Role Daemon::role() const {
+  if (!controller_) return Role::Router;
+  if (controller_->replica().active()) return Role::Primary;
+  const auto& record = controller_->replica().record();
+  const auto& self = controller_->replica().voterId();
+  if (!record || !base::contains(record->voters, self)) return Role::Relay;
+  return isBackup(*record, self) ? Role::Backup : Role::Witness;
+}
+
+std::uint64_t Daemon::revision() const { return source().frame() ? source().frame()->revision : 0; }
+
+void Daemon::perform(control::Effects& effects, Output& fx) {
+  std::move(effects.out.begin(), effects.out.end(), std::back_inserter(fx.out));
+  std::move(effects.writes.begin(), effects.writes.end(), std::back_inserter(fx.writes));
+  std::move(effects.answers.begin(), effects.answers.end(), std::back_inserter(fx.answers));
+}
+
+void Daemon::perform(feed::Followed& followed, base::TimePoint now, Output& fx) {
+  for (const auto& demand : followed.demands) table_->heard(demand, now);
+  for (auto& event : followed.events) table_->setPicture(journal_->append(std::move(event)), now);
+  table_->setLease(follower_->group().leaseUntil());
+  std::move(followed.out.begin(), followed.out.end(), std::back_inserter(fx.out));
+}
+
+}  // namespace indigohill::hollow
--- /dev/null
+++ b/src/hollow/daemon.hpp
@@ -0,0 +1,100 @@
+#pragma once
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/journal.hpp"
+#include "control/controller.hpp"
+#include "feed/follower.hpp"
+#include "routing/table.hpp"
+
+// One hollow daemon: the real core of a router or a controller, without sockets, disk or clock. All that this part
+// knows of the cores' interfaces stands here; the rest sees ticks, messages and what comes out.
+namespace indigohill::hollow {
+
+// What a daemon does for the group. A controller that is no voter carries news as well as the voters that are not
+// primary do. The reader of the platform's list is one of these besides, so it is told apart on its own.
+#define INDIGOHILL_HOLLOW_ROLES(X) \
+  X(Router, "router")              \
+  X(Primary, "primary")            \
+  X(Backup, "backup")              \
+  X(Witness, "witness")            \
+  X(Relay, "relay")                \
+  X(Lister, "lister")
+
+enum class Role {
+#define INDIGOHILL_ROLE(name, text) name,
+  INDIGOHILL_HOLLOW_ROLES(INDIGOHILL_ROLE)
+#undef INDIGOHILL_ROLE
+};
+constexpr const char* kRoleNames[] = {
+#define INDIGOHILL_ROLE(name, text) text,
+    INDIGOHILL_HOLLOW_ROLES(INDIGOHILL_ROLE)
+#undef INDIGOHILL_ROLE
+};
+constexpr std::size_t kRoles = std::size(kRoleNames);
+
+// Names of messages by their index in schema::Message; the first is none.
+constexpr const char* kKindNames[] = {
+    "",
+#define INDIGOHILL_KIND(number, name) #name,
+    INDIGOHILL_MESSAGES(INDIGOHILL_KIND)
+#undef INDIGOHILL_KIND
+};
+constexpr std::size_t kKinds = std::size(kKindNames);
+static_assert(kKinds == std::variant_size_v<schema::Message>);
+
+// Datagrams up to this many bytes; what is larger goes over a connection (net::Link).
+constexpr std::size_t kDatagram = 8000;
+
+struct Place {
+  std::string name, zone;
+  settings::Endpoint cohort, control;
+  bool isController = false;
+};
+
+struct Output {
+  net::Outbox out;
+  std::vector<control::DiskWrite> writes;
+  std::vector<control::Answer> answers;
+};
+
+class Daemon {
+ public:
+  using Disk = std::map<control::Slot, std::string>;
+
+  // `first`: the very first start of the whole system. What is new on the disk is among the writes of `fx`.
+  Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::uint64_t seed,
+         base::TimePoint now, Output& fx);
+
+  static base::Millis tickPeriod(bool isController);
+  void tick(base::TimePoint now, Output& fx);
+  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Output& fx);
+  void synced(std::uint64_t token, bool ok, base::TimePoint now, Output& fx);
+  void replace(std::uint64_t call, std::uint64_t baseVersion, std::string document, base::TimePoint now, Output& fx);
+  void update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now, Output& fx);
+  bool readingDue(base::TimePoint now);
+  void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Output& fx);
+  // Tells the other routers of a long prompt, as the executor does.
+  void tell(const schema::Demand& demand, Output& fx) const;
+
+  Role role() const;
+  bool isLister() const { return group().isLister(); }
+  bool holdsOffice() const { return controller_ && controller_->replica().active(); }
+  const membership::Group& group() const { return controller_ ? controller_->group() : follower_->group(); }
+  std::uint64_t revision() const;
+  schema::Stamp runnersStamp() const { return source().runnersStamp(); }
+
+ private:
+  const feed::Source& source() const { return controller_ ? controller_->source() : follower_->source(); }
+  void perform(control::Effects& effects, Output& fx);
+  void perform(feed::Followed& followed, base::TimePoint now, Output& fx);
+
+  std::unique_ptr<control::Controller> controller_;
+  std::unique_ptr<feed::Follower> follower_;
+  std::unique_ptr<base::Journal<routing::Event, routing::Picture>> journal_;
+  std::unique_ptr<routing::Table> table_;
+};
+
+}  // namespace indigohill::hollow
--- /dev/null
+++ b/src/hollow/fleet.cpp
@@ -0,0 +1,334 @@
+#include "hollow/fleet.hpp"
+
+#include <fmt/format.h>
+#include <time.h>
+
+#include <algorithm>
+#include <numeric>
+
+#include "hollow/heap.hpp"
+
+namespace indigohill::hollow {
+
+using base::Millis;
+
+namespace {
+
+constexpr std::size_t kSeeds = 3;        // as the settings have it: up to three
+constexpr std::uint32_t kFirstIp = 0x0a000001u;
+constexpr Millis kDiskSync{4};
+constexpr Millis kRetransmit{200};       // a packet lost on a connection comes again after this
+constexpr Millis kPlatformAnswer{5};
+constexpr Millis kOrderAgain{300};
+constexpr std::size_t kPacket = 1448;    // bytes of a message in one packet
+
+bool later(const auto& a, const auto& b) { return std::tie(a.at, a.order) > std::tie(b.at, b.order); }
+
+std::string route(std::size_t tenant, std::size_t models, std::uint64_t timeoutMs) {
+  return fmt::format(
+      R"({{"name":"tenant-{0}","hostname":"tenant-{0}.example","pathPrefix":"/v1/","routeType":"streaming",)"
+      R"("timeoutMs":{1},"targetLatencyMs":830,"priority":{2},"targetService":"model-{3}","maxAttempts":2,)"
+      R"("resumable":true,"sessionAffinity":true,"tokenGapMs":70}})",
+      tenant, timeoutMs, tenant % 3, tenant % models);
+}
+
+}  // namespace
+
+std::uint64_t threadCpuNs() {
+  timespec at{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+  return static_cast<std::uint64_t>(at.tv_sec) * 1'000'000'000u + static_cast<std::uint64_t>(at.tv_nsec);
+}
+
+std::string configuration(std::uint64_t revision, std::size_t tenants, std::size_t models) {
+  std::string out = fmt::format(R"({{"revision":{},"routes":[)", revision);
+  for (std::size_t t = 0; t < tenants; ++t) {
+    if (t > 0) out += ",";
+    out += route(t, models, 12000);
+  }
+  out += R"(],"services":[)";
+  for (std::size_t m = 0; m < models; ++m)
+    out += fmt::format(R"({}{{"name":"model-{}","healthCheckPath":"/health","maxConnections":690,"warmupS":3.0,)"
+                       R"("warmupPerS":18.0,"engine":{{"capacitySlots":24,"kvCacheTokens":437458}}}})",
+                       m == 0 ? "" : ",", m);
+  return out + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+}
+
+std::vector<schema::RunnerEntry> runnerList(std::size_t runners, std::size_t models, std::size_t zones) {
+  std::vector<schema::RunnerEntry> out;
+  for (std::size_t r = 0; r < runners; ++r) {
+    schema::RunnerEntry e;
+    e.instanceId = fmt::format("model-{}/instance-{}", r % models, r);
+    e.service = fmt::format("model-{}", r % models);
+    e.zone = fmt::format("zone-{}", r % zones);
+    e.ip = 0x0b000001u + static_cast<std::uint32_t>(r);
+    e.port = 8000;
+    e.slots = 24;
+    out.push_back(std::move(e));
+  }
+  return out;
+}
+
+std::uint64_t Totals::sent() const { return std::accumulate(sentBytes.begin(), sentBytes.end(), std::uint64_t{0}); }
+std::uint64_t Totals::received() const {
+  return std::accumulate(receivedBytes.begin(), receivedBytes.end(), std::uint64_t{0});
+}
+std::uint64_t Totals::messages() const {
+  return std::accumulate(sentMessages.begin(), sentMessages.end(), std::uint64_t{0}) +
+         std::accumulate(receivedMessages.begin(), receivedMessages.end(), std::uint64_t{0});
+}
+
+Fleet::Fleet(Shape shape)
+    : shape_(shape), random_(shape.seed), platform_(runnerList(shape.runners, shape.models, shape.zones)) {
+  nodes_.resize(shape.daemons);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    auto& place = nodes_[i].place;
+    place.isController = i < shape.controllers;
+    place.name = fmt::format("node-{}", i);
+    place.zone = fmt::format("zone-{}", zoneOf(i));
+    place.cohort = {kFirstIp + static_cast<std::uint32_t>(i), static_cast<std::uint16_t>(place.isController ? 7001 : 7000)};
+    place.control = {place.cohort.ip, 8000};
+    if (place.isController && seeds_.size() < kSeeds) seeds_.push_back(place);
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) start(i);
+  at(now_ + Millis(3000), [this] { first_ = false; });
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::at(base::TimePoint when, std::function<void()> what) {
+  const HeapScope scope(0);
+  events_.push_back({when, ++order_, std::move(what)});
+  std::push_heap(events_.begin(), events_.end(), [](const auto& a, const auto& b) { return later(a, b); });
+}
+
+void Fleet::run(Millis span) {
+  runUntil(span, [] { return false; });
+}
+
+std::optional<Millis> Fleet::runUntil(Millis limit, const std::function<bool()>& done) {
+  const auto begun = now_;
+  const auto end = begun + limit;
+  auto look = begun;
+  for (;;) {
+    if (events_.empty() || events_.front().at >= look) {
+      if (done()) {
+        now_ = std::max(now_, look);
+        return std::chrono::duration_cast<Millis>(look - begun);
+      }
+      if (look >= end) break;
+      look += Millis(1);
+      continue;
+    }
+    std::pop_heap(events_.begin(), events_.end(), [](const auto& a, const auto& b) { return later(a, b); });
+    auto event = std::move(events_.back());
+    events_.pop_back();
+    now_ = event.at;
+    event.what();
+  }
+  now_ = end;
+  return std::nullopt;
+}
+
+void Fleet::setBack() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].totals = {};
+    forgetMost(account(i));
+  }
+}
+
+std::size_t Fleet::indexOf(const settings::Endpoint& cohort) const { return cohort.ip - kFirstIp; }
+
+void Fleet::start(std::size_t i) {
+  auto& n = nodes_[i];
+  ++n.life;
+  Output fx;
+  {
+    const HeapScope scope(account(i));
+    n.daemon = std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, random_(), now_, fx);
+  }
+  for (auto& write : fx.writes) n.disk[write.slot] = write.bytes;
+  at(now_ + Millis(random_() % 200), [this, i, life = n.life] { tickLoop(i, life); });
+}
+
+void Fleet::kill(std::size_t i) {
+  auto& n = nodes_[i];
+  n.daemon.reset();
+  n.unsynced.clear();
+}
+
+void Fleet::tickLoop(std::size_t i, std::uint64_t life) {
+  auto& n = nodes_[i];
+  if (!n.daemon || n.life != life) return;
+  step(i, [this](Daemon& d, Output& fx) { d.tick(now_, fx); });
+  if (n.daemon->readingDue(now_)) {
+    ++n.totals.platformReads;
+    at(now_ + kPlatformAnswer, [this, i, life, askedAt = now_] {
+      if (nodes_[i].daemon && nodes_[i].life == life)
+        step(i, [&](Daemon& d, Output& fx) { d.listed(platform_, askedAt, now_, fx); });
+    });
+  }
+  at(now_ + Daemon::tickPeriod(n.place.isController), [this, i, life] { tickLoop(i, life); });
+}
+
+// One call into a core: its memory and processor time are put down to the daemon, what comes out is carried out.
+void Fleet::step(std::size_t i, const std::function<void(Daemon&, Output&)>& call) {
+  auto& n = nodes_[i];
+  std::vector<Parcel> parcels;
+  Output fx;
+  {
+    const HeapScope scope(account(i));
+    const auto from = threadCpuNs();
+    call(*n.daemon, fx);
+    pack(fx.out, parcels);
+    n.totals.cpuNs += threadCpuNs() - from;
+    fx.out = {};
+  }
+  for (auto& write : fx.writes) {
+    n.unsynced.push_back(std::move(write));
+    at(now_ + kDiskSync + Millis(random_() % 4), [this, i, life = n.life] { sync(i, life); });
+  }
+  for (const auto& answer : fx.answers)
+    if (answer.status == 200) inForce_ = std::max(inForce_, wanted_);
+  dispatch(i, parcels);
+}
+
+// As net::Link does it: the same message to many is encoded once, and what goes over a connection waits there as a
+// copy of its own.
+void Fleet::pack(net::Outbox& out, std::vector<Parcel>& parcels) const {
+  const schema::Message* encoded = nullptr;
+  std::shared_ptr<const std::string> bytes;
+  for (const auto& item : out) {
+    if (encoded == nullptr || !(item.message == *encoded))
+      bytes = std::make_shared<const std::string>(net::encode(item.message));
+    encoded = &item.message;
+    parcels.push_back({item.to, item.message.index(),
+                       bytes->size() > kDatagram ? std::make_shared<const std::string>(*bytes) : bytes});
+  }
+}
+
+void Fleet::dispatch(std::size_t from, std::vector<Parcel>& parcels) {
+  auto& n = nodes_[from];
+  std::uniform_real_distribution<double> lot(0, 1);
+  for (auto& parcel : parcels) {
+    const auto size = parcel.bytes->size();
+    n.totals.sentMessages[parcel.kind] += 1;
+    n.totals.sentBytes[parcel.kind] += size;
+    const auto to = indexOf(parcel.to);
+    if (to >= nodes_.size() || (parted_ && regionOf(to) != regionOf(from))) continue;
+    // The machine's link carries one message after the other.
+    const auto carry = std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(size) * 8000.0 / shape_.linkMbps));
+    n.linkFreeAt = std::max(n.linkFreeAt, now_) + carry;
+    auto way = zoneOf(to) == zoneOf(from)       ? shape_.inZone
+               : regionOf(to) == regionOf(from) ? shape_.inRegion
+                                                : shape_.betweenRegions;
+    way += std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(way.count()) * 0.5 * lot(random_)));
+    base::Clock::duration extra{0};
+    bool lost = false;
+    for (std::size_t packet = 0; packet <= size / kPacket; ++packet) lost |= lot(random_) < shape_.loss;
+    if (lost && size <= kDatagram) continue;
+    if (lost) extra = kRetransmit;
+    at(n.linkFreeAt + way + extra, [this, to, from, kind = parcel.kind, bytes = std::move(parcel.bytes)] {
+      auto& receiver = nodes_[to];
+      if (!receiver.daemon) return;
+      receiver.totals.receivedMessages[kind] += 1;
+      receiver.totals.receivedBytes[kind] += bytes->size();
+      take(to, from, *bytes);
+    });
+  }
+}
+
+void Fleet::take(std::size_t to, std::size_t from, const std::string& bytes) {
+  step(to, [&](Daemon& d, Output& fx) {
+    auto message = net::decode(bytes);
+    if (!base::fault(message)) d.receive(std::get<0>(message), nodes_[from].place.cohort, now_, fx);
+  });
+}
+
+void Fleet::sync(std::size_t i, std::uint64_t life) {
+  auto& n = nodes_[i];
+  if (!n.daemon || n.life != life || n.unsynced.empty()) return;
+  const auto write = std::move(n.unsynced.front());
+  n.unsynced.erase(n.unsynced.begin());
+  n.disk[write.slot] = write.bytes;
+  step(i, [&](Daemon& d, Output& fx) { d.synced(write.token, true, now_, fx); });
+}
+
+void Fleet::change(std::uint64_t revision) {
+  wanted_ = revision;
+  if (inForce_ >= revision) return;
+  const auto holder = primary();
+  // Answered too late to be counted, but in force all the same.
+  if (holder && daemon(*holder).revision() >= revision) {
+    inForce_ = revision;
+    return;
+  }
+  if (holder)
+    step(*holder, [&](Daemon& d, Output& fx) {
+      if (d.revision() == 0)
+        d.replace(++calls_, 0, configuration(revision, shape_.tenants, shape_.models), now_, fx);
+      else
+        d.update(++calls_, d.revision(),
+                 fmt::format(R"({{"revision":{},"upsert":{{"routes":[{}]}}}})", revision,
+                             route(revision % shape_.tenants, shape_.models, 10000 + revision)),
+                 now_, fx);
+    });
+  at(now_ + kOrderAgain, [this, revision] {
+    if (inForce_ < revision && wanted_ == revision) change(revision);
+  });
+}
+
+void Fleet::drainRunner(std::size_t runner, bool is) { platform_[runner % platform_.size()].draining = is; }
+
+void Fleet::tell(std::size_t i, const schema::Demand& demand) {
+  step(i, [&](Daemon& d, Output& fx) { d.tell(demand, fx); });
+}
+
+std::optional<std::size_t> Fleet::primary() const {
+  for (std::size_t i = 0; i < shape_.controllers; ++i)
+    if (alive(i) && daemon(i).holdsOffice()) return i;
+  return std::nullopt;
+}
+
+std::optional<std::size_t> Fleet::lister() const {
+  for (std::size_t i = 0; i < shape_.controllers; ++i)
+    if (alive(i) && daemon(i).isLister()) return i;
+  return std::nullopt;
+}
+
+bool Fleet::viewEverywhere() const {
+  std::size_t running = 0;
+  for (const auto& n : nodes_) running += n.daemon != nullptr;
+  std::uint64_t number = 0;
+  for (const auto& n : nodes_) {
+    if (!n.daemon) continue;
+    const auto& view = n.daemon->group().view();
+    if (!view || view->members.size() != running || (number != 0 && view->number != number)) return false;
+    number = view->number;
+  }
+  // Of the right number of members, but perhaps of a failed daemon and without its successor: members of the view
+  // are compared with what each daemon calls itself.
+  std::vector<std::uint64_t> own;
+  const schema::View* any = nullptr;
+  for (const auto& n : nodes_)
+    if (n.daemon) {
+      own.push_back(n.daemon->group().incarnation());
+      any = &*n.daemon->group().view();
+    }
+  if (any == nullptr) return false;
+  std::sort(own.begin(), own.end());
+  return std::all_of(any->members.begin(), any->members.end(),
+                     [&](const auto& m) { return std::binary_search(own.begin(), own.end(), m.incarnation); });
+}
+
+bool Fleet::inForceEverywhere(std::uint64_t revision) const {
+  return std::all_of(nodes_.begin(), nodes_.end(),
+                     [&](const Node& n) { return !n.daemon || n.daemon->revision() >= revision; });
+}
+
+bool Fleet::listEverywhere(const schema::Stamp& least) const {
+  return std::all_of(nodes_.begin(), nodes_.end(),
+                     [&](const Node& n) { return !n.daemon || n.daemon->runnersStamp() >= least; });
+}
+
+}  // namespace indigohill::hollow
--- /dev/null
+++ b/src/hollow/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace indigohill::hollow {
+class Daemon;
+class Fleet;
+class HeapScope;
+struct Figure;
+struct Shape;
+}  // namespace indigohill::hollow
