Hollow links: a channel of its own to each daemon, with the backlog and the limit of net::Link

Cause: without the bound on what waits for a daemon, 380 daemons' founding held more than 4 GB of proposals.

--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kPlatformAnswer{5};
 constexpr Millis kOrderAgain{300};
 constexpr std::size_t kPacket = 1448;    // bytes of a message in one packet
+constexpr std::size_t kChannelBacklog = 16;  // these two as net::Link has them
+constexpr Millis kCallLimit{2000};
 
 bool later(const auto& a, const auto& b) { return std::tie(a.at, a.order) > std::tie(b.at, b.order); }
 
@@ -155,6 +157,7 @@
   auto& n = nodes_[i];
   n.daemon.reset();
   n.unsynced.clear();
+  n.channels.clear();
 }
 
 void Fleet::tickLoop(std::size_t i, std::uint64_t life) {
@@ -208,39 +211,82 @@
 }
 
 void Fleet::dispatch(std::size_t from, std::vector<Parcel>& parcels) {
-  auto& n = nodes_[from];
-  std::uniform_real_distribution<double> lot(0, 1);
   for (auto& parcel : parcels) {
-    const auto size = parcel.bytes->size();
-    n.totals.sentMessages[parcel.kind] += 1;
-    n.totals.sentBytes[parcel.kind] += size;
     const auto to = indexOf(parcel.to);
-    if (to >= nodes_.size() || (parted_ && regionOf(to) != regionOf(from))) continue;
-    // The machine's link carries one message after the other.
-    const auto carry = std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(size) * 8000.0 / shape_.linkMbps));
-    n.linkFreeAt = std::max(n.linkFreeAt, now_) + carry;
-    auto way = zoneOf(to) == zoneOf(from)       ? shape_.inZone
-               : regionOf(to) == regionOf(from) ? shape_.inRegion
-                                                : shape_.betweenRegions;
-    way += std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(way.count()) * 0.5 * lot(random_)));
-    base::Clock::duration extra{0};
-    bool lost = false;
-    for (std::size_t packet = 0; packet <= size / kPacket; ++packet) lost |= lot(random_) < shape_.loss;
-    if (lost && size <= kDatagram) continue;
-    if (lost) extra = kRetransmit;
-    at(n.linkFreeAt + way + extra, [this, to, from, kind = parcel.kind, bytes = std::move(parcel.bytes)] {
-      auto& receiver = nodes_[to];
-      if (!receiver.daemon) return;
-      receiver.totals.receivedMessages[kind] += 1;
-      receiver.totals.receivedBytes[kind] += bytes->size();
-      take(to, from, *bytes);
+    if (to >= nodes_.size()) continue;
+    if (parcel.bytes->size() <= kDatagram) {
+      datagram(from, to, std::move(parcel));
+      continue;
+    }
+    auto& channel = nodes_[from].channels[to];
+    channel.waiting.push_back(std::move(parcel));
+    if (channel.waiting.size() > kChannelBacklog) channel.waiting.pop_front();
+    if (!channel.busy) overChannel(from, to, nodes_[from].life);
+  }
+}
+
+// The machine's link carries one message after the other; then the way takes its time, and up to half as much more.
+base::TimePoint Fleet::arrival(std::size_t from, std::size_t to, std::size_t size) {
+  auto& n = nodes_[from];
+  const auto carry = std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(size) * 8000.0 / shape_.linkMbps));
+  n.linkFreeAt = std::max(n.linkFreeAt, now_) + carry;
+  const auto way = zoneOf(to) == zoneOf(from)       ? shape_.inZone
+                   : regionOf(to) == regionOf(from) ? shape_.inRegion
+                                                    : shape_.betweenRegions;
+  const double more = std::uniform_real_distribution<double>(0, 0.5)(random_);
+  return n.linkFreeAt + way + std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(way.count()) * more));
+}
+
+bool Fleet::loses(std::size_t size) {
+  bool lost = false;
+  for (std::size_t packet = 0; packet <= size / kPacket; ++packet)
+    lost |= std::uniform_real_distribution<double>(0, 1)(random_) < shape_.loss;
+  return lost;
+}
+
+void Fleet::datagram(std::size_t from, std::size_t to, Parcel parcel) {
+  auto& totals = nodes_[from].totals;
+  totals.sentMessages[parcel.kind] += 1;
+  totals.sentBytes[parcel.kind] += parcel.bytes->size();
+  const auto when = arrival(from, to, parcel.bytes->size());
+  if (!reaches(from, to) || loses(parcel.bytes->size())) return;
+  at(when, [this, to, from, parcel = std::move(parcel)] { arrived(to, from, parcel); });
+}
+
+// The next message that waits. One that is not there within the limit is lost, and all that waits behind it (net::Link).
+void Fleet::overChannel(std::size_t from, std::size_t to, std::uint64_t life) {
+  auto& n = nodes_[from];
+  if (!n.daemon || n.life != life) return;
+  auto& channel = n.channels[to];
+  channel.busy = !channel.waiting.empty();
+  if (!channel.busy) return;
+  auto parcel = std::move(channel.waiting.front());
+  channel.waiting.pop_front();
+  n.totals.sentMessages[parcel.kind] += 1;
+  n.totals.sentBytes[parcel.kind] += parcel.bytes->size();
+  auto when = arrival(from, to, parcel.bytes->size());
+  if (loses(parcel.bytes->size())) when += kRetransmit;
+  if (!reaches(from, to) || !alive(to) || when - now_ > kCallLimit) {
+    at(now_ + kCallLimit, [this, from, to, life] {
+      if (!nodes_[from].daemon || nodes_[from].life != life) return;
+      nodes_[from].channels[to].waiting.clear();
+      overChannel(from, to, life);
     });
+    return;
   }
+  at(when, [this, from, to, life, parcel = std::move(parcel)] {
+    arrived(to, from, parcel);
+    overChannel(from, to, life);
+  });
 }
 
-void Fleet::take(std::size_t to, std::size_t from, const std::string& bytes) {
+void Fleet::arrived(std::size_t to, std::size_t from, const Parcel& parcel) {
+  auto& n = nodes_[to];
+  if (!n.daemon) return;
+  n.totals.receivedMessages[parcel.kind] += 1;
+  n.totals.receivedBytes[parcel.kind] += parcel.bytes->size();
   step(to, [&](Daemon& d, Output& fx) {
-    auto message = net::decode(bytes);
+    auto message = net::decode(*parcel.bytes);
     if (!base::fault(message)) d.receive(std::get<0>(message), nodes_[from].place.cohort, now_, fx);
   });
 }
--- a/src/hollow/fleet.hpp
+++ b/src/hollow/fleet.hpp
@@ -1,6 +1,8 @@
 #pragma once
 #include <array>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -73,6 +75,16 @@
   bool listEverywhere(const schema::Stamp& least) const;
 
  private:
+  struct Parcel {
+    settings::Endpoint to;
+    std::size_t kind;
+    std::shared_ptr<const std::string> bytes;
+  };
+  // To one other daemon, for what is too large for a datagram: one message at a time.
+  struct Channel {
+    std::deque<Parcel> waiting;
+    bool busy = false;
+  };
   struct Node {
     Place place;
     std::unique_ptr<Daemon> daemon;
@@ -80,6 +92,7 @@
     Daemon::Disk disk;
     std::vector<control::DiskWrite> unsynced;
     base::TimePoint linkFreeAt{};
+    std::map<std::size_t, Channel> channels;
     Totals totals;
   };
   struct Event {
@@ -87,17 +100,19 @@
     std::uint64_t order;
     std::function<void()> what;
   };
-  struct Parcel {
-    settings::Endpoint to;
-    std::size_t kind;
-    std::shared_ptr<const std::string> bytes;
-  };
 
   void at(base::TimePoint when, std::function<void()> what);
   void step(std::size_t i, const std::function<void(Daemon&, Output&)>& call);
   void pack(net::Outbox& out, std::vector<Parcel>& parcels) const;
   void dispatch(std::size_t from, std::vector<Parcel>& parcels);
-  void take(std::size_t to, std::size_t from, const std::string& bytes);
+  void datagram(std::size_t from, std::size_t to, Parcel parcel);
+  void overChannel(std::size_t from, std::size_t to, std::uint64_t life);
+  base::TimePoint arrival(std::size_t from, std::size_t to, std::size_t size);
+  bool loses(std::size_t size);
+  bool reaches(std::size_t from, std::size_t to) const {
+    return to < nodes_.size() && !(parted_ && regionOf(to) != regionOf(from));
+  }
+  void arrived(std::size_t to, std::size_t from, const Parcel& parcel);
   void sync(std::size_t i, std::uint64_t life);
   void tickLoop(std::size_t i, std::uint64_t life);
   std::size_t indexOf(const settings::Endpoint& cohort) const;
