--- a/src/cli/hollow.cpp
+++ b/src/cli/hollow.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -43,11 +44,13 @@
   std::string csvPath, jsonPath, tablesPath = "-";
   hollow::Shape base;
   hollow::Course course;
-  std::size_t choices = 2000;
+  std::size_t choices = 2000, losses = 2;
   std::uint64_t steadyS = 20, partedS = 30;
   app.add_option("--size", sizes, "daemons:runners:tenants:controllers, several; controllers are among the daemons")
       ->capture_default_str();
   app.add_option("--seed", base.seed, "seed of everything drawn by lot")->capture_default_str();
+  app.add_option("--losses", losses, "machines with a disk that may be lost at once; fewer where controllers are few")
+      ->capture_default_str();
   app.add_option("--loss", base.loss, "share of packets lost")->capture_default_str()->check(CLI::Range(0.0, 0.5));
   app.add_option("--linkMbps", base.linkMbps, "what a machine's link carries outwards")
       ->capture_default_str()
@@ -75,6 +78,8 @@
       std::cerr << "indigohill-hollow: --size " << size << ": daemons:runners:tenants:controllers is wanted\n";
       return 2;
     }
+    // 2f + 1 voters; three controllers bear the loss of one.
+    shape.losses = std::min(losses, (shape.controllers - 1) / 2);
     course.say = [&](const std::string& what) { std::cerr << size << " " << what << "\n"; };
     for (auto& f : hollow::measureFleet(shape, course)) figures.push_back(std::move(f));
     for (auto& f : hollow::measureRouter(shape, choices)) figures.push_back(std::move(f));
--- a/src/hollow/daemon.cpp
+++ b/src/hollow/daemon.cpp
@@ -19,10 +19,16 @@
     return record.backup == voterId;
 }
 
+// Machines that may be lost at once with their disks, where the state of the code asks for them.
+template <class Tuning>
+void setLosses(Tuning& tuning, std::size_t losses) {
+  if constexpr (requires { tuning.losses; }) tuning.losses = losses;
+}
+
 }  // namespace
 
-Daemon::Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::uint64_t seed,
-               base::TimePoint now, Output& fx) {
+Daemon::Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::size_t losses,
+               std::uint64_t seed, base::TimePoint now, Output& fx) {
   std::vector<settings::Endpoint> cohorts, controls;
   for (const auto& s : seeds) {
     cohorts.push_back(s.cohort);
@@ -35,9 +41,10 @@
           return found == disk.end() ? std::nullopt : std::optional(found->second);
         },
         first, controls, place.control, seed, fx.writes);
+    control::Controller::Tuning tuning;
+    setLosses(tuning, losses);
     controller_ = std::make_unique<control::Controller>(control::Controller::Self{place.name, place.zone, place.cohort},
-                                                        std::move(identity), cohorts, control::Controller::Tuning{},
-                                                        seed + 1);
+                                                        std::move(identity), cohorts, tuning, seed + 1);
   } else {
     follower_ = std::make_unique<feed::Follower>(feed::Follower::Self{place.name, place.zone, place.cohort}, cohorts,
                                                  membership::Times{}, feed::Times{}, base::Millis(3000), seed, now);
--- a/src/hollow/daemon.hpp
+++ b/src/hollow/daemon.hpp
@@ -65,8 +65,9 @@
   using Disk = std::map<control::Slot, std::string>;
 
   // `first`: the very first start of the whole system. What is new on the disk is among the writes of `fx`.
-  Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::uint64_t seed,
-         base::TimePoint now, Output& fx);
+  // `losses`: machines with a disk that may be lost at once.
+  Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::size_t losses,
+         std::uint64_t seed, base::TimePoint now, Output& fx);
 
   static base::Millis tickPeriod(bool isController);
   void tick(base::TimePoint now, Output& fx);
--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -147,7 +147,7 @@
   Output fx;
   {
     const HeapScope scope(account(i));
-    n.daemon = std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, random_(), now_, fx);
+    n.daemon = std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, shape_.losses, random_(), now_, fx);
   }
   for (auto& write : fx.writes) n.disk[write.slot] = write.bytes;
   at(now_ + Millis(random_() % 200), [this, i, life = n.life] { tickLoop(i, life); });
--- a/src/hollow/fleet.hpp
+++ b/src/hollow/fleet.hpp
@@ -21,6 +21,7 @@
   std::size_t tenants = 24;  // one route each
   std::size_t models = 16;   // one service each
   std::size_t zones = 5, regions = 2;
+  std::size_t losses = 1;  // machines with a disk that may be lost at once
   std::uint64_t seed = 1;
   double loss = 0.001;  // of packets
   double linkMbps = 100;  // of each daemon's machine, outgoing
