--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -56,12 +56,13 @@
 
   // What an event cost beyond the steady state, over the span since the counters were set back.
   void cost(const std::string& scenario, double ms, double times = 1) {
-    std::uint64_t most = 0, cpu = 0;
+    std::uint64_t most = 0, cpu = 0, reads = 0;
     std::int64_t heap = 0;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       most = std::max(most, fleet_.totals(i).sent());
       cpu = std::max(cpu, fleet_.totals(i).cpuNs);
       heap = std::max(heap, heapOf(Fleet::account(i)).most);
+      reads += fleet_.totals(i).platformReads;
     }
     const double background = std::isnan(ms) ? 0 : steadyBytesPerS_ * ms / 1000.0;
     put(scenario, "bytes", std::max(0.0, static_cast<double>(allSent()) - background) / times, "bytes");
@@ -75,6 +76,7 @@
       put(scenario, "messages", messages / times, "", true, "", kKindNames[k]);
       put(scenario, "bytes", bytes / times, "bytes", true, "", kKindNames[k]);
     }
+    put(scenario, "platformReads", static_cast<double>(reads) / times, "");
     put(scenario, "mostSentByOne", static_cast<double>(most) / times, "bytes");
     put(scenario, "mostCpuOfOne", static_cast<double>(cpu) / 1e6 / times, "ms", false);
     put(scenario, "mostHeapOfOne", static_cast<double>(heap), "bytes");
