--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -315,6 +315,7 @@
   const auto live = [] { return static_cast<double>(heapOf(kAccount).live); };
 
   const auto document = configuration(1, shape.tenants, shape.models);
+  control::parseConfiguration(document);  // what the libraries keep from their first use is no part of it
   const double beforeConfiguration = live();
   auto parsed = control::parseConfiguration(document);
   if (base::fault(parsed)) return out;
