Simulate relays at their own pace; shorter lines

Cause: the simulator ticked relays like voters, the program ticks them every 250 ms.

Change: the simulator does so too. Some lines are broken up. No behaviour of the program changes.

Measured: test_world (19), test_losses (16), test_parts (23), test_pass (14), test_plan (7), test_replay (7): all pass.

Conclusion: kept.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -216,7 +216,8 @@
   };
   for (const auto& voter : voters) ++held[zoneOf(voter)];
   for (const auto* m : pool) held.try_emplace(m->zone, 0);
-  const auto wanted = std::max(voters.size(), 2 * std::min(self_.losses, (pool.size() - (pool.empty() ? 0 : 1)) / 2) + 1);
+  const auto borne = pool.empty() ? 0 : std::min(self_.losses, (pool.size() - 1) / 2);
+  const auto wanted = std::max(voters.size(), 2 * borne + 1);
   // In fewer zones than it takes, they are at least spread evenly.
   const auto most = std::max(self_.losses, (wanted + held.size() - 1) / held.size());
   const auto heir = [&](const std::string& zone) -> const schema::Member* {
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -12,7 +12,7 @@
 using base::Millis;
 
 namespace {
-constexpr Millis kControllerTick{100}, kRouterTick{200};
+constexpr Millis kControllerTick{100}, kRouterTick{200}, kRelayTick{250};
 constexpr Millis kDiskSync{4};
 
 // What makes two views the same.
@@ -98,12 +98,13 @@
   }
   if (n.isController) {
     std::vector<control::DiskWrite> writes;
-    auto identity = n.isRelay ? control::Identity{} : control::identify(
-        [&](control::Slot slot) -> std::optional<std::string> {
-          const auto found = n.disk.find(slot);
-          return found == n.disk.end() ? std::nullopt : std::optional(found->second);
-        },
-        bootstrap_ && n.life == 1, controls, n.control, random_(), writes);
+    control::Identity identity;
+    const auto read = [&](control::Slot slot) -> std::optional<std::string> {
+      const auto found = n.disk.find(slot);
+      return found == n.disk.end() ? std::nullopt : std::optional(found->second);
+    };
+    if (!n.isRelay)
+      identity = control::identify(read, bootstrap_ && n.life == 1, controls, n.control, random_(), writes);
     control::Controller::Tuning tuning;
     tuning.losses = shape_.losses;
     n.controller = std::make_unique<control::Controller>(control::Controller::Self{n.name, n.zone, n.cohort},
@@ -146,7 +147,7 @@
       n.follower->tick(now_, fx);
       perform(i, fx);
     }
-    after(n.isController ? kControllerTick : kRouterTick, [this, i, life] { tickLoop(i, life); });
+    after(n.isRelay ? kRelayTick : n.isController ? kControllerTick : kRouterTick, [this, i, life] { tickLoop(i, life); });
   });
 }
 
--- a/tests/test_losses.cpp
+++ b/tests/test_losses.cpp
@@ -20,8 +20,9 @@
 };
 
 Seeds seeds(std::uint64_t usual) {
-  if (const char* one = std::getenv("INDIGOHILL_SEED")) return {std::strtoull(one, nullptr, 10), std::strtoull(one, nullptr, 10)};
-  if (const char* more = std::getenv("INDIGOHILL_SEEDS")) return {1, std::strtoull(more, nullptr, 10)};
+  const auto number = [](const char* text) { return std::strtoull(text, nullptr, 10); };
+  if (const char* one = std::getenv("INDIGOHILL_SEED")) return {number(one), number(one)};
+  if (const char* more = std::getenv("INDIGOHILL_SEEDS")) return {1, number(more)};
   return {1, usual};
 }
 
@@ -267,8 +268,8 @@
     Operator op{world};
     bringUp(world, op);
     int won = 0, lost = 0;
-    for (const auto revision : {11, 12})
-      world.orderUntilClear(control::OrderKind::Replace, 1, document(static_cast<std::uint64_t>(revision), 1000u + static_cast<unsigned>(revision)), [&](const auto& a) {
+    for (const std::uint64_t revision : {11, 12})
+      world.orderUntilClear(control::OrderKind::Replace, 1, document(revision, 1000 + revision), [&](const auto& a) {
         won += a.status == 200;
         lost += a.status == 412;
       });
