Hollow: the configuration after a loss of power is looked at at once

Cause: it was looked at a second after the view, so the figure was the view's and a second. Change: looked at from the view on; a new fleet sets its accounts back.

--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -92,6 +92,7 @@
     place.control = {place.cohort.ip, 8000};
     if (place.isController && seeds_.size() < kSeeds) seeds_.push_back(place);
   }
+  setBack();  // the accounts may have been those of a fleet before
   for (std::size_t i = 0; i < nodes_.size(); ++i) start(i);
   at(now_ + Millis(3000), [this] { first_ = false; });
 }
--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -266,12 +266,13 @@
     for (std::size_t i = 0; i < fleet_.size(); ++i) fleet_.kill(i);
     fleet_.run(Millis(1000));
     for (std::size_t i = 0; i < fleet_.size(); ++i) fleet_.start(i);
-    const auto from = fleet_.now();
-    timed("power lost", "viewEverywhere", [this] { return fleet_.viewEverywhere(); });
-    course_.say("configuration after it");
+    course_.say("power lost");
+    const double view = until([this] { return fleet_.viewEverywhere(); });
+    put("power lost", "viewEverywhere", view, "ms");
     const double rest = until([this] { return fleet_.inForceEverywhere(revision_); });
-    put("power lost", "inForceEverywhere",
-        std::isnan(rest) ? kNever : std::chrono::duration<double, std::milli>(fleet_.now() - from).count(), "ms");
+    put("power lost", "inForceEverywhere", (std::isnan(view) ? static_cast<double>(course_.limit.count()) : view) + rest, "ms");
+    fleet_.run(Millis(1000));
+    cost("power lost", 1000 + (std::isnan(view + rest) ? 0 : view + rest));
   }
 
   Shape shape_;
