One zone's word eases nothing for the others

Cause: a runner that one zone leaves out is on probation at that zone's assessors, and there one report from outside was enough to leave it out everywhere. A cut between two zones and one router with a bad path did so. Change: fewer reports suffice for all only if all had left it out before.

--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -29,7 +29,7 @@
     reporters_[reporter.incarnation] = {reporter.zone, now};
 }
 
-std::optional<std::uint64_t> Evidence::agreed(const Routers& routers, double expected, bool probation,
+std::optional<std::uint64_t> Evidence::agreed(const Routers& routers, double expected, const Suspension& before,
                                               base::TimePoint now) {
   std::erase_if(reporters_, [&](const auto& r) { return now - r.second.second >= kEvidenceLife; });
   std::map<std::uint64_t, std::size_t> reports;
@@ -42,17 +42,23 @@
     }
   const auto inZone = static_cast<std::size_t>(
       std::count_if(routers.begin(), routers.end(), [&](const auto& r) { return r.zone == commonest; }));
-  const std::size_t elsewhere = inZone == routers.size() ? 0 : probation ? 1 : 2;
-  if (reporters_.size() >= reportsNeeded(expected, probation) && reporters_.size() - most >= elsewhere)
+  // One zone that has left it out by itself says nothing about the others.
+  const bool eased = before.probationForAll(now);
+  const std::size_t elsewhere = inZone == routers.size() ? 0 : eased ? 1 : 2;
+  if (reporters_.size() >= reportsNeeded(expected, eased) && reporters_.size() - most >= elsewhere)
     return kEveryZone;
   const double ofZone = expected * static_cast<double>(inZone) / static_cast<double>(std::max<std::size_t>(1, routers.size()));
-  if (most >= reportsNeeded(ofZone, probation)) return commonest;
+  if (most >= reportsNeeded(ofZone, before.probation(now))) return commonest;
   return std::nullopt;
 }
 
-void Suspension::begin(base::Millis first, base::TimePoint now) {
+void Suspension::begin(base::Millis first, bool byAll, base::TimePoint now) {
   if (holds(now)) return;
-  if (!probation(now)) times_ = 0;
+  if (!probation(now)) {
+    times_ = 0;
+    byAll_ = false;
+  }
+  byAll_ |= byAll;
   const auto length = first * (1u << std::min(times_, kDoublings));
   ++times_;
   until_ = now + length;
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -17,6 +17,23 @@
 constexpr std::size_t kAssessors = 2;
 std::vector<std::uint64_t> assessorsOf(const Routers& routers, const std::string& instanceId);
 
+// A runner left out on the word of others. After each time it is tried again; while it is on probation fewer reports
+// are needed, and the time doubles.
+class Suspension {
+ public:
+  bool holds(base::TimePoint now) const { return now < until_; }
+  bool probation(base::TimePoint now) const { return times_ > 0 && now < probationUntil_; }
+  // Left out by all before, not by one zone alone: only then are fewer reports enough for all.
+  bool probationForAll(base::TimePoint now) const { return byAll_ && probation(now); }
+  // `byAll`: for every zone and not for the own one alone.
+  void begin(base::Millis first, bool byAll, base::TimePoint now);
+
+ private:
+  base::TimePoint until_{}, probationUntil_{};
+  std::uint32_t times_ = 0;
+  bool byAll_ = false;
+};
+
 // What an assessor has heard of one runner: who had trouble there, and when last.
 class Evidence {
  public:
@@ -24,26 +41,13 @@
   // For whom enough routers agree. For all: `needed` of them, two of which are outside the zone that most are of (one is
   // enough on probation). Else for the routers of that zone alone, when enough of it agree: a cut between two zones is no
   // evidence for the others, nor is one router's own bad path, and a runner may be ill toward one zone only.
-  std::optional<std::uint64_t> agreed(const Routers& routers, double expected, bool probation, base::TimePoint now);
+  std::optional<std::uint64_t> agreed(const Routers& routers, double expected, const Suspension& before, base::TimePoint now);
   void clear() { reporters_.clear(); }
 
  private:
   std::map<std::uint64_t, std::pair<std::uint64_t, base::TimePoint>> reporters_;  // incarnation: zone, when
 };
 
-// A runner left out on the word of others. After each time it is tried again; while it is on probation fewer reports
-// are needed, and the time doubles.
-class Suspension {
- public:
-  bool holds(base::TimePoint now) const { return now < until_; }
-  bool probation(base::TimePoint now) const { return times_ > 0 && now < probationUntil_; }
-  void begin(base::Millis first, base::TimePoint now);
-
- private:
-  base::TimePoint until_{}, probationUntil_{};
-  std::uint32_t times_ = 0;
-};
-
 // Which late first bytes a router tells of. One is told when the next answers from other runners of the service were in
 // time. While one in p is late everywhere, p(1-p)^4 are told, 8 in 100 at most: less than any runner is left out for.
 class Lateness {
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -640,19 +640,19 @@
   const double expected = static_cast<double>(budgets_[service].requests.sum) * base::seconds(kEvidenceLife) /
                           base::seconds(bounds_.retryWindow) * static_cast<double>(routers.size()) /
                           static_cast<double>(std::max<std::size_t>(1, there));
-  const auto forWhom = runner.evidence.agreed(routers, expected, runner.suspension.probation(now), now);
+  const auto forWhom = runner.evidence.agreed(routers, expected, runner.suspension, now);
   if (!forWhom) return;
   const auto own = std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == picture_->self; });
   const bool here = *forWhom == kEveryZone || (own != routers.end() && own->zone == *forWhom);
   // What this router would not follow itself it tells nobody.
-  if (here && !suspend(runner, now)) return;
+  if (here && !suspend(runner, *forWhom == kEveryZone, now)) return;
   runner.evidence.clear();
   agreed_[*forWhom].insert(runner.entry.instanceId);
 }
 
 // Never more than the rest can carry: at most a quarter of the runners are left out on the word of others, and only
 // while the others have the slots for what is demanded of all.
-bool Table::suspend(Runner& runner, base::TimePoint now) {
+bool Table::suspend(Runner& runner, bool byAll, base::TimePoint now) {
   std::size_t there = 0, out = 0;
   double asked = 0, slots = 0;
   for (const auto& [id, other] : runners_) {
@@ -666,7 +666,7 @@
       slots += other.entry.slots;
   }
   if (4 * (out + 1) > there || asked > slots) return false;
-  runner.suspension.begin(bounds_.policy.ejectMs, now);
+  runner.suspension.begin(bounds_.policy.ejectMs, byAll, now);
   return true;
 }
 
@@ -693,7 +693,7 @@
     if (found == runners_.end()) continue;
     if (!suspicions.agreed) {
       gather(found->second, *from, now);
-    } else if (suspend(found->second, now)) {
+    } else if (suspend(found->second, suspicions.zone == kEveryZone, now)) {
       found->second.evidence.clear();
     }
   }
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -265,7 +265,7 @@
   double demand(const Runner& runner, base::TimePoint now) const;
   void met(Runner& runner, base::TimePoint now);
   void gather(Runner& runner, const RouterId& reporter, base::TimePoint now);
-  bool suspend(Runner& runner, base::TimePoint now);
+  bool suspend(Runner& runner, bool byAll, base::TimePoint now);
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   double warmShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
                          base::TimePoint now);
