A trial that ends without a word is followed by another

Cause: a runner that had been left out got one request as a trial, and nothing more until that one said how it went. If its client went or its time was over, nothing was said, and the router left the runner out for the rest of its life.

Change: the trial ends with its request, however that ends.

Measured: the new test fails without the mend (no request in the second round) and passes with it.

--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -393,7 +393,10 @@
   promptRead(instanceId, prompt, told, std::nullopt);
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
-  if (found != runners_.end() && found->second.own > 0) --found->second.own;
+  if (found == runners_.end()) return;
+  if (found->second.own > 0) --found->second.own;
+  // A trial that ended without a word on the runner's health makes room for another.
+  found->second.trial = false;
 }
 
 void Table::mark(const std::string& instanceId, Mark mark, base::TimePoint now) {
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -403,6 +403,23 @@
   cr_assert(seen.contains("p0"));
 }
 
+Test(routing, a_trial_that_ends_without_a_word_is_followed_by_another) {
+  // The client went, or its time was over: the runner that it tried is not left out for good.
+  Routed r;
+  for (int i = 0; i < 2; ++i) r.table.mark("p0", routing::Mark::Fault, r.now);
+  for (int round = 0; round < 3; ++round) {
+    r.now += Millis(1100);
+    r.table.setLease(r.now + Millis(1000));
+    std::size_t tried = 0;
+    std::vector<routing::Decision> held;
+    for (int i = 0; i < 6; ++i) {
+      held.push_back(r.table.decide(r.ask("/check/1"), r.now));
+      tried += std::get<routing::PassTo>(held.back()).instanceId == "p0";
+    }
+    cr_assert_eq(tried, 1u, "round %d: %zu", round, tried);
+  }
+}
+
 Test(feed, an_ask_is_answered_when_there_is_news) {
   base::TimePoint now{std::chrono::hours(1)};
   feed::Source source({});
