--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -194,6 +194,34 @@
   }
 }
 
+Test(warm, in_the_group_itself_the_rates_of_88_routers_stay_under_the_bound_and_are_held, .timeout = 300) {
+  // The simulator adds the rates up after each step; here they are also seen to be in use, before and after losses.
+  sim::Shape shape;
+  shape.controllers = 3;
+  shape.routers = 88;
+  shape.seed = 11;
+  shape.warmupSlack = 5;
+  sim::World world(shape);
+  control::Service service;
+  service.warmupPerS = 18;
+  const auto holders = [&] {
+    std::size_t out = 0;
+    for (std::size_t i = world.controllers(); i < world.size(); ++i)
+      if (world.node(i).alive) out += world.node(i).table->warmShare("cold-a", "zone-1", service, world.now()) > 0;
+    return out;
+  };
+  const auto some = [&] { return holders() >= 8; };
+  cr_assert(world.runUntil(Millis(20000), some), "%zu holders", holders());
+  for (std::size_t i = 0; i < 14; ++i) world.kill(world.controllers() + world.random() % 88);
+  world.run(Millis(2500));
+  cr_assert(world.runUntil(Millis(15000), some), "%zu holders", holders());
+  for (std::size_t i = world.controllers(); i < world.size(); ++i)
+    if (!world.node(i).alive) world.start(i);
+  world.run(Millis(3000));
+  cr_assert(world.runUntil(Millis(20000), some), "%zu holders", holders());
+  cr_assert_not(world.broken().has_value(), "%s", world.broken().value_or("").c_str());
+}
+
 namespace {
 
 // The routers hear each other: what one has to tell reaches the others, in the test's own time. Returns the bytes heard.
