Idle connections: single resets and orderly closings do not stop their reuse

Cause: the limit was the shortest idle time after which a connection was found closed or reset.

Change: resets and kept ones are counted by how long the connection had stood; an age is given up when more than a tenth of the reused ones were reset there, two at least. Counts halve every 30 s. Closings that the runner told are no evidence.

Measured: test_pass, with crashes among a hundred reuses, and with forgetting from 600 ms on and at once.

--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -467,7 +467,7 @@
   // health. Whether it has read the request is not known all the same.
   const auto failed = [&](const boost::system::error_code& error, bool answered) {
     if (connection->reused && !answered && error != beast::error::timeout)
-      pool_.forgotten(x.service, *connection);
+      pool_.reused(x.service, *connection, true);
     else
       table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
   };
@@ -502,6 +502,7 @@
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer of another request breaks off"};
   }
   watch.end();
+  if (connection->reused) pool_.reused(x.service, *connection, false);
   const auto& head = parser->get();
   const auto status = static_cast<int>(head.result_int());
   if (const auto load = view(head[kLoad]); !load.empty()) {
--- a/src/pass/pool.cpp
+++ b/src/pass/pool.cpp
@@ -8,9 +8,9 @@
 constexpr base::Millis kConnect{700};
 constexpr base::Millis kSilent{2000};
 constexpr std::size_t kIdleEach = 32;
-constexpr base::Millis kIdleUnseen{400};          // for what must not be repeated, while nothing was seen
-constexpr base::Millis kIdleLeast{50};
-constexpr base::Millis kLimitLife{60000};         // runners change: what was seen is forgotten after this
+constexpr base::Millis kIdleOnce{400};  // the longest for what must not be repeated
+constexpr base::Millis kFirstAge{50}, kCountsHalve{30000};
+constexpr double kResetsToTell = 2, kResetShare = 0.1;
 
 // Closed by the other side, or with bytes that belong to no request.
 bool clean(http::tcp::socket& socket) {
@@ -22,19 +22,24 @@
 }
 }  // namespace
 
-void IdleLimit::forgotten(base::Clock::duration idleFor, base::TimePoint now) {
-  if (now - seenAt_ >= kLimitLife) shortest_ = base::Clock::duration::max();
-  shortest_ = std::min(shortest_, idleFor);
-  seenAt_ = now;
+void IdleLimit::reused(base::Clock::duration idleFor, bool reset, base::TimePoint now) {
+  if (now - halvedAt_ >= kCountsHalve) {
+    for (auto& age : ages_) age = {age.kept / 2, age.reset / 2};
+    halvedAt_ = now;
+  }
+  std::size_t i = 0;
+  for (base::Clock::duration from = kFirstAge; idleFor >= from && i + 1 < ages_.size(); from *= 2) ++i;
+  (reset ? ages_[i].reset : ages_[i].kept) += 1;
 }
 
-base::Clock::duration IdleLimit::most(bool repeatable, base::TimePoint now) const {
-  const auto seen = now - seenAt_ < kLimitLife ? shortest_ : base::Clock::duration::max();
-  // A try costs little and the budget bears it, but each one that is reset comes late.
-  if (repeatable) return seen == base::Clock::duration::max() ? seen : seen - seen / 8;
-  // Where they are forgotten almost at once, none is used for it.
-  if (seen / 2 < kIdleLeast) return base::Clock::duration::zero();
-  return std::min<base::Clock::duration>(kIdleUnseen, seen / 2);
+base::Clock::duration IdleLimit::most(bool repeatable) const {
+  auto begins = base::Clock::duration::max();
+  for (std::size_t i = 0; i < ages_.size(); ++i)
+    if (ages_[i].reset >= kResetsToTell && ages_[i].reset > kResetShare * (ages_[i].reset + ages_[i].kept)) {
+      begins = i == 0 ? base::Clock::duration::zero() : kFirstAge * (1u << (i - 1));
+      break;
+    }
+  return repeatable ? begins : std::min<base::Clock::duration>(kIdleOnce, begins / 2);
 }
 
 std::unique_ptr<Connection> Pool::takeIdle(const std::string& service, const std::string& instanceId, bool repeatable) {
@@ -48,7 +53,7 @@
       // The one used last: the others may then run out and be closed.
       const auto& last = *list->second.back();
       // When the youngest is too old, all are. They stay for what may be repeated.
-      if (now - last.idleSince >= limits_[service].most(repeatable, now)) {
+      if (now - last.idleSince >= limits_[service].most(repeatable)) {
         if (repeatable) list->second.clear();
         return nullptr;
       }
@@ -61,13 +66,12 @@
       found->reused = true;
       return found;
     }
-    forgotten(service, *found);
   }
 }
 
-void Pool::forgotten(const std::string& service, const Connection& connection) {
+void Pool::reused(const std::string& service, const Connection& connection, bool reset) {
   const std::lock_guard lock(mutex_);
-  limits_[service].forgotten(connection.idleFor, base::Clock::now());
+  limits_[service].reused(connection.idleFor, reset, base::Clock::now());
 }
 
 asio::awaitable<base::Result<std::unique_ptr<Connection>>> Pool::take(const std::string& service,
--- a/src/pass/pool.hpp
+++ b/src/pass/pool.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <array>
 #include <list>
 #include <map>
 #include <memory>
@@ -23,18 +24,22 @@
 };
 
 // What runners of a service have been seen to keep of idle connections. They may forget one early and without notice;
-// what is then sent on it is reset, and whether it ran is not known.
+// what is then sent on it is reset, and whether it ran is not known. Runners that crash reset connections of every age, so
+// single resets say nothing: counted is how many of the reused ones were reset, by how long they had stood.
 class IdleLimit {
  public:
-  // One that had stood for so long turned out to be closed or was reset.
-  void forgotten(base::Clock::duration idleFor, base::TimePoint now);
-  // How long one may have stood to carry a request. What must not be repeated gets one well below what was seen, and
-  // a short-lived one while nothing was seen.
-  base::Clock::duration most(bool repeatable, base::TimePoint now) const;
+  void reused(base::Clock::duration idleFor, bool reset, base::TimePoint now);
+  // How long one may have stood to carry a request: less than where resets begin. What must not be repeated gets half
+  // of it, and never one that has stood for long.
+  base::Clock::duration most(bool repeatable) const;
 
  private:
-  base::Clock::duration shortest_ = base::Clock::duration::max();
-  base::TimePoint seenAt_{};
+  struct Age {
+    double kept = 0, reset = 0;
+  };
+  // Ages from 0, 50, 100, 200 ms and so on, each twice the one before.
+  std::array<Age, 12> ages_{};
+  base::TimePoint halvedAt_{};
 };
 
 class Pool {
@@ -46,8 +51,8 @@
                                                                         const std::string& instanceId,
                                                                         const settings::Endpoint& address,
                                                                         bool repeatable, base::TimePoint deadline);
-  // A reused connection was reset before a byte of an answer came.
-  void forgotten(const std::string& service, const Connection& connection);
+  // How a reused connection fared: reset before a byte of an answer came, or not.
+  void reused(const std::string& service, const Connection& connection, bool reset);
   void giveBack(const std::string& instanceId, std::unique_ptr<Connection> connection, base::Millis idle);
   // Forgets the connections to instances for which `keep` says no, and those idle for too long.
   void sweep(const std::set<std::string>& keep, base::TimePoint now);
