Routers tell each other where long shared parts are newly kept; the common order speaks where the index knows nobody

Cause: with 88 routers, a router's own record sees a 88th of the traffic and adds nothing to the common order. Where the index knows a keeper, the rendezvous order no longer counts, unless more homes are needed.

--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -69,7 +69,7 @@
 void Taking::begun(base::Clock::duration after) {
   if (table_ == nullptr) return;
   table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
-  if (!parts_.empty()) table_->stored(instanceId_, model_, std::exchange(parts_, {}));
+  if (!parts_.empty()) table_->answered(instanceId_, model_, std::exchange(parts_, {}));
 }
 
 void Taking::release() {
@@ -200,10 +200,13 @@
 
 void Table::stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt) {
   const std::lock_guard lock(mutex_);
-  const auto found = runners_.find(instanceId);
-  if (found == runners_.end() || !index_) return;
+  if (const auto found = runners_.find(instanceId); found != runners_.end()) store(found->second, model, prompt);
+}
+
+void Table::store(const Runner& runner, std::uint64_t model, kvindex::Chain prompt) {
+  if (!index_) return;
   try {
-    index_->store(found->second.number, model, prompt);
+    index_->store(runner.number, model, prompt);
   } catch (const std::exception& error) {
     // What an interrupted store leaves is not to be trusted.
     lookUpFailed(error.what());
@@ -212,6 +215,31 @@
   }
 }
 
+void Table::answered(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end()) return;
+  const auto shared = sharedParts(prompt);
+  std::uint64_t tokens = 0;
+  for (const auto& part : shared) tokens += part.second;
+  // One router sees a small part of the traffic, so its own record alone says little. What is short is cheaper read
+  // again than told.
+  const bool news = tell_ && index_ && static_cast<double>(tokens) >= bounds_.policy.recordTokens &&
+                    index_->overlap(found->second.number, model, shared).tokens < tokens;
+  store(found->second, model, prompt);
+  if (!news || !mayTell()) return;
+  schema::Demand record{instanceId, 0, 0, model, {}};
+  for (const auto& [id, count] : shared) record.parts.push_back({id, count});
+  tell_(record);
+}
+
+// What each router may tell is its part of what each may be told.
+bool Table::mayTell() {
+  if (tellings_ < 1) return false;
+  tellings_ -= 1;
+  return true;
+}
+
 // The request goes on by load alone. Said once: where one fails, many do.
 void Table::lookUpFailed(const char* what) {
   if (failedLookUps_++ == 0) spdlog::warn("look-up of kept prompt parts failed, routing by load alone: {}", what);
@@ -411,9 +439,12 @@
     for (const auto& o : overlaps(asked))
       if (auto* runner = byNumber_[o.runner]; runner != nullptr && usable(*runner, asked.service))
         known.emplace_back(runner, static_cast<double>(o.tokens));
+    // The common order speaks only where the index knows of nobody, or where more homes are needed.
+    const bool knows = std::any_of(known.begin(), known.end(),
+                                   [&](const auto& k) { return k.second >= static_cast<double>(sharedTokens); });
     for (std::size_t i = 0; i < places.size(); ++i) {
       auto* runner = pool.runners[places[i]];
-      double kept = expected(i);
+      double kept = knows && (homes == 1 || i >= homes) ? 0 : expected(i);
       for (const auto& [other, tokens] : known)
         if (other == runner) kept = std::max(kept, tokens);
       add(*runner, kept);
@@ -434,6 +465,8 @@
   const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
   if (service == nullptr) return Shed{503, 0.5, "service unknown"};
   const auto& policy = bounds_.policy;
+  const double perS = policy.toldPerS / static_cast<double>(std::max<std::size_t>(1, routersLocked(now, bounds_.lease)));
+  tellings_ = std::min(std::max(5.0, perS), tellings_ + perS * base::seconds(now - std::exchange(tellingsAt_, now)));
   const bool engine = service->kvCacheTokens > 0;
   const auto* pool = poolOf(asked.service);
   const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
@@ -502,9 +535,9 @@
     const auto toRead = choice.toRead != 0 ? choice.toRead : asked.promptTokens;
     runner.ownPrompt += toRead;
     std::uint64_t told = 0;
-    if (engine && tell_ && toRead >= policy.tellTokens) {
+    if (engine && tell_ && toRead >= policy.tellTokens && mayTell()) {
       told = random_() | 1;
-      tell_({runner.entry.instanceId, told, toRead});
+      tell_({runner.entry.instanceId, told, toRead, 0, {}});
     }
     if (runner.ejectedUntil != base::TimePoint{} && runner.ejectedUntil <= now) runner.trial = true;
     return PassTo{runner.entry.instanceId,
@@ -526,6 +559,12 @@
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(demand.instanceId);
   if (found == runners_.end()) return;
+  if (!demand.parts.empty()) {
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> parts;
+    for (const auto& part : demand.parts) parts.emplace_back(part.id, part.tokens);
+    store(found->second, demand.model, parts);
+    return;
+  }
   // The word that it has been read may be lost: after a while it is taken to have been.
   if (demand.tokens == 0)
     found->second.others.erase(demand.id);
@@ -553,7 +592,7 @@
     tokensPerMs_ = tokensPerMs_ == 0 ? seen : 0.9 * tokensPerMs_ + 0.1 * seen;
   }
   runner.ownPrompt -= std::min<std::uint64_t>(runner.ownPrompt, prompt);
-  if (told != 0 && tell_) tell_({instanceId, told, 0});
+  if (told != 0 && tell_) tell_({instanceId, told, 0, 0, {}});
 }
 
 void Table::giveBack(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told) {
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -177,7 +177,9 @@
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
-  // A runner keeps this prompt now: it has answered it.
+  // A runner has answered this prompt and keeps it now. Long shared parts that it did not keep before are told.
+  void answered(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
+  // A runner keeps this prompt now.
   void stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
   struct IndexState {
     kvindex::Counters counters;
@@ -236,6 +238,8 @@
     std::vector<std::uint64_t> hashes;
   };
 
+  void store(const Runner& runner, std::uint64_t model, kvindex::Chain prompt);
+  bool mayTell();
   void number(Runner& runner);
   void forget(const Runner& runner);
   const Pool* poolOf(const std::string& service) const;
@@ -271,6 +275,8 @@
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
   std::function<void(const schema::Demand&)> tell_;
+  double tellings_ = 1;            // messages that may be told now
+  base::TimePoint tellingsAt_{};
   double tokensPerMs_ = 0;  // how fast engines read, as seen here; 0: not seen yet
 };
 
