A whole ranking of which nobody is left is made anew

Cause: a service small enough to be ranked whole would have no ranking left when all its runners are new lives. Change: nobody to choose from always leads to another ranking.

--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -522,7 +522,7 @@
     return c.demand >= (engine ? policy.engineFill : policy.plainFill) * c.runner->entry.slots;
   };
   gather();
-  if (std::all_of(choices.begin(), choices.end(), full) && (asked.ranking.order.empty() || !asked.ranking.all)) {
+  if (std::all_of(choices.begin(), choices.end(), full) && (choices.empty() || !asked.ranking.all)) {
     rank(asked, *pool, engine, now);
     gather();
   }
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -457,6 +457,16 @@
   cr_assert_eq(c.table.indexState().rankings, 2u);
 }
 
+Test(choice, new_lives_take_the_place_of_a_whole_ranking) {
+  Chooser c(3);
+  auto asked = c.ask(5);
+  { const auto first = c.table.decide(asked, c.now); }
+  cr_assert(asked.ranking.all);
+  for (auto& entry : c.list) entry.instanceId += "-again";
+  c.show();
+  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(asked, c.now)));
+}
+
 Test(choice, parts_that_one_engine_cannot_read_for_all_get_further_homes) {
   Chooser c(40);
   std::set<std::string> seen;
