--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -479,12 +479,7 @@
   }
   std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
   nextOrder(now, fx);
-  if (active() && now - beatSentAt_ >= times_.beat) {
-    beatSentAt_ = now;
-    for (const auto& m : around_.controllers)
-      if (m.voterId != self_.voterId)
-        fx.out.push_back({{m.ip, m.port}, schema::Beat{self_.voterId, *record_, published_->stamp}});
-  }
+  if (active() && now - beatSentAt_ >= times_.beat) beat(now, fx);
   drainLocal(now, fx);
 }
 
@@ -666,6 +661,13 @@
       send(backup, schema::Copy{self_.voterId, current_->token, false, *record_, current_->frame}, fx);
 }
 
+void Replica::beat(base::TimePoint now, Effects& fx) {
+  beatSentAt_ = now;
+  for (const auto& m : around_.controllers)
+    if (m.voterId != self_.voterId)
+      fx.out.push_back({{m.ip, m.port}, schema::Beat{self_.voterId, *record_, published_->stamp}});
+}
+
 // In force only when it is on the primary's and on every backup's disk: then shown, then acknowledged.
 void Replica::finishWrite(base::TimePoint now, Effects& fx) {
   if (!current_ || !current_->ownDone || !copiesWhole(current_->copied)) return;
@@ -676,7 +678,8 @@
   }
   if (current_->order) fx.answers.push_back({current_->order->call, 200, "{}", {}});
   current_.reset();
-  beatSentAt_ = {};
+  // At once: until they have heard of it, the others send operators away and vouch for nothing.
+  beat(now, fx);
   nextOrder(now, fx);
 }
 
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -167,6 +167,7 @@
   void watchVoters(base::TimePoint now);
   void startWrite(schema::Frame frame, std::optional<Order> order, base::TimePoint now, Effects& fx);
   void sendCopies(base::TimePoint now, Effects& fx);
+  void beat(base::TimePoint now, Effects& fx);
   void finishWrite(base::TimePoint now, Effects& fx);
   void nextOrder(base::TimePoint now, Effects& fx);
   void stepDown(Effects& fx);
