Idle connections: half of the told time for what must not be repeated, no fixed limit

Cause: not more than 0.4 s of standing idle for requests that must not be repeated. With 88 routers before 89 runners a connection stands for some ten seconds between two requests, so nearly none was used again.

Change: such a request takes a connection that has stood for less than half of the time that the runner told, and less than half of where resets were seen to begin.

--- a/src/pass/pool.cpp
+++ b/src/pass/pool.cpp
@@ -8,7 +8,6 @@
 constexpr base::Millis kConnect{700};
 constexpr base::Millis kSilent{2000};
 constexpr std::size_t kIdleEach = 32;
-constexpr base::Millis kIdleOnce{400};  // the longest for what must not be repeated
 constexpr base::Millis kFirstAge{50}, kCountsHalve{30000};
 constexpr double kResetsToTell = 2, kResetShare = 0.1;
 
@@ -39,7 +38,7 @@
       begins = i == 0 ? base::Clock::duration::zero() : kFirstAge * (1u << (i - 1));
       break;
     }
-  return repeatable ? begins : std::min<base::Clock::duration>(kIdleOnce, begins / 2);
+  return repeatable ? begins : begins / 2;
 }
 
 std::unique_ptr<Connection> Pool::takeIdle(const std::string& service, const std::string& instanceId, bool repeatable) {
@@ -53,7 +52,9 @@
       // The one used last: the others may then run out and be closed.
       const auto& last = *list->second.back();
       // When the youngest is too old, all are. They stay for what may be repeated.
-      if (now - last.idleSince >= limits_[service].most(repeatable)) {
+      // What must not be repeated keeps to half of the time that the runner told, too.
+      const auto told = (last.idleUntil - last.idleSince) / (repeatable ? 1 : 2);
+      if (now - last.idleSince >= std::min(told, limits_[service].most(repeatable))) {
         if (repeatable) list->second.clear();
         return nullptr;
       }
--- a/src/pass/pool.hpp
+++ b/src/pass/pool.hpp
@@ -29,8 +29,8 @@
 class IdleLimit {
  public:
   void reused(base::Clock::duration idleFor, bool reset, base::TimePoint now);
-  // How long one may have stood to carry a request: less than where resets begin. What must not be repeated gets half
-  // of it, and never one that has stood for long.
+  // How long one may have stood to carry a request: less than where resets begin, and half of that for what must not be
+  // repeated.
   base::Clock::duration most(bool repeatable) const;
 
  private:
