Rollouts of weights: the record, its orders and who is held back

Cause: while weights are rolled out, runners of one service hold different weights, and nothing kept those apart that must not serve together.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -78,7 +78,11 @@
     control::Order order;
     order.call = ++calls_;
     order.kind = found->order;
-    order.body = found->argument.empty() ? request.body() : found->argument;
+    const bool ofRollout = order.kind == control::OrderKind::DeclareRollout ||
+                           order.kind == control::OrderKind::AdvanceRollout ||
+                           order.kind == control::OrderKind::WithdrawRollout;
+    if (ofRollout) order.service = found->argument;
+    order.body = found->argument.empty() || ofRollout ? request.body() : found->argument;
     const auto version = request["Indigohill-Base-Version"];
     if (order.kind == control::OrderKind::Replace || order.kind == control::OrderKind::Update) {
       const auto [at, error] =
@@ -123,6 +127,7 @@
     if (const auto& f = source.frame()) {
       out["revision"] = f->revision;
       out["evacuated"] = boost::json::value_from(f->evacuated);
+      out["rollouts"] = boost::json::parse(rollout::status(f->rollouts, source.runners()));
     }
     out["runners"] = source.runners().size();
     out["lease"] = group.leaseHeld(base::Clock::now());
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -100,6 +100,9 @@
 }
 
 void Controller::order(Order order, base::TimePoint now, Effects& fx) {
+  // Whether a rollout would leave a service without runners is judged by the list that this controller has.
+  if (order.kind == OrderKind::DeclareRollout || order.kind == OrderKind::AdvanceRollout)
+    order.runners = source_.runners();
   replica_.order(std::move(order), now, fx);
   settle(now, fx);
 }
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -520,6 +520,9 @@
       next.evacuated.push_back(order.body);
     return std::nullopt;
   }
+  if (order.kind == OrderKind::DeclareRollout) return prepareRollout(order, rollout::Change::Declare, next);
+  if (order.kind == OrderKind::AdvanceRollout) return prepareRollout(order, rollout::Change::Advance, next);
+  if (order.kind == OrderKind::WithdrawRollout) return prepareRollout(order, rollout::Change::Withdraw, next);
   const bool update = order.kind == OrderKind::Update;
   const auto digest = orderDigest(update ? "update" : "replace", order.baseVersion, order.body);
   if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
@@ -544,12 +547,30 @@
   return std::nullopt;
 }
 
+// Rollouts stand beside the operator's document, which is read back as it was sent.
+std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const {
+  const auto digest = orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
+  if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
+  if (next.document.empty()) return Answer{order.call, 409, "there is no configuration yet", {}};
+  auto parsed = parseConfiguration(next.document);
+  const auto known = [&](const std::string& service) {
+    return base::fault(parsed) == nullptr && std::get<Configuration>(parsed).service(service) != nullptr;
+  };
+  auto changed = rollout::change(kind, order.service, order.body, {next.rollouts, order.runners, known});
+  if (const auto* refused = std::get_if<rollout::Refusal>(&changed))
+    return Answer{order.call, refused->status, refused->what, {}};
+  next.rollouts = std::get<0>(std::move(changed));
+  next.digests.push_back(digest);
+  if (next.digests.size() > kDigestsKept) next.digests.erase(next.digests.begin());
+  return std::nullopt;
+}
+
 void Replica::nextOrder(base::TimePoint now, Effects& fx) {
   while (active() && !current_ && !candidacy_ && !orders_.empty()) {
     auto order = std::move(orders_.front().first);
     const auto at = orders_.front().second;
     orders_.pop_front();
-    if (order.kind == OrderKind::Describe) {
+    if (order.kind == OrderKind::Describe || order.kind == OrderKind::DescribeRollouts) {
       // Read only once the backup confirms that no later epoch has begun.
       readings_.push_back({order, random_(), at, now});
       send(record_->backup, schema::Confirm{self_.voterId, readings_.back().token, record_->epoch}, fx);
@@ -572,7 +593,9 @@
   if (!active() || !record_ || m.epoch != record_->epoch) return;
   for (auto& reading : readings_) {
     if (reading.token != m.token) continue;
-    if (published_->document.empty())
+    if (reading.order.kind == OrderKind::DescribeRollouts)
+      fx.answers.push_back({reading.order.call, 200, rollout::describe(published_->rollouts), {}});
+    else if (published_->document.empty())
       fx.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
     else
       fx.answers.push_back({reading.order.call, 200, published_->document, {}});
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -10,19 +10,32 @@
 #include "base/time.hpp"
 #include "control/configuration.hpp"
 #include "net/codec.hpp"
+#include "rollout/orders.hpp"
 #include "schema/messages.hpp"
 
 // The control state of one controller: primary and backup, the epoch records that the voters witness, and the
 // operator's orders. A pure state machine; disk writes are asked for and reported back as done.
 namespace indigohill::control {
 
-enum class OrderKind { Replace, Update, Evacuate, EndEvacuation, Describe };
+enum class OrderKind {
+  Replace,
+  Update,
+  Evacuate,
+  EndEvacuation,
+  Describe,
+  DeclareRollout,
+  AdvanceRollout,
+  WithdrawRollout,
+  DescribeRollouts
+};
 
 struct Order {
   std::uint64_t call = 0;
   OrderKind kind = OrderKind::Describe;
   std::uint64_t baseVersion = 0;
   std::string body;  // document, update, or name of the zone
+  std::string service{};                      // of a rollout
+  std::vector<schema::RunnerEntry> runners{};  // as this controller knows them, for rollouts
 };
 
 struct Answer {
@@ -146,6 +159,7 @@
   void stepDown(Effects& fx);
   Answer refusal(std::uint64_t call, base::TimePoint now) const;
   std::optional<Answer> prepare(const Order& order, schema::Frame& next) const;
+  std::optional<Answer> prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const;
 
   void on(const schema::Prepare& m, base::TimePoint now, Effects& fx);
   void on(const schema::Promise& m, base::TimePoint now, Effects& fx);
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "rollout/orders.hpp"
+
 namespace indigohill::feed {
 
 using base::Millis;
@@ -56,7 +58,10 @@
     group_.setHeld(frame.stamp);
     fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision,
                                    frame.stamp.epoch, frame.stamp.serial));
-    fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated});
+    auto rollouts = rollout::readAll(frame.rollouts);
+    for (const auto& r : rollouts)
+      if (!r.record) fx.notes.push_back(fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
+    fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated, std::move(rollouts)});
   }
   if (!asked) return;
   const auto listedAt = now - Millis(news.runnersAgeMs);
--- /dev/null
+++ b/src/rollout/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace indigohill::rollout {
+struct InForce;
+struct Record;
+struct Snapshot;
+}  // namespace indigohill::rollout
--- /dev/null
+++ b/src/rollout/orders.cpp
@@ -0,0 +1,164 @@
+#include "rollout/orders.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "rollout/fields.hpp"
+
+namespace indigohill::rollout {
+
+namespace {
+
+struct Refused {
+  Refusal refusal;
+};
+
+[[noreturn]] void conflict(const std::string& what) { throw Refused{{409, what}}; }
+
+void checkService(const std::string& path, const std::string& body, const Standing& standing) {
+  if (!path.empty() && path != body) wrong("service", "'" + body + "' is not '" + path + "', which the call names");
+  if (!standing.known(body)) wrong("service", "'" + body + "' is not in the configuration");
+}
+
+void checkNumber(std::uint64_t number, const schema::Rollout* now) {
+  if (now != nullptr && number <= now->number)
+    conflict(fmt::format("number: {} is not above the current one, {}", number, now->number));
+}
+
+void checkRunners(const schema::Rollout& next, bool evenWithout, const Standing& standing) {
+  if (evenWithout) return;
+  const auto inForce = read(next);
+  if (serving(*inForce, standing.runners) > 0) return;
+  std::string whys;
+  for (const auto& held : heldBack({*inForce}, standing.runners)) whys += fmt::format("; {}: {}", held.instanceId, held.why);
+  conflict(fmt::format("service {} would have no runner left at stage '{}'{}", next.service,
+                       inForce->record->stages[next.stage].name, whys.empty() ? "; none is listed" : whys));
+}
+
+schema::Rollout declared(const std::string& service, std::string_view body, const Standing& standing,
+                         const schema::Rollout* (*find)(const Standing&, const std::string&)) {
+  auto parsed = parseRecord(body);
+  if (const auto* bad = base::fault(parsed)) throw Wrong{bad->what};
+  const auto& record = std::get<Record>(parsed);
+  checkService(service, record.service, standing);
+  checkNumber(record.number, find(standing, record.service));
+  schema::Rollout next{record.service, record.number, 0, std::string(body)};
+  checkRunners(next, record.evenWithoutRunners, standing);
+  return next;
+}
+
+schema::Rollout advanced(const Fields& in, const schema::Rollout& now, std::uint64_t number, const Standing& standing) {
+  auto next = now;
+  next.number = number;
+  ++next.stage;
+  const auto inForce = read(now);
+  if (!inForce->record) conflict("the record in force cannot be read: " + inForce->problem);
+  const auto& stages = inForce->record->stages;
+  if (next.stage >= stages.size())
+    conflict(fmt::format("'{}' is the last stage of service {}", stages[now.stage].name, now.service));
+  if (in.has("stage") && in.text("stage") != stages[next.stage].name)
+    conflict(fmt::format("stage: the next one is '{}'", stages[next.stage].name));
+  checkRunners(next, in.flag("evenWithoutRunners"), standing);
+  return next;
+}
+
+const schema::Rollout* find(const Standing& standing, const std::string& service) {
+  for (const auto& r : standing.rollouts)
+    if (r.service == service) return &r;
+  return nullptr;
+}
+
+schema::Rollout changed(Change kind, const std::string& service, std::string_view body, const Standing& standing) {
+  if (kind == Change::Declare) return declared(service, body, standing, find);
+  const auto value = parse(body);
+  const Fields in(value, "", {"service", "number", "stage", "evenWithoutRunners"});
+  const auto name = in.has("service") || service.empty() ? in.text("service") : service;
+  const auto* now = find(standing, name);
+  // A service whose rollout is in force may have left the configuration meanwhile; its rollout can still be ended.
+  if (now == nullptr) checkService(service, name, standing);
+  if (!service.empty() && service != name) wrong("service", "'" + name + "' is not '" + service + "', which the call names");
+  const auto number = in.whole("number");
+  if (now == nullptr || now->document.empty()) conflict("no rollout is declared for service " + name);
+  checkNumber(number, now);
+  if (kind == Change::Advance) return advanced(in, *now, number, standing);
+  if (in.has("stage")) wrong("stage", "a withdrawal has none");
+  // The number stays, so that an old declaration that arrives late cannot come into force again.
+  return {name, number, 0, {}};
+}
+
+}  // namespace
+
+std::variant<std::vector<schema::Rollout>, Refusal> change(Change kind, const std::string& service,
+                                                           std::string_view body, const Standing& standing) {
+  try {
+    const auto next = changed(kind, service, body, standing);
+    auto out = standing.rollouts;
+    const auto place = std::find_if(out.begin(), out.end(), [&](const auto& r) { return r.service == next.service; });
+    if (place != out.end())
+      *place = next;
+    else
+      out.push_back(next);
+    return out;
+  } catch (const Wrong& e) {
+    return Refusal{400, e.what};
+  } catch (const Refused& e) {
+    return e.refusal;
+  }
+}
+
+std::vector<InForce> readAll(const std::vector<schema::Rollout>& rollouts) {
+  std::vector<InForce> out;
+  for (const auto& r : rollouts)
+    if (auto inForce = read(r)) out.push_back(std::move(*inForce));
+  return out;
+}
+
+std::vector<HeldBack> heldBack(const std::vector<InForce>& rollouts, const std::vector<schema::RunnerEntry>& runners) {
+  std::vector<HeldBack> out;
+  for (const auto& rollout : rollouts)
+    for (const auto& r : runners)
+      if (r.service == rollout.service)
+        if (auto why = rollout.heldBack(snapshotOf(r)); !why.empty())
+          out.push_back({r.service, r.instanceId, r.zone, std::move(why)});
+  return out;
+}
+
+std::size_t serving(const InForce& rollout, const std::vector<schema::RunnerEntry>& runners) {
+  return static_cast<std::size_t>(std::count_if(runners.begin(), runners.end(), [&](const auto& r) {
+    return r.service == rollout.service && !r.draining && rollout.heldBack(snapshotOf(r)).empty();
+  }));
+}
+
+namespace {
+std::string stageName(const InForce& r) { return r.record ? r.record->stages[r.stage].name : std::to_string(r.stage); }
+}  // namespace
+
+std::string describe(const std::vector<schema::Rollout>& rollouts) {
+  json::array list;
+  for (const auto& r : rollouts)
+    if (const auto inForce = read(r)) {
+      json::error_code error;
+      auto record = json::parse(r.document, error);
+      list.push_back({{"service", r.service}, {"number", r.number}, {"stage", stageName(*inForce)},
+                      {"record", error ? json::value(r.document) : std::move(record)}});
+    } else {
+      list.push_back({{"service", r.service}, {"number", r.number}, {"withdrawn", true}});
+    }
+  return json::serialize(json::object{{"rollouts", std::move(list)}});
+}
+
+std::string status(const std::vector<schema::Rollout>& rollouts, const std::vector<schema::RunnerEntry>& runners) {
+  json::array list;
+  for (const auto& r : readAll(rollouts)) {
+    json::array held;
+    for (const auto& h : heldBack({r}, runners))
+      held.push_back({{"instanceId", h.instanceId}, {"zone", h.zone}, {"why", h.why}});
+    list.push_back({{"service", r.service}, {"number", r.number}, {"stage", stageName(r)},
+                    {"serving", serving(r, runners)}, {"heldBack", std::move(held)}});
+  }
+  return json::serialize(list);
+}
+
+}  // namespace indigohill::rollout
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -28,6 +28,12 @@
 
 // Rendezvous hashing: the runner with the highest rank for a key is the same for every router.
 std::uint64_t rankOf(const std::string& instanceId, std::uint64_t key) { return base::hash(instanceId, key + 1); }
+
+// Whether a stream that has begun may go on at a runner with this snapshot.
+bool goesOn(const Asked& asked, const rollout::Snapshot& snapshot) {
+  if (asked.snapshot) return *asked.snapshot == snapshot;
+  return !asked.version || snapshot.version(asked.model) == asked.version;
+}
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -47,6 +53,8 @@
     picture.frameStamp = frame->stamp;
     picture.configuration = frame->configuration;
     picture.evacuated = {frame->evacuated.begin(), frame->evacuated.end()};
+    picture.rollouts.clear();
+    for (const auto& rollout : frame->rollouts) picture.rollouts.emplace(rollout.service, rollout);
     picture.byHost.clear();
     if (!picture.configuration) return;
     for (const auto& route : picture.configuration->routes) picture.byHost[route.host].push_back(&route);
@@ -117,6 +125,7 @@
     runner.listed = true;
     const bool newsOfIt = picture_->runnersStamp != before->runnersStamp;
     runner.entry = entry;
+    judge(runner, *before);
     // The list was read before it came here and lags by itself; what is left is counted from now, on the safe side.
     if (newsOfIt && entry.warmupLeftMs > 0)
       runner.coldUntil = std::max(runner.coldUntil, now + base::Millis(entry.warmupLeftMs));
@@ -228,7 +237,43 @@
 
 bool Table::usable(const Runner& runner, const std::string& service) const {
   const auto& e = runner.entry;
-  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone);
+  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone) &&
+         runner.heldBack.empty();
+}
+
+const rollout::InForce* Table::rolloutOf(const std::string& service) const {
+  const auto found = picture_->rollouts.find(service);
+  return found == picture_->rollouts.end() ? nullptr : &found->second;
+}
+
+// What a runner's answers told against its entry counts until the entry or the record is another one.
+void Table::judge(Runner& runner, const Picture& before) const {
+  auto listed = rollout::snapshotOf(runner.entry);
+  const auto* now = rolloutOf(runner.entry.service);
+  const auto had = before.rollouts.find(runner.entry.service);
+  const bool otherRecord = now != nullptr && (had == before.rollouts.end() || had->second.number != now->number);
+  if (listed != runner.snapshot || otherRecord) {
+    runner.contradicted = false;
+    runner.turnedAway = 0;
+    runner.heldUntil = {};
+  }
+  runner.snapshot = std::move(listed);
+  runner.heldBack = now == nullptr ? "" : now->heldBack(runner.snapshot);
+  if (now != nullptr && runner.contradicted && runner.heldBack.empty()) runner.heldBack = "its answers are of another version";
+}
+
+void Table::contradicted(const std::string& instanceId, bool answered, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
+  auto& runner = found->second;
+  if (answered) {
+    runner.contradicted = true;
+    if (runner.heldBack.empty()) runner.heldBack = "its answers are of another version";
+  } else {
+    // It may just be changing, so it is asked again; asking costs a further try, hence ever less often.
+    runner.heldUntil = now + bounds_.policy.ejectMs * (1u << std::min(runner.turnedAway++, kEjectDoublings));
+  }
 }
 
 std::string Table::home(const std::string& service,
@@ -258,7 +303,7 @@
   };
   const auto& policy = bounds_.policy;
   std::vector<Choice> choices, ejected;
-  std::size_t there = 0;
+  std::size_t there = 0, held = 0;
   const bool engine = service->kvCacheTokens > 0;
   const auto key = promptKey(asked.prompt);
   const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
@@ -267,7 +312,14 @@
                                      ? 64
                                      : static_cast<std::uint32_t>(service->maxConnections / routersNow));
   for (auto& [id, runner] : runners_) {
-    if (!usable(runner, asked.service)) continue;
+    if (!usable(runner, asked.service)) {
+      held += runner.listed && runner.entry.service == asked.service && !runner.heldBack.empty();
+      continue;
+    }
+    if (runner.heldUntil > now || !goesOn(asked, runner.snapshot)) {
+      ++held;
+      continue;
+    }
     ++there;
     if (asked.tried.contains(id) || runner.own >= connections) continue;
     const double d = demand(runner, now);
@@ -288,7 +340,8 @@
     if (now >= waitUntil()) return Shed{503, policy.retryAfterS, why};
     return Wait{waitUntil()};
   };
-  if (choices.empty()) return none(there == 0 ? "no runner" : "no runner left to try");
+  if (choices.empty())
+    return none(there != 0 ? "no runner left to try" : held != 0 ? "no runner with a snapshot that may serve" : "no runner");
   for (auto& choice : choices) choice.demand += std::uniform_real_distribution<double>(0, 0.5)(random_);
   if (engine && key != 0) {
     // In prompt tokens: what has to be read there before the first token, and what is already going on. The first in
@@ -335,7 +388,11 @@
                   {runner.entry.ip, runner.entry.port},
                   runner.entry.zone,
                   connections,
-                  Taking(this, runner.entry.instanceId, toRead, told)};
+                  Taking(this, runner.entry.instanceId, toRead, told),
+                  runner.snapshot,
+                  asked.version ? asked.version
+                  : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.model)
+                                                        : std::nullopt};
   }
   return none("every runner is full");
 }
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -14,6 +14,7 @@
 
 #include "base/time.hpp"
 #include "control/configuration.hpp"
+#include "rollout/record.hpp"
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
 
@@ -26,6 +27,7 @@
   std::shared_ptr<const control::Configuration> configuration;
   std::unordered_map<std::string, std::vector<const control::Route*>> byHost;  // longest prefix first
   std::set<std::string> evacuated;
+  std::map<std::string, rollout::InForce> rollouts;  // by service; none for most
   std::vector<schema::RunnerEntry> runners;
   base::TimePoint listedAt{};
   bool hasRunners = false;
@@ -40,6 +42,7 @@
   schema::Stamp stamp;
   std::shared_ptr<const control::Configuration> configuration;
   std::vector<std::string> evacuated;
+  std::vector<rollout::InForce> rollouts{};
 };
 struct RunnersCame {
   schema::Stamp stamp;
@@ -63,6 +66,10 @@
   std::uint32_t promptTokens = 0, outTokens = 0;
   std::uint32_t tries = 0;
   std::set<std::string> tried;  // runners that had it already
+  std::string model;
+  // A stream that goes on: at a runner of the same snapshot alone, or of this version where the snapshot is not known.
+  std::optional<rollout::Snapshot> snapshot;
+  std::optional<std::uint64_t> version;
   base::TimePoint arrivedAt, deadline;
 };
 
@@ -105,6 +112,8 @@
   std::string zone;
   std::uint32_t connections = 1;  // how many this daemon may hold to it
   Taking taking;
+  rollout::Snapshot snapshot{};  // as listed
+  std::optional<std::uint64_t> expectedVersion{};  // of the weights; asked for while a rollout or a stream wants one
 };
 struct Wait {
   base::TimePoint until;
@@ -150,6 +159,9 @@
   void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
+  // A runner's answer was not of the version listed: while a rollout is declared it is held back until its list entry
+  // changes; or it turned away a request that asked for that version: held back for a while.
+  void contradicted(const std::string& instanceId, bool answered, base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
   std::string home(const std::string& service, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
@@ -175,6 +187,11 @@
     base::TimePoint ejectedUntil{};
     bool trial = false;
     bool listed = true;
+    rollout::Snapshot snapshot;      // as listed
+    std::string heldBack;            // why the rollout of its service keeps it from serving; empty: it does not
+    bool contradicted = false;       // by an answer of its own
+    std::uint32_t turnedAway = 0;    // requests that asked for the listed version
+    base::TimePoint heldUntil{};     // for those
   };
   struct Window {
     std::deque<std::pair<base::TimePoint, std::uint32_t>> buckets;
@@ -187,6 +204,8 @@
   };
 
   bool usable(const Runner& runner, const std::string& service) const;
+  void judge(Runner& runner, const Picture& before) const;
+  const rollout::InForce* rolloutOf(const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
   std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
--- a/src/runners/list.cpp
+++ b/src/runners/list.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <optional>
 
 namespace indigohill::runners {
 
@@ -19,6 +20,32 @@
   const auto* v = o.if_contains(name);
   return v != nullptr && v->is_string() ? std::string(v->as_string()) : std::string();
 }
+// Models with the revisions of their weights and the adapters on them. What cannot be read whole is not known.
+std::optional<std::vector<schema::ModelEntry>> modelsOf(const json::object& o) {
+  const auto* list = o.if_contains("models");
+  if (list == nullptr || list->is_null()) return std::vector<schema::ModelEntry>{};
+  if (!list->is_array()) return std::nullopt;
+  std::vector<schema::ModelEntry> out;
+  for (const auto& item : list->as_array()) {
+    if (!item.is_object()) return std::nullopt;
+    const auto& m = item.as_object();
+    const auto* revision = m.if_contains("revision");
+    schema::ModelEntry model{textOr(m, "name"), 0, {}};
+    if (model.name.empty() || revision == nullptr) return std::nullopt;
+    json::error_code error;
+    model.revision = revision->to_number<std::uint64_t>(error);
+    if (error) return std::nullopt;
+    if (const auto* adapters = m.if_contains("adapters"); adapters != nullptr && !adapters->is_null()) {
+      if (!adapters->is_array()) return std::nullopt;
+      for (const auto& adapter : adapters->as_array()) {
+        if (!adapter.is_string()) return std::nullopt;
+        model.adapters.emplace_back(adapter.as_string());
+      }
+    }
+    out.push_back(std::move(model));
+  }
+  return out;
+}
 }  // namespace
 
 base::Result<Page> parsePage(std::string_view body) {
@@ -46,6 +73,12 @@
     // Anything but ready is treated as leaving: nothing new is passed to what is not known to be well.
     e.draining = textOr(o, "state") != "ready";
     e.warmupLeftMs = wholeOr<std::uint32_t>(o, "warmupLeftMs", 0);
+    e.revision = textOr(o, "revision");
+    // An entry whose models cannot be read stays in use, but tells no snapshot.
+    if (auto models = modelsOf(o))
+      e.models = std::move(*models);
+    else
+      e.revision.clear();
     page.runners.push_back(std::move(e));
   }
   return page;
