An answer of another version of the weights is no success

Cause: between the news of a runner and the sending of a request its weights may change, and within a stream as well.

--- a/src/pass/events.hpp
+++ b/src/pass/events.hpp
@@ -14,6 +14,11 @@
   const std::string& rest() const { return rest_; }
   std::size_t waiting() const { return rest_.size(); }
   void drop() { rest_.clear(); }
+  // Of the events taken last only these were passed on; `idBefore` was the newest id before them.
+  void passedOnly(std::string idBefore, std::string_view events) {
+    lastId_ = std::move(idBefore);
+    noteIds(events);
+  }
 
  private:
   void noteIds(std::string_view events);
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "base/log.hpp"
+#include "rollout/versions.hpp"
 
 namespace indigohill::pass {
 
@@ -29,6 +30,11 @@
 constexpr const char* kPrompt = "Indigohill-Prompt-Prefix";
 constexpr const char* kUsage = "Indigohill-Token-Usage";
 constexpr const char* kLastEventId = "Last-Event-Id";
+constexpr const char* kModel = "Indigohill-Model";
+constexpr const char* kExpectedVersion = "Indigohill-Expected-Version";
+constexpr const char* kWeightVersions = "Indigohill-Weight-Versions";
+
+constexpr const char* kChanges = "the weights change within the stream";
 
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr std::size_t kEventMost = 1u << 20;
@@ -50,7 +56,7 @@
     "Cache-Control",    "ETag",             "Expires",          "Last-Modified",       "Location",
     "Vary",             "Date",             "Set-Cookie",       "Retry-After",         "Accept-Ranges",
     "WWW-Authenticate", "X-Request-Id",     kAttemptId,         kSeal,                 kLoad,
-    "Indigohill-Instance-Id", "Indigohill-Weight-Versions", "Indigohill-Token-Usage"};
+    "Indigohill-Instance-Id", kWeightVersions, "Indigohill-Token-Usage"};
 
 bool concernsConnection(const wire::fields::value_type& field, const std::vector<std::string>& named) {
   switch (field.name()) {
@@ -140,6 +146,10 @@
   base::TimePoint firstAt{};          // when the first event left
   base::TimePoint sentAt{};           // when it went to the runner that has it now
   routing::Taking* taking = nullptr;  // the place at the runner that has it now
+  std::string service;
+  // Weights of the runner that the stream's events come from, as its answers tell; and what is expected of this try.
+  std::optional<std::uint64_t> version, expected;
+  bool versionChanged = false;  // within the stream, as the record allows
 };
 
 struct Executor::Outcome {
@@ -151,10 +161,11 @@
   } end = End::Fault;
   Verdict verdict = Verdict::MayHaveRun;
   std::string what;
+  std::optional<rollout::Told> otherVersion{};  // what the runner told instead of what it should have been
 };
 
 http::Request forRunner(const http::Request& in, const std::string& instanceId, Millis left,
-                        const std::string& lastEventId) {
+                        const std::string& lastEventId, std::optional<std::uint64_t> expectedVersion) {
   http::Request out;
   out.version(11);
   out.method_string(in.method_string());
@@ -166,6 +177,7 @@
   out.set(kTimeRemaining, std::to_string(std::max<std::int64_t>(0, left.count())));
   out.set(kTarget, instanceId);
   if (!lastEventId.empty()) out.set(kLastEventId, lastEventId);
+  if (expectedVersion && in.count(kExpectedVersion) == 0) out.set(kExpectedVersion, std::to_string(*expectedVersion));
   out.body() = in.body();
   const bool bodiless = in.body().empty() && !in.has_content_length() && !in.chunked();
   if (!bodiless) out.content_length(out.body().size());
@@ -311,7 +323,7 @@
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
   Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, false, false,
-             true, {}, {}, {}, {}, nullptr};
+             true, {}, {}, {}, {}, nullptr, {}, {}, {}};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -324,6 +336,8 @@
   conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
   const auto usage = view(request[kUsage]);
   conduct.asked().promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
+  conduct.asked().model = std::string(request[kModel]);
+  x.service = conduct.asked().service;
   conduct.arrived(arrivedAt);
 
   std::optional<routing::Ending> ending;
@@ -343,6 +357,9 @@
     if (conduct.asked().tries > 1) ++(x.started ? counters_.resumed : counters_.retried);
     x.taking = &to.taking;
     x.sentAt = now;
+    // A client that names a version is taken at its word.
+    const auto wanted = view(request[kExpectedVersion]);
+    x.expected = wanted.empty() ? to.expectedVersion : rollout::parseVersions(wanted).version;
     const auto outcome = co_await attempt(x, to);
     to.taking.release();
     waitlist_.wake();
@@ -357,6 +374,16 @@
       ending = conduct.ending(after);
     if (!x.events.lastId().empty()) x.resumeFrom = x.events.lastId();
     x.events.drop();
+    // One answer is of one snapshot: a stream that has begun goes on where it came from, or at its like. Where the
+    // answer's version is not the listed one, the version alone says what its like is.
+    if (x.started && !conduct.asked().snapshot && !conduct.asked().version) {
+      const auto listed = to.snapshot.version(conduct.asked().model);
+      if (!x.version || (!x.versionChanged && listed == x.version)) conduct.asked().snapshot = to.snapshot;
+    }
+    if (x.started) {
+      if (x.versionChanged) conduct.asked().snapshot.reset();
+      conduct.asked().version = x.version;
+    }
   }
 
   record(x, arrivedAt, ending->status, conduct.asked().tries);
@@ -401,7 +428,7 @@
   stream.expires_at(x.deadline);
   const auto left = std::chrono::duration_cast<Millis>(x.deadline - base::Clock::now());
   if (left.count() <= 0) co_return Outcome{End::Fault, Verdict::NotRun, "out of time"};
-  const auto outgoing = forRunner(x.request, to.instanceId, left, x.resumeFrom);
+  const auto outgoing = forRunner(x.request, to.instanceId, left, x.resumeFrom, x.expected);
   auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
   if (writeError) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
@@ -439,30 +466,56 @@
                   number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
   }
   const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
+  const auto told = rollout::parseVersions(view(head[kWeightVersions]));
+  const bool otherVersion = x.expected && told.otherThan(*x.expected);
   const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
   Outcome outcome;
   const auto idle = idleOf(head);
   const bool reusable = head.keep_alive();
   if (notRun) {
     table_.mark(to.instanceId, routing::Mark::Refused, base::Clock::now());
+    // What a client wished for tells nothing about the runner.
+    if (status == 421 && to.expectedVersion && x.expected == to.expectedVersion)
+      table_.turnedAway(to.instanceId, base::Clock::now());
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
     if (!co_await skipBody(*connection, *parser)) co_return outcome;
   } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
+  } else if (otherVersion && status < 300) {
+    // It has run, so it is no success and promises nothing.
+    outcome = {End::Fault, Verdict::MayHaveRun,
+               fmt::format("{} answered with weights {} where {} were expected", to.instanceId,
+                           std::string(head[kWeightVersions]), *x.expected),
+               told};
   } else if (x.stream && status == 200) {
+    if (!x.started) x.version.reset();
+    if (told.version && !told.mixed) x.version = told.version;
+    if (!x.version) x.version = x.expected;
     outcome = co_await relayEvents(x, *connection, *parser);
   } else {
     outcome = co_await answerWhole(x, *connection, *parser, to.instanceId);
   }
   const auto now = base::Clock::now();
   if (outcome.end == End::Answered) table_.mark(to.instanceId, routing::Mark::Good, now);
-  if (outcome.end == End::Fault && now < x.deadline) table_.mark(to.instanceId, routing::Mark::Fault, now);
+  // A runner of other weights is well; it just must not serve this.
+  if (outcome.otherVersion)
+    table_.contradicted(to.instanceId, view(x.request[kModel]),
+                        outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
+  else if (outcome.end == End::Fault && now < x.deadline)
+    table_.mark(to.instanceId, routing::Mark::Fault, now);
   if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
     pool_.giveBack(to.instanceId, std::move(connection), idle);
   co_return outcome;
 }
 
+bool Executor::mayChange(const Exchange& x, std::uint64_t from, std::uint64_t to) const {
+  const auto picture = table_.picture();
+  const auto found = picture->rollouts.find(x.service);
+  return found != picture->rollouts.end() &&
+         found->second.allowsWithinStream(view(x.request[kModel]), from, to);
+}
+
 // An answer that is no stream: read whole before a byte of it is passed on, so that the client gets all or nothing.
 asio::awaitable<Executor::Outcome> Executor::answerWhole(Exchange& x, Connection& connection,
                                                          wire::response_parser<wire::buffer_body>& parser,
@@ -485,6 +538,12 @@
   if (status == 429 || status == 503 || status == 408)
     co_return Outcome{End::Fault, Verdict::MayHaveRun, instanceId + " answered " + std::to_string(status)};
   if (x.started) co_return Outcome{End::Fault, Verdict::MayHaveRun, "answered " + std::to_string(status)};
+  if (x.route.type == control::RouteType::Streaming && status < 300) {
+    auto version = rollout::parseVersions(view(parser.get()[kWeightVersions])).version;
+    const auto may = [&](std::uint64_t from, std::uint64_t to) { return mayChange(x, from, to); };
+    if (const auto change = rollout::forbiddenChange(out.body(), version, may))
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+  }
   out.keep_alive(keepAlive(x.request));
   if (x.request.method() == wire::verb::head)
     out.content_length(boost::none);
@@ -531,6 +590,11 @@
     auto [error, bytes] = co_await asio::async_write(x.client, parts, http::kTuple);
     co_return !error;
   };
+  const auto may = [&](std::uint64_t from, std::uint64_t to) {
+    const bool allowed = mayChange(x, from, to);
+    x.versionChanged = x.versionChanged || allowed;
+    return allowed;
+  };
   std::array<char, 16384> part;
   // An empty body is whole with its head.
   if (parser.is_done() && !co_await pass({}, true)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
@@ -539,7 +603,16 @@
     parser.get().body().size = part.size();
     auto [error, bytes] = co_await wire::async_read_some(connection.stream, connection.buffer, parser, http::kTuple);
     const std::size_t got = part.size() - parser.get().body().size;
+    const auto idBefore = x.events.lastId();
     auto whole = x.events.take({part.data(), got});
+    if (const auto change = rollout::forbiddenChange(whole, x.version, may)) {
+      // What came before the change is of one version and is passed on; from there on another runner of that version
+      // may take the stream up, else it ends visibly.
+      whole.resize(change->at);
+      x.events.passedOnly(idBefore, whole);
+      if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+    }
     if (error && error != wire::error::need_buffer) {
       if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "the stream breaks off: " + error.message()};
@@ -548,6 +621,10 @@
     const bool last = parser.is_done();
     if (last) {
       // The runner's body is whole: what is left of it is passed on even if no blank line ends it.
+      if (const auto change = rollout::forbiddenChange(x.events.rest(), x.version, may)) {
+        if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+        co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+      }
       whole += x.events.rest();
       x.events.drop();
     }
--- a/src/pass/executor.hpp
+++ b/src/pass/executor.hpp
@@ -41,6 +41,8 @@
   // Answers one request; false when the connection cannot be used further.
   http::asio::awaitable<bool> serve(http::beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt);
   http::asio::awaitable<Outcome> attempt(Exchange& x, routing::PassTo& to);
+  // Whether a stream may go from one version of the weights to another.
+  bool mayChange(const Exchange& x, std::uint64_t from, std::uint64_t to) const;
   http::asio::awaitable<Outcome> answerWhole(Exchange& x, Connection& connection,
                                              http::wire::response_parser<http::wire::buffer_body>& parser,
                                              const std::string& instanceId);
@@ -59,9 +61,10 @@
   std::atomic<bool> leaving_{false};
 };
 
-// The request as the runner gets it: all end-to-end headers, the time that is left, the instance that is meant.
+// The request as the runner gets it: all end-to-end headers, the time that is left, the instance that is meant, and
+// the version of the weights where one is expected and the client names none itself.
 http::Request forRunner(const http::Request& in, const std::string& instanceId, base::Millis left,
-                        const std::string& lastEventId);
+                        const std::string& lastEventId, std::optional<std::uint64_t> expectedVersion = {});
 
 // The headers of a runner's answer that a client gets: those on the allow list.
 void copyAnswerHead(const http::wire::fields& from, http::wire::fields& to);
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -36,18 +36,18 @@
   return out;
 }
 
-std::size_t forbiddenChange(std::string_view events, std::optional<std::uint64_t>& version,
-                            const std::function<bool(std::uint64_t, std::uint64_t)>& allowed) {
+std::optional<Forbidden> forbiddenChange(std::string_view events, std::optional<std::uint64_t>& version,
+                                         const std::function<bool(std::uint64_t, std::uint64_t)>& allowed) {
   for (auto at = events.find(kLine); at != std::string_view::npos; at = events.find(kLine, at + 1)) {
     if (!opensEvent(events, at)) continue;
     auto rest = events.substr(at + kLine.size());
     const auto told = parseVersions(trimmed(rest.substr(0, rest.find('\n'))));
-    if (told.mixed) return at;
+    if (told.mixed) return Forbidden{at, told};
     if (!told.version) continue;
-    if (version && *told.version != *version && !allowed(*version, *told.version)) return at;
+    if (version && *told.version != *version && !allowed(*version, *told.version)) return Forbidden{at, told};
     version = told.version;
   }
-  return std::string_view::npos;
+  return std::nullopt;
 }
 
 }  // namespace indigohill::rollout
--- a/src/rollout/versions.hpp
+++ b/src/rollout/versions.hpp
@@ -19,9 +19,13 @@
 Told parseVersions(std::string_view value);
 
 // The first event at which the version changes to one that `allowed` turns down: where it begins in `events` (whole
-// events, one after the other). `version` follows the changes before it; while it is unknown, the first one told is
-// taken. Npos if there is none.
-std::size_t forbiddenChange(std::string_view events, std::optional<std::uint64_t>& version,
-                            const std::function<bool(std::uint64_t from, std::uint64_t to)>& allowed);
+// events, one after the other), and what it tells. `version` follows the changes before it; while it is unknown, the
+// first one told is taken.
+struct Forbidden {
+  std::size_t at = 0;
+  Told told;
+};
+std::optional<Forbidden> forbiddenChange(std::string_view events, std::optional<std::uint64_t>& version,
+                                         const std::function<bool(std::uint64_t from, std::uint64_t to)>& allowed);
 
 }  // namespace indigohill::rollout
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -17,6 +17,7 @@
 constexpr base::Millis kWarmMargin{1000};  // beyond the lease: cold runners' rates are counted by the second
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
+constexpr const char* kContradicted = "its answers are of another version";
 
 // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
 std::uint64_t promptKey(const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) {
@@ -259,21 +260,27 @@
   }
   runner.snapshot = std::move(listed);
   runner.heldBack = now == nullptr ? "" : now->heldBack(runner.snapshot);
-  if (now != nullptr && runner.contradicted && runner.heldBack.empty()) runner.heldBack = "its answers are of another version";
+  if (now != nullptr && runner.contradicted && runner.heldBack.empty()) runner.heldBack = kContradicted;
 }
 
-void Table::contradicted(const std::string& instanceId, bool answered, base::TimePoint now) {
+void Table::contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
   auto& runner = found->second;
-  if (answered) {
-    runner.contradicted = true;
-    if (runner.heldBack.empty()) runner.heldBack = "its answers are of another version";
-  } else {
-    // It may just be changing, so it is asked again; asking costs a further try, hence ever less often.
-    runner.heldUntil = now + bounds_.policy.ejectMs * (1u << std::min(runner.turnedAway++, kEjectDoublings));
-  }
+  // The list may have caught up while the answer was on its way.
+  if (told && runner.snapshot.version(model) == told) return;
+  runner.contradicted = true;
+  if (runner.heldBack.empty()) runner.heldBack = kContradicted;
+}
+
+// It may just be changing, so it is asked again; asking costs a further try, hence ever less often.
+void Table::turnedAway(const std::string& instanceId, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
+  auto& runner = found->second;
+  runner.heldUntil = now + bounds_.policy.ejectMs * (1u << std::min(runner.turnedAway++, kEjectDoublings));
 }
 
 std::string Table::home(const std::string& service,
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -159,9 +159,10 @@
   void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
-  // A runner's answer was not of the version listed: while a rollout is declared it is held back until its list entry
-  // changes; or it turned away a request that asked for that version: held back for a while.
-  void contradicted(const std::string& instanceId, bool answered, base::TimePoint now);
+  // While a rollout is declared, a runner whose answer told another version than its list entry (none: a mixture) is
+  // held back until that entry changes, and one that turned away a request for the listed version for a while.
+  void contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told);
+  void turnedAway(const std::string& instanceId, base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
   std::string home(const std::string& service, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -204,16 +204,21 @@
   const auto never = [](auto, auto) { return false; };
   const std::string one = "id: 1\ndata: a\n\n", changes = "indigohill-weight-versions: 2\nid: 2\ndata: b\n\n";
   std::optional<std::uint64_t> version = 1;
-  cr_assert_eq(rollout::forbiddenChange(one + changes, version, never), one.size());
+  const auto at = [&](const std::string& events, const auto& allowed) {
+    const auto found = rollout::forbiddenChange(events, version, allowed);
+    return found ? static_cast<int>(found->at) : -1;
+  };
+  cr_assert_eq(at(one + changes, never), static_cast<int>(one.size()));
   cr_assert_eq(*version, 1u);
-  cr_assert_eq(rollout::forbiddenChange(one + changes, version, [](auto a, auto b) { return a == 1 && b == 2; }), std::string::npos);
+  cr_assert_eq(at(one + changes, [](auto a, auto b) { return a == 1 && b == 2; }), -1);
   cr_assert_eq(*version, 2u);
   // In the text of an event, or not on its first line, it is no change.
-  cr_assert_eq(rollout::forbiddenChange("id: 1\ndata: indigohill-weight-versions: 5\n\n", version, never), std::string::npos);
-  cr_assert_eq(rollout::forbiddenChange("id: 1\nindigohill-weight-versions: 5\n\n", version, never), std::string::npos);
-  cr_assert_eq(rollout::forbiddenChange("id: 1\r\n\r\nindigohill-weight-versions:7\r\nid: 2\r\n\r\n", version, never), 9u);
+  cr_assert_eq(at("id: 1\ndata: indigohill-weight-versions: 5\n\n", never), -1);
+  cr_assert_eq(at("id: 1\nindigohill-weight-versions: 5\n\n", never), -1);
+  cr_assert_eq(at("id: 1\r\n\r\nindigohill-weight-versions:7\r\nid: 2\r\n\r\n", never), 9);
+  cr_assert_eq(at("indigohill-weight-versions: 2,3\nid: 2\n\n", [](auto, auto) { return true; }), 0);
   version.reset();
-  cr_assert_eq(rollout::forbiddenChange(changes, version, never), std::string::npos);
+  cr_assert_eq(at(changes, never), -1);
   cr_assert_eq(*version, 2u);
 }
 
@@ -294,10 +299,12 @@
 
 Test(rollout, a_runner_whose_answers_contradict_the_list_is_held_back_until_its_entry_changes) {
   Routes r({runner("good"), runner("liar")});
-  r.table.contradicted("liar", true, r.now);
+  r.table.contradicted("liar", "m", 2);
   cr_assert_eq(r.chosen().size(), 2u);  // nothing is declared
   r.frame({inForce(0)});
-  r.table.contradicted("liar", true, r.now);
+  r.table.contradicted("liar", "m", 1);  // the list has caught up with the answer meanwhile
+  cr_assert(r.chosen().size() == 2);
+  r.table.contradicted("liar", "m", 2);
   cr_assert(r.chosen().size() == 1);
   r.list({runner("good"), runner("liar")});
   cr_assert(r.chosen().size() == 1);
@@ -305,7 +312,7 @@
   r.frame({inForce(1)});
   cr_assert(r.chosen().size() == 2);
   // One that turned a request away is asked again after a while.
-  r.table.contradicted("liar", false, r.now);
+  r.table.turnedAway("liar", r.now);
   cr_assert(r.chosen().size() == 1);
   r.now += Millis(1500);
   cr_assert(r.chosen().size() == 2);
