A daemon that holds something else under the stamp in force is not ready

Cause: a daemon counts as a worker too, and nothing noticed one whose state differed from what is in force. Change: answers to asks carry the digest of the frame; whoever holds another one under that stamp, or a rollout that its program cannot read, is not ready, gives the frame up (at a pace) and fetches the whole again.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -79,10 +79,11 @@
     return;
   }
   if (const auto* news = std::get_if<schema::News>(&message)) {
-    frameSink_.receive(*news, from, now);
+    const bool ofFrame = frameSink_.receive(*news, from, now);
     const bool ofRunners = runnerSink_.receive(*news, from, now);
     for (const auto& frame : news->frames)
       if (!replica_.active() && source_.setFrame(frame)) group_.setHeld(frame.stamp);
+    if (ofFrame && !replica_.active()) source_.compare(*news);
     const bool known = source_.hasRunners() && news->runnersStamp == source_.runnersStamp();
     if (ofRunners && (news->hasRunners || known))
       source_.setRunners(news->runnersStamp, news->runners, now - base::Millis(news->runnersAgeMs));
@@ -149,7 +150,7 @@
   // A relay vouches for what it has only while it is in touch with the primary and has all that is in force there.
   const bool fresh =
       replica_.active() || (replica_.primaryFresh(now) && source_.frame() && frameStamp() >= replica_.primaryStamp());
-  source_.setConfirmed(fresh && group_.leaseHeld(now));
+  source_.setConfirmed(fresh && !source_.doubted() && group_.leaseHeld(now));
   source_.publish(now, fx.out);
   askForNews(now, fx.out);
 }
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -1,13 +1,27 @@
 #include "feed/feed.hpp"
 
+#include "base/hash.hpp"
+
 namespace indigohill::feed {
 
 bool Source::setFrame(const schema::Frame& frame) {
-  if (frame_ && frame.stamp <= frame_->stamp) return false;
+  if ((frame_ && frame.stamp <= frame_->stamp) || frame.stamp < floor_) return false;
   frame_ = frame;
+  frameDigest_ = digestOf(frame);
+  doubted_ = false;
   return true;
 }
 
+// Of all but the digests of orders, which the primary keeps to itself.
+std::uint64_t Source::digestOf(schema::Frame frame) {
+  frame.digests.clear();
+  return base::hash(net::encodeFrame(frame));
+}
+
+void Source::compare(const schema::News& news) {
+  if (news.confirmed && frame_ && news.frameStamp == frame_->stamp && news.frameDigest != frameDigest_) doubted_ = true;
+}
+
 bool Source::setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners,
                         base::TimePoint listedAt) {
   if (hasRunners_ && stamp < runnersStamp_) return false;
@@ -30,6 +44,10 @@
   schema::News news;
   news.token = ask.token;
   news.confirmed = confirmed_;
+  if (frame_) {
+    news.frameStamp = frame_->stamp;
+    news.frameDigest = frameDigest_;
+  }
   if (frame_ && frame_->stamp > ask.frame) {
     news.frames.push_back(*frame_);
     // The digests are for the primary alone.
@@ -55,6 +73,12 @@
 }
 
 void Source::tick(base::TimePoint now, net::Outbox& out) {
+  // At a pace: what comes again may be doubted again.
+  if (doubted_ && frame_ && now - givenUpAt_ >= times_.again) {
+    givenUpAt_ = now;
+    floor_ = frame_->stamp;
+    frame_.reset();
+  }
   for (auto it = held_.begin(); it != held_.end();) {
     if (now - it->second.at >= times_.hold) {
       answer(it->first, it->second.ask, now, out);
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -23,6 +23,11 @@
 
   // Versions only rise within one life: what is older than what is held is not taken.
   bool setFrame(const schema::Frame& frame);
+  // Looks whether what is held under a stamp is what the answering daemon holds under it. What is doubted is given up
+  // before long and so fetched whole again; until then, and until it has come, the daemon is not ready.
+  void compare(const schema::News& news);
+  void doubt() { doubted_ = true; }
+  bool doubted() const { return doubted_; }
   bool setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners, base::TimePoint listedAt);
   void setConfirmed(bool confirmed) { confirmed_ = confirmed; }
 
@@ -43,6 +48,7 @@
     base::TimePoint at;
   };
   bool hasNews(const schema::Ask& ask) const;
+  static std::uint64_t digestOf(schema::Frame frame);
   void answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now, net::Outbox& out) const;
 
   Times times_;
@@ -50,7 +56,10 @@
   schema::Stamp runnersStamp_;
   std::vector<schema::RunnerEntry> runners_;
   base::TimePoint listedAt_{};
-  bool hasRunners_ = false, confirmed_ = false;
+  bool hasRunners_ = false, confirmed_ = false, doubted_ = false;
+  std::uint64_t frameDigest_ = 0;
+  schema::Stamp floor_;  // of what was given up: nothing older is taken
+  base::TimePoint givenUpAt_{};
   std::map<settings::Endpoint, Held> held_;
 };
 
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -54,16 +54,24 @@
       }
       configuration = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
     }
-    source_.setFrame(frame);
+    if (!source_.setFrame(frame)) continue;
     group_.setHeld(frame.stamp);
     fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision,
                                    frame.stamp.epoch, frame.stamp.serial));
     auto rollouts = rollout::readAll(frame.rollouts);
-    for (const auto& r : rollouts)
-      if (!r.record) fx.notes.push_back(fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
+    for (const auto& r : rollouts) {
+      if (r.record) continue;
+      source_.doubt();
+      fx.notes.push_back(fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
+    }
     fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated, std::move(rollouts)});
   }
   if (!asked) return;
+  const bool doubted = source_.doubted();
+  source_.compare(news);
+  if (source_.doubted() && !doubted)
+    fx.notes.push_back(fmt::format("what is held of configuration {} is not what is in force; fetched whole again",
+                                   source_.frame()->revision));
   const auto listedAt = now - Millis(news.runnersAgeMs);
   const bool known = source_.hasRunners() && news.runnersStamp == source_.runnersStamp();
   if ((news.hasRunners || known) && source_.setRunners(news.runnersStamp, news.runners, listedAt))
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -43,7 +43,8 @@
 
   // A configuration that was confirmed as the newest within this life, and runners to send to.
   bool informed() const {
-    return sink_.everConfirmed() && source_.frame() && source_.frame()->revision > 0 && source_.hasRunners();
+    return sink_.everConfirmed() && source_.frame() && source_.frame()->revision > 0 && source_.hasRunners() &&
+           !source_.doubted();
   }
   const membership::Group& group() const { return group_; }
   const Source& source() const { return source_; }
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -50,7 +50,7 @@
 
 void fold(Picture& picture, const Event& event) {
   if (const auto* frame = std::get_if<FrameCame>(&event)) {
-    if (frame->stamp <= picture.frameStamp) return;
+    if (frame->stamp < picture.frameStamp) return;
     picture.frameStamp = frame->stamp;
     picture.configuration = frame->configuration;
     picture.evacuated = {frame->evacuated.begin(), frame->evacuated.end()};
