Rollouts over sockets and in the simulated fleet

Cause: what a rollout promises was not shown beyond its parts. Change: stand-in runners that hold other weights than they list, change them or lie; the simulated fleet with a lost primary, a loss of power everywhere after the acknowledgement, a router out of touch, and daemons with other state. Of 200 slot checks after a declaration 200 were answered, none by the four mismatched runners of six; beside a runner that lies in the list 100 of 100 were answered and its one run was not passed on.

--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -1,14 +1,16 @@
 // Rollouts of weights: the record and the orders, the simulated fleet, and requests over loopback sockets.
-#include <criterion/criterion.h>
-
 #include <fmt/format.h>
 
-#include "documents.hpp"
 #include "control/calls.hpp"
+#include "documents.hpp"
 #include "rollout/orders.hpp"
 #include "rollout/versions.hpp"
 #include "routing/table.hpp"
 #include "runners/list.hpp"
+#include "sim/world.hpp"
+#include "standins.hpp"
+// Criterion's macros get in the way of Boost's headers, so it comes last.
+#include <criterion/criterion.h>
 
 using namespace indigohill;
 using base::Millis;
@@ -330,3 +332,443 @@
   chosen = r.chosen();
   cr_assert(chosen.size() == 1 && chosen["c"] == 60);
 }
+
+// Over sockets: slot checks (a service without an engine) and streams against stand-in runners.
+
+namespace {
+
+using tests::Traffic;
+using tests::Weighted;
+
+struct Count {
+  int good = 0, promised = 0, other = 0;
+};
+// Slot checks one after the other, and how they were answered.
+Count slotChecks(Traffic& router, int times, const std::string& more = "") {
+  Count out;
+  for (int i = 0; i < times; ++i) {
+    const auto answer = router.get("/check/1", more);
+    ++(answer.starts_with("HTTP/1.1 200") ? out.good : answer.starts_with("HTTP/1.1 503") ? out.promised : out.other);
+  }
+  return out;
+}
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+const std::string kEnd = "0\r\n\r\n";
+std::string event(int id, const std::string& first = "") { return first + fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
+const std::string kNowTwo = "indigohill-weight-versions: 2\n";
+rollout::InForce ofEngine(std::size_t stage, const std::string& document = record(1, "engine")) {
+  return *rollout::read({"engine", 1, static_cast<std::uint32_t>(stage), document});
+}
+
+}  // namespace
+
+Test(rollout_pass, mismatched_workers_serve_no_slot_check_and_the_others_answer_all) {
+  Weighted good(runner("good")), fine(runner("fine")), software(runner("software", "v2")), weights(runner("weights", "v1", 2)),
+      adapters(runner("adapters", "v1", 1, {"law", "tax"})), unknown(runner("unknown", ""));
+  weights.weights = 2;
+  Traffic router({&good, &fine, &software, &weights, &adapters, &unknown});
+  cr_assert_eq(slotChecks(router, 60).good, 60);
+  const auto mismatched = [&] { return software.ran + weights.ran + adapters.ran + unknown.ran; };
+  const int before = mismatched();
+  cr_assert_gt(before, 0);  // with nothing declared, all serve
+  router.declare({inForce(0)});
+  const auto count = slotChecks(router, 200);
+  fmt::print(stderr, "slot checks after the declaration: {} answered, {} at mismatched workers, {} at the others\n", count.good,
+             mismatched() - before, good.ran + fine.ran - (60 - before));
+  cr_assert_eq(count.good, 200);
+  cr_assert_eq(mismatched(), before);
+}
+
+Test(rollout_pass, weights_that_change_after_listing_turn_away_and_the_request_goes_elsewhere) {
+  Weighted good(runner("good")), changes(runner("changes"));
+  Traffic router({&good, &changes});
+  router.declare({inForce(0)});
+  changes.weights = 2;  // the router's list is stale
+  const auto count = slotChecks(router, 100);
+  fmt::print(stderr, "slot checks with a stale list: {} answered, {} run and {} turned away by the runner that changed\n", count.good,
+             changes.ran.load(), changes.turnedAway.load());
+  cr_assert_eq(count.good, 100);
+  cr_assert_eq(changes.ran.load(), 0);
+  cr_assert_gt(changes.turnedAway.load(), 0);
+}
+
+Test(rollout_pass, a_runner_that_lies_in_the_list_is_found_out_by_its_answers) {
+  Weighted good(runner("good")), liar(runner("liar"));
+  liar.weights = 2;
+  liar.heedsExpected = false;  // it runs whatever it gets
+  Traffic router({&good, &liar});
+  router.declare({inForce(0)});
+  std::string all;
+  int answered = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto out = router.get("/check/1");
+    answered += out.starts_with("HTTP/1.1 200");
+    all += out;
+  }
+  fmt::print(stderr, "slot checks beside a liar: {} answered, {} run by the liar, none of its answers passed on\n", answered, liar.ran.load());
+  cr_assert_eq(answered, 100);
+  cr_assert(!has(all, "s.liar") && !has(all, "Weight-Versions: 2"));
+  cr_assert_eq(liar.ran.load(), 1);
+  // Where nobody else is left, its answer is still no success: it has run, so nothing is promised either.
+  Weighted alone(runner("alone"));
+  alone.weights = 2;
+  alone.heedsExpected = false;
+  Traffic other({&alone});
+  other.declare({inForce(0)});
+  cr_assert(other.get("/check/1").starts_with("HTTP/1.1 502"));
+  cr_assert(other.get("/check/1").starts_with("HTTP/1.1 503"));
+  cr_assert_eq(alone.ran.load(), 1);
+}
+
+Test(rollout_pass, a_router_with_stale_news_gets_no_run_at_a_runner_that_has_moved_on) {
+  // The stage has moved on and the runners with it; this router knows neither.
+  Weighted one(runner("one")), two(runner("two"));
+  one.weights = two.weights = 2;
+  Traffic router({&one, &two});
+  router.declare({inForce(0)});
+  const auto count = slotChecks(router, 20);
+  cr_assert_eq(count.good, 0);
+  cr_assert_eq(count.promised, 20);
+  cr_assert_eq(one.ran + two.ran, 0);
+  // The news come.
+  one.entry = [&] { auto e = runner("one", "v2", 2); e.ip = one.entry.ip; e.port = one.entry.port; return e; }();
+  router.list({&one, &two});
+  router.declare({inForce(2)});
+  cr_assert_eq(slotChecks(router, 20).good, 20);
+  cr_assert_eq(two.ran.load(), 0);
+}
+
+Test(rollout_pass, a_runner_that_tells_no_version_is_not_rejected) {
+  Weighted silent(runner("silent"));
+  silent.weights = 0;
+  silent.heedsExpected = false;
+  Traffic router({&silent});
+  router.declare({inForce(0)});
+  cr_assert_eq(slotChecks(router, 10).good, 10);
+}
+
+Test(rollout_pass, what_a_client_expects_holds_nobody_back) {
+  Weighted good(runner("good"));
+  Traffic router({&good});
+  router.declare({inForce(0)});
+  cr_assert_eq(slotChecks(router, 5, "Indigohill-Expected-Version: 9\r\n").promised, 5);
+  cr_assert_eq(slotChecks(router, 5).good, 5);
+}
+
+Test(rollout_pass, a_change_in_the_middle_of_a_stream_ends_it_visibly) {
+  Weighted only(runner("only", "v1", 1, {"law"}, "engine"));
+  only.stream = {event(1), event(2) + event(3, kNowTwo), event(4)};
+  for (const bool declared : {false, true}) {
+    Traffic router({&only});
+    if (declared) router.declare({ofEngine(0)});
+    const auto out = router.get("/text/1");
+    cr_assert(has(out, "piece 1") && has(out, "piece 2") && !has(out, "piece 3") && !has(out, "piece 4"), "%s", out.c_str());
+    cr_assert(!out.ends_with(kEnd));
+  }
+  // The record may allow that pair.
+  Traffic router({&only});
+  router.declare({ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["old","new"]],"stages":)"))});
+  const auto out = router.get("/text/1");
+  cr_assert(has(out, "piece 3") && has(out, "piece 4") && out.ends_with(kEnd), "%s", out.c_str());
+  // The other way round it is not allowed.
+  Traffic back({&only});
+  back.declare({ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["new","old"]],"stages":)"))});
+  cr_assert(!back.get("/text/1").ends_with(kEnd));
+}
+
+Test(rollout_pass, a_change_within_a_stream_is_taken_up_at_a_runner_of_the_version_it_had) {
+  Weighted changes(runner("changes", "v1", 1, {"law"}, "engine")), same(runner("same", "v1", 1, {"law"}, "engine"));
+  changes.stream = {event(1), event(2, kNowTwo), event(3)};
+  same.stream = {event(2), event(3)};
+  Traffic router({&changes, &same});
+  // Until the one that changes had it first.
+  for (int i = 0; i < 50 && same.resumed == 0; ++i) {
+    const auto out = router.get("/text/1");
+    if (same.resumed == 0) continue;
+    cr_assert(out.ends_with(kEnd) && has(out, "piece 1") && has(out, "piece 2") && has(out, "piece 3"), "%s", out.c_str());
+    cr_assert(has(out, "s.changes") && !has(out, kNowTwo) && !has(out, "s.same"));
+  }
+  cr_assert_gt(same.resumed.load(), 0);
+}
+
+Test(rollout_pass, a_broken_stream_goes_on_at_the_same_snapshot_alone) {
+  // Nothing is declared: the list tells who is alike.
+  Weighted breaks(runner("breaks", "v1", 1, {"law"}, "engine")), software(runner("software", "v2", 1, {"law"}, "engine")),
+      weights(runner("weights", "v1", 2, {"law"}, "engine")), adapters(runner("adapters", "v1", 1, {}, "engine"));
+  weights.weights = 2;
+  breaks.breaks = true;
+  breaks.stream = {event(1)};
+  for (auto* r : {&software, &weights, &adapters}) r->stream = {event(2)};
+  Traffic router({&breaks, &software, &weights, &adapters});
+  int cut = 0;
+  for (int i = 0; i < 80; ++i) {
+    const auto out = router.get("/text/1");
+    cut += has(out, "piece 1");
+    cr_assert(!has(out, "piece 1") || (!has(out, "piece 2") && !out.ends_with(kEnd)), "%s", out.c_str());
+  }
+  cr_assert_gt(cut, 0);
+  cr_assert_eq(software.resumed + weights.resumed + adapters.resumed, 0);
+  // One of the same snapshot whose weights have changed since it was listed says so, and has not run.
+  Weighted alike(runner("alike", "v1", 1, {"law"}, "engine"));
+  alike.weights = 2;
+  alike.stream = {event(2)};
+  Traffic other({&breaks, &alike});
+  for (int i = 0; i < 40; ++i) other.get("/text/1");
+  cr_assert_eq(alike.resumed.load(), 0);
+  cr_assert_gt(alike.turnedAway.load(), 0);
+}
+
+Test(rollout_pass, with_nothing_declared_a_request_carries_nothing_more) {
+  const http::Request in = [] {
+    http::Request r(http::wire::verb::get, "/check/1", 11);
+    r.set("Indigohill-Model", "m");
+    return r;
+  }();
+  cr_assert_eq(pass::forRunner(in, "r", Millis(100), "").count("Indigohill-Expected-Version"), 0u);
+  cr_assert(pass::forRunner(in, "r", Millis(100), "", 3)["Indigohill-Expected-Version"] == "3");
+}
+
+// The simulated fleet.
+
+namespace {
+
+struct Fleet {
+  sim::World world;
+  std::map<std::string, bool> mayServe;  // by instance, under the record acknowledged; empty: none is
+  base::TimePoint ackedAt{};
+  std::uint64_t decided = 0, served = 0;
+  std::set<std::size_t> outOfTouch;
+
+  explicit Fleet(std::uint64_t seed, double loss = 0.01) : world({.controllers = 3, .routers = 4, .seed = seed, .loss = loss}) {
+    world.platform = {runner("good"), runner("fine"), runner("software", "v2"), runner("weights", "v1", 2), runner("adapters", "v1", 1, {}),
+                      runner("unknown", "")};
+    world.checks.push_back([this] { look(); });
+    std::uint64_t taken = 0;
+    cr_assert(world.runUntil(Millis(5000), [&] { return world.active().has_value(); }));
+    world.orderUntilClear(control::OrderKind::Replace, 0, tests::document(1), [&](const auto& a) { taken = a.status; });
+    cr_assert(world.runUntil(Millis(9000), [&] { return taken == 200 && allInformed(); }), "seed %lu", seed);
+  }
+  bool allInformed() {
+    for (std::size_t i = world.controllers(); i < world.size(); ++i)
+      if (!world.node(i).alive || !world.node(i).follower->informed()) return false;
+    return true;
+  }
+  // After the bound, no decision of a router that is in touch names a runner that is held back, and each finds one.
+  void look() {
+    static const control::Configuration configuration = std::get<0>(control::parseConfiguration(tests::document(1)));
+    if (mayServe.empty()) return;
+    for (std::size_t i = world.controllers(); i < world.size(); ++i) {
+      auto& n = world.node(i);
+      if (!n.alive || n.frozen || outOfTouch.contains(i) || !n.follower->informed()) continue;
+      routing::Asked asked;
+      asked.route = &configuration.routes[1];
+      asked.service = "plain";
+      asked.arrivedAt = world.now();
+      asked.deadline = world.now() + Millis(1500);
+      auto decision = n.table->decide(asked, world.now());
+      ++decided;
+      const auto* to = std::get_if<routing::PassTo>(&decision);
+      if (world.now() - ackedAt <= Millis(2000)) continue;
+      if (to == nullptr)
+        world.breakRule(n.name + " has no runner to pass to");
+      else if (!mayServe[to->instanceId])
+        world.breakRule(n.name + " passes to " + to->instanceId + ", which is held back");
+      else
+        ++served;
+    }
+  }
+  // The judgement is the test's own, not the code's.
+  void acknowledged() {
+    ackedAt = world.now();
+    for (const auto& r : world.platform) mayServe[r.instanceId] = r.instanceId == "good" || r.instanceId == "fine";
+  }
+  void declare(std::function<void()> then = [] {}) {
+    world.orderUntilClear(control::OrderKind::DeclareRollout, 0, record(1), [this, then](const control::Answer& a) {
+      if (a.status != 200) world.breakRule(fmt::format("declaration answered {} {}", a.status, a.body));
+      acknowledged();
+      then();
+    });
+  }
+  std::string readBack(control::OrderKind kind = control::OrderKind::DescribeRollouts) {
+    std::string out;
+    world.orderUntilClear(kind, 0, "", [&](const control::Answer& a) { out = a.body; });
+    world.runUntil(Millis(15000), [&] { return !out.empty(); });
+    return out;
+  }
+  void holds() { cr_assert(!world.broken(), "%s", world.broken()->c_str()); }
+};
+
+const std::string kReadBack = R"({"rollouts":[{"service":"plain","number":1,"stage":"before","record":)" + record(1) + "}]}";
+
+}  // namespace
+
+Test(rollout_world, after_the_bound_no_request_goes_to_a_runner_held_back) {
+  std::uint64_t decided = 0, served = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(seed);
+    fleet.declare();
+    fleet.world.run(Millis(6000));
+    fleet.holds();
+    cr_assert_gt(fleet.served, 0u);
+    same(fleet.readBack(), kReadBack);
+    same(fleet.readBack(control::OrderKind::Describe), tests::document(1));  // as it was sent
+    decided += fleet.decided;
+    served += fleet.served;
+    // Withdrawn, all serve again.
+    fleet.mayServe.clear();
+    int status = 0;
+    fleet.world.orderUntilClear(control::OrderKind::WithdrawRollout, 0, R"({"service":"plain","number":2})", [&](const auto& a) { status = a.status; });
+    fleet.world.run(Millis(3000));
+    cr_assert_eq(status, 200);
+    for (std::size_t i = fleet.world.controllers(); i < fleet.world.size(); ++i)
+      cr_assert(fleet.world.node(i).journal->picture()->rollouts.empty());
+  }
+  fmt::print(stderr, "simulated: {} decisions after the declaration, {} after the bound, none at a mismatched worker\n", decided, served);
+}
+
+Test(rollout_world, a_primary_lost_during_the_declaration_leaves_it_in_force_or_to_be_sent_again) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    auto& world = fleet.world;
+    const auto primary = *world.active();
+    bool acked = false;
+    fleet.declare([&] { acked = true; });
+    // From before the order arrives to after its acknowledgement.
+    world.after(Millis(1 + world.random() % 25), [&world, primary] { world.powerOff(primary); });
+    cr_assert(world.runUntil(Millis(15000), [&] { return acked; }), "seed %lu", seed);
+    world.run(Millis(4000));
+    fleet.holds();
+    same(fleet.readBack(), kReadBack);
+    world.start(primary);
+    world.run(Millis(6000));
+    fleet.holds();
+  }
+}
+
+Test(rollout_world, it_survives_a_loss_of_power_everywhere_right_after_the_acknowledgement) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(seed);
+    auto& world = fleet.world;
+    bool acked = false;
+    fleet.declare([&] {
+      acked = true;
+      for (std::size_t i = 0; i < world.size(); ++i) world.powerOff(i);
+    });
+    cr_assert(world.runUntil(Millis(8000), [&] { return acked; }));
+    for (std::size_t i = 0; i < world.size(); ++i) world.start(i);
+    cr_assert(world.runUntil(Millis(15000), [&] { return world.active().has_value() && fleet.allInformed(); }), "seed %lu", seed);
+    world.run(Millis(3000));
+    fleet.holds();
+    cr_assert_gt(fleet.served, 0u);
+    same(fleet.readBack(), kReadBack);
+  }
+}
+
+Test(rollout_world, a_router_cut_off_learns_of_it_when_it_is_back) {
+  Fleet fleet(3);
+  auto& world = fleet.world;
+  const auto router = world.controllers();
+  std::set<std::size_t> all;
+  for (std::size_t i = 0; i < world.size(); ++i) all.insert(i);
+  fleet.outOfTouch.insert(router);
+  world.cutOff(router, all, true);
+  fleet.declare();
+  world.run(Millis(5000));
+  cr_assert(world.node(router).journal->picture()->rollouts.empty());
+  world.cutOff(router, all, false);
+  cr_assert(world.runUntil(Millis(4000), [&] { return world.node(router).journal->picture()->rollouts.size() == 1; }));
+  fleet.outOfTouch.clear();
+  world.run(Millis(3000));
+  fleet.holds();
+}
+
+Test(rollout_world, bad_input_is_refused_and_the_record_in_force_stays) {
+  Fleet fleet(5);
+  auto& world = fleet.world;
+  fleet.declare();
+  world.run(Millis(3000));
+  using control::OrderKind;
+  const std::vector<std::tuple<OrderKind, std::string, int, std::string>> cases{
+      {OrderKind::DeclareRollout, "{", 400, "JSON"},
+      {OrderKind::DeclareRollout, replaced(record(2), "\"stages\"", "\"steps\""), 400, "steps: unknown field"},
+      {OrderKind::DeclareRollout, record(2, "odd"), 400, "service: 'odd' is not in the configuration"},
+      {OrderKind::DeclareRollout, replaced(record(1), "\"v2\"", "\"v4\""), 409, "number: 1 is not above"},
+      {OrderKind::DeclareRollout, replaced(replaced(record(2), "\"v1\"", "\"v8\""), "\"v2\"", "\"v9\""), 409, "no runner left"},
+      {OrderKind::AdvanceRollout, R"({"service":"plain"})", 400, "number: missing"},
+      {OrderKind::WithdrawRollout, R"({"service":"engine","number":2})", 409, "no rollout is declared"}};
+  for (const auto& [kind, body, status, what] : cases) {
+    control::Answer got;
+    world.orderUntilClear(kind, 0, body, [&](const auto& a) { got = a; });
+    world.run(Millis(1500));
+    cr_assert(got.status == status && got.body.find(what) != std::string::npos, "%s: %d %s", body.c_str(), got.status, got.body.c_str());
+  }
+  same(fleet.readBack(), kReadBack);
+  // An exact resend is acknowledged, whatever the number says.
+  int status = 0;
+  world.orderUntilClear(OrderKind::DeclareRollout, 0, record(1), [&](const auto& a) { status = a.status; });
+  world.run(Millis(1500));
+  cr_assert_eq(status, 200);
+  fleet.holds();
+}
+
+Test(rollout_world, a_daemon_that_holds_something_else_under_the_stamp_is_not_ready_and_fetches_it_whole) {
+  const settings::Endpoint source{1, 1};
+  const auto now = base::TimePoint{std::chrono::hours(1)};
+  feed::Source truth{feed::Times{}};
+  schema::Frame frame{{1, 5}, 1, tests::document(1), {}, {}, {{"plain", 1, 0, record(1)}}};
+  truth.setFrame(frame);
+  truth.setRunners({1, 1}, {runner("good")}, now);
+  truth.setConfirmed(true);
+  feed::Follower follower({"r", "z0", {2, 2}}, {source}, membership::Times{}, feed::Times{}, Millis(3000), 1, now);
+  routing::Picture picture;
+  // Carries asks to the source and its answers back, as `spoil` leaves them.
+  auto at = now;
+  const auto round = [&](const std::function<void(schema::News&)>& spoil) {
+    feed::Followed fx;
+    at += Millis(800);
+    follower.tick(at, fx);
+    for (const auto& item : fx.out)
+      if (const auto* ask = std::get_if<schema::Ask>(&item.message)) {
+        net::Outbox out;
+        truth.receive(*ask, {2, 2}, at, out);
+        truth.tick(at + Millis(700), out);
+        for (auto& answer : out) {
+          auto news = std::get<schema::News>(answer.message);
+          spoil(news);
+          feed::Followed after;
+          follower.receive(news, source, at, after);
+          for (const auto& event : after.events) routing::fold(picture, event);
+        }
+      }
+  };
+  const auto plainly = [](schema::News&) {};
+  const auto other = [](schema::News& news) {
+    for (auto& f : news.frames) f.rollouts[0].number = 7;
+  };
+  round(plainly);
+  cr_assert(follower.informed() && picture.rollouts.at("plain").number == 1);
+  for (int i = 0; i < 3; ++i) round(plainly);
+  cr_assert(follower.informed());
+  // A new one arrives as something else.
+  frame.stamp.serial = 6;
+  frame.rollouts[0].number = 2;
+  truth.setFrame(frame);
+  round(other);
+  cr_assert(!follower.informed() && picture.rollouts.at("plain").number == 7);
+  for (int i = 0; i < 5; ++i) round(plainly);
+  cr_assert(follower.informed() && picture.rollouts.at("plain").number == 2);
+  // A record of a later program: held back and not ready until one comes that it can read.
+  frame.stamp.serial = 7;
+  frame.rollouts[0].document = replaced(record(3), "\"stages\"", "\"phases\"");
+  truth.setFrame(frame);
+  for (int i = 0; i < 6; ++i) {
+    round(plainly);
+    cr_assert(!follower.informed());
+  }
+  cr_assert(!picture.rollouts.at("plain").record);
+  frame.stamp.serial = 8;
+  frame.rollouts[0].document = record(4);
+  truth.setFrame(frame);
+  for (int i = 0; i < 4; ++i) round(plainly);
+  cr_assert(follower.informed() && picture.rollouts.at("plain").record);
+}
