indigohill rollout, and the plan of one

Cause: an operator had no way to say which weights may serve together, nor to see beforehand what that would do. An exact resend is known by the last order about a service alone, so that one that was overtaken is not acknowledged again.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,10 +1,12 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "base/log.hpp"
 #include "cli/replay.hpp"
 #include "cli/roles.hpp"
+#include "cli/rollout.hpp"
 #include "cli/tools.hpp"
 #include "settings/settings.hpp"
 
@@ -69,6 +71,8 @@
   plan->add_option("--changed-runners", planned.changedRunners, "runners to come");
   plan->add_option("--daemons", planned.daemons, "daemons now (JSON)");
   plan->add_option("--changed-daemons", planned.changedDaemons, "daemons to come");
+  plan->add_option("--rollout", planned.rollouts, "record of a rollout to come (JSON), one for each service");
+  plan->add_option("--rollout-stage", planned.rolloutStage, "stage to show of it; default: the first");
   plan->add_flag("--json", planned.json, "the result as JSON");
   plan->footer("Exit status: 0 nothing moves, 1 something moves, 2 the change would be invalid, 3 an input cannot be used.");
   auto* import = app.add_subcommand("import", "make a configuration of an Envoy file");
@@ -77,7 +81,38 @@
   import->add_option("--output", imported.output, "where to write; standard output if not given");
   import->add_option("--revision", imported.revision, "revision of the configuration")->capture_default_str();
   import->footer("Exit status: 0 all was carried over, 1 some was not and is listed, 3 the file cannot be used.");
+  auto* rollout = app.add_subcommand("rollout", "keep runners apart whose weights must not serve together");
+  rollout->require_subcommand(1);
+  rollout->footer("Exit status: 0 done (status: nobody is held back), 1 status: somebody is held back, 2 the order or its "
+                  "record is wrong, 3 an input cannot be used, 4 the order does not fit what is in force, 5 no clear answer.");
+  using indigohill::cli::RolloutVerb;
+  indigohill::cli::RolloutArguments rolled;
+  std::optional<RolloutVerb> rolloutVerb;
+  const auto verb = [&](const char* name, const char* what, RolloutVerb is) {
+    auto* command = rollout->add_subcommand(name, what);
+    command->add_option("--control", rolled.control, "control address HOST:PORT; given several times, they are tried in turn")
+        ->required()
+        ->allow_extra_args(false);
+    command->add_option("--wait", rolled.waitS, "seconds to go on until there is a clear answer")->capture_default_str();
+    command->add_flag("--json", rolled.json, "the result as JSON");
+    command->callback([&rolloutVerb, is] { rolloutVerb = is; });
+    if (is == RolloutVerb::Declare || is == RolloutVerb::Advance)
+      command->add_flag("--even-without-runners", rolled.evenWithoutRunners, "also if no runner of the service may serve then");
+    if (is == RolloutVerb::Advance || is == RolloutVerb::Withdraw) {
+      command->add_option("service", rolled.service, "service")->required();
+      command->add_option("--number", rolled.number, "number of the order; default: the one after that in force");
+    }
+    return command;
+  };
+  verb("declare", "put a record in force, at its first stage", RolloutVerb::Declare)
+      ->add_option("file", rolled.file, "the record (JSON)")->required();
+  verb("status", "show the rollouts in force and who is held back", RolloutVerb::Status)
+      ->add_option("service", rolled.service, "this service alone");
+  verb("advance", "go to the next stage", RolloutVerb::Advance)
+      ->add_option("--stage", rolled.stage, "its name, to be sure; refused if it is not the next");
+  verb("withdraw", "end a rollout: all runners of the service may serve", RolloutVerb::Withdraw);
   CLI11_PARSE(app, argc, argv);
+  if (rolloutVerb) return indigohill::cli::runRollout(*rolloutVerb, rolled);
   if (plan->parsed()) return indigohill::cli::runPlan(planned);
   if (import->parsed()) return indigohill::cli::runImport(imported);
   if (replay->parsed()) return indigohill::cli::runReplay(played);
--- a/src/cli/tools.cpp
+++ b/src/cli/tools.cpp
@@ -29,6 +29,15 @@
     if (!a.changedRunners.empty())
       to.runners = need(runners::parsePage(contents(a.changedRunners)), a.changedRunners).runners;
     if (!a.changedDaemons.empty()) to.daemons = need(plan::parseDaemons(contents(a.changedDaemons)), a.changedDaemons);
+    for (const auto& file : a.rollouts) {
+      auto record = need(rollout::parseRecord(contents(file)), file);
+      std::size_t stage = 0;
+      if (!a.rolloutStage.empty()) {
+        while (stage < record.stages.size() && record.stages[stage].name != a.rolloutStage) ++stage;
+        if (stage == record.stages.size()) throw BadInput{file + ": stages: there is none '" + a.rolloutStage + "'"};
+      }
+      to.rollouts.push_back({record.service, record.number, stage, std::move(record), {}});
+    }
     std::string document;
     if (!a.update.empty())
       document = need(control::applyUpdate(contents(a.current), contents(a.update)), a.update);
--- a/src/cli/tools.hpp
+++ b/src/cli/tools.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/result.hpp"
 
@@ -22,6 +23,8 @@
 
 struct PlanArguments {
   std::string current, changed, update, runners, changedRunners, daemons, changedDaemons;
+  std::vector<std::string> rollouts;
+  std::string rolloutStage;
   bool json = false;
 };
 // 0: nothing moves; 1: something moves; 2: the change would be invalid; 3: an input cannot be used.
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -550,18 +550,16 @@
 // Rollouts stand beside the operator's document, which is read back as it was sent.
 std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const {
   const auto digest = orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
-  if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
   if (next.document.empty()) return Answer{order.call, 409, "there is no configuration yet", {}};
   auto parsed = parseConfiguration(next.document);
   const auto known = [&](const std::string& service) {
     return base::fault(parsed) == nullptr && std::get<Configuration>(parsed).service(service) != nullptr;
   };
-  auto changed = rollout::change(kind, order.service, order.body, {next.rollouts, order.runners, known});
+  auto changed = rollout::change(kind, order.service, order.body, {next.rollouts, order.runners, known, digest});
   if (const auto* refused = std::get_if<rollout::Refusal>(&changed))
     return Answer{order.call, refused->status, refused->what, {}};
+  if (std::get<0>(changed) == next.rollouts) return Answer{order.call, 200, "{}", {}};
   next.rollouts = std::get<0>(std::move(changed));
-  next.digests.push_back(digest);
-  if (next.digests.size() > kDigestsKept) next.digests.erase(next.digests.begin());
   return std::nullopt;
 }
 
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -9,6 +9,7 @@
 #include "base/lists.hpp"
 #include "base/hash.hpp"
 #include "membership/group.hpp"
+#include "rollout/orders.hpp"
 
 namespace indigohill::plan {
 
@@ -45,7 +46,7 @@
 std::unique_ptr<routing::Table> table(const Side& side) {
   const base::TimePoint now{std::chrono::hours(1)};
   auto picture = std::make_shared<routing::Picture>();
-  routing::fold(*picture, routing::FrameCame{{1, 1}, side.configuration, side.evacuated});
+  routing::fold(*picture, routing::FrameCame{{1, 1}, side.configuration, side.evacuated, side.rollouts});
   routing::fold(*picture, routing::RunnersCame{{1, 1}, side.runners, now});
   auto out = std::make_unique<routing::Table>("", side.daemons.bounds, 1, now);
   out->setPicture(std::move(picture), now);
@@ -55,7 +56,10 @@
 std::size_t usable(const Side& side, const std::string& service) {
   return static_cast<std::size_t>(std::count_if(side.runners.begin(), side.runners.end(), [&](const auto& r) {
     return r.service == service && !r.draining &&
-           !base::contains(side.evacuated, r.zone);
+           !base::contains(side.evacuated, r.zone) &&
+           std::none_of(side.rollouts.begin(), side.rollouts.end(), [&](const auto& rollout) {
+             return rollout.service == service && !rollout.heldBack(rollout::snapshotOf(r)).empty();
+           });
   }));
 }
 
@@ -120,7 +124,7 @@
 }  // namespace
 
 bool Plan::moves() const {
-  return !routes.empty() || !services.empty() || routersFrom != routersTo || controllersFrom != controllersTo;
+  return !routes.empty() || !services.empty() || !heldBack.empty() || routersFrom != routersTo || controllersFrom != controllersTo;
 }
 
 Plan make(const Side& from, const Side& to, std::size_t samples) {
@@ -139,6 +143,11 @@
     plan.invalid.push_back("daemons: fewer than a majority of the voters would be left");
   compareRoutes(from, to, std::max<std::size_t>(1, samples), plan);
   compareServices(from, to, std::max<std::size_t>(1, samples), plan);
+  for (const auto& held : rollout::heldBack(to.rollouts, to.runners))
+    plan.heldBack.push_back({held.service, held.instanceId, held.why});
+  for (const auto& r : to.rollouts)
+    if (to.configuration->service(r.service) == nullptr)
+      plan.invalid.push_back("rollout: service '" + r.service + "' is not in the configuration");
   return plan;
 }
 
@@ -154,6 +163,7 @@
   for (const auto& s : p.services)
     out += fmt::format("service {}: {} -> {} runners; {:.1f}% of prompt prefixes move; to a cold runner {:.2f} -> {:.2f} a second "
                        "from each router\n", s.name, s.runnersFrom, s.runnersTo, 100 * s.prefixesMoved, s.warmRateFrom, s.warmRateTo);
+  for (const auto& h : p.heldBack) out += fmt::format("runner {} of {}: held back, {}\n", h.instanceId, h.service, h.why);
   if (p.routersFrom != p.routersTo)
     out += fmt::format("routers: {} -> {}; each one's part of the retry slack {:.2f} -> {:.2f}\n", p.routersFrom, p.routersTo,
                        p.slackFrom, p.slackTo);
@@ -163,14 +173,15 @@
 }
 
 std::string asJson(const Plan& p) {
-  json::array routes, services;
+  json::array routes, services, held;
+  for (const auto& h : p.heldBack) held.push_back({{"service", h.service}, {"instanceId", h.instanceId}, {"why", h.why}});
   for (const auto& r : p.routes)
     routes.push_back({{"name", r.name}, {"what", r.what}, {"from", r.from}, {"to", r.to}, {"moved", r.moved}});
   for (const auto& s : p.services)
     services.push_back({{"name", s.name}, {"runnersFrom", s.runnersFrom}, {"runnersTo", s.runnersTo},
                         {"prefixesMoved", s.prefixesMoved}, {"warmRateFrom", s.warmRateFrom}, {"warmRateTo", s.warmRateTo}});
   return json::serialize(json::object{{"invalid", json::value_from(p.invalid)}, {"moves", p.moves()},
-                                      {"routes", std::move(routes)}, {"services", std::move(services)},
+                                      {"routes", std::move(routes)}, {"services", std::move(services)}, {"heldBack", std::move(held)},
                                       {"routers", {p.routersFrom, p.routersTo}},
                                       {"controllers", {p.controllersFrom, p.controllersTo}},
                                       {"retrySlackShare", {p.slackFrom, p.slackTo}}});
--- a/src/plan/plan.hpp
+++ b/src/plan/plan.hpp
@@ -22,6 +22,7 @@
   std::shared_ptr<const control::Configuration> configuration;
   std::vector<schema::RunnerEntry> runners;
   std::vector<std::string> evacuated;
+  std::vector<rollout::InForce> rollouts{};
   Daemons daemons;
 };
 
@@ -37,10 +38,15 @@
   double warmRateFrom = 0, warmRateTo = 0;  // requests a second that one router may send to a cold runner
 };
 
+struct HeldBack {
+  std::string service, instanceId, why;
+};
+
 struct Plan {
   std::vector<std::string> invalid;
   std::vector<RouteChange> routes;
   std::vector<ServiceChange> services;
+  std::vector<HeldBack> heldBack;  // by a rollout to come
   std::size_t routersFrom = 0, routersTo = 0, controllersFrom = 0, controllersTo = 0;
   double slackFrom = 0, slackTo = 0;  // one router's part of the retry budget's slack
   bool moves() const;
--- a/src/rollout/orders.cpp
+++ b/src/rollout/orders.cpp
@@ -44,7 +44,7 @@
   const auto& record = std::get<Record>(parsed);
   checkService(service, record.service, standing);
   checkNumber(record.number, find(standing, record.service));
-  schema::Rollout next{record.service, record.number, 0, std::string(body)};
+  schema::Rollout next{record.service, record.number, 0, std::string(body), {}};
   checkRunners(next, record.evenWithoutRunners, standing);
   return next;
 }
@@ -85,16 +85,19 @@
   if (kind == Change::Advance) return advanced(in, *now, number, standing);
   if (in.has("stage")) wrong("stage", "a withdrawal has none");
   // The number stays, so that an old declaration that arrives late cannot come into force again.
-  return {name, number, 0, {}};
+  return {name, number, 0, {}, {}};
 }
 
 }  // namespace
 
 std::variant<std::vector<schema::Rollout>, Refusal> change(Change kind, const std::string& service,
                                                            std::string_view body, const Standing& standing) {
+  auto out = standing.rollouts;
+  for (const auto& r : out)
+    if (!standing.order.empty() && r.order == standing.order) return out;
   try {
-    const auto next = changed(kind, service, body, standing);
-    auto out = standing.rollouts;
+    auto next = changed(kind, service, body, standing);
+    next.order = standing.order;
     const auto place = std::find_if(out.begin(), out.end(), [&](const auto& r) { return r.service == next.service; });
     if (place != out.end())
       *place = next;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -1,8 +1,10 @@
 // Rollouts of weights: the record and the orders, the simulated fleet, and requests over loopback sockets.
 #include <fmt/format.h>
 
+#include "cli/rollout.hpp"
 #include "control/calls.hpp"
 #include "documents.hpp"
+#include "plan/plan.hpp"
 #include "rollout/orders.hpp"
 #include "rollout/versions.hpp"
 #include "routing/table.hpp"
@@ -15,6 +17,7 @@
 using namespace indigohill;
 using base::Millis;
 using tests::replaced;
+namespace asio = http::asio;
 
 namespace {
 
@@ -703,11 +706,19 @@
     cr_assert(got.status == status && got.body.find(what) != std::string::npos, "%s: %d %s", body.c_str(), got.status, got.body.c_str());
   }
   same(fleet.readBack(), kReadBack);
-  // An exact resend is acknowledged, whatever the number says.
-  int status = 0;
-  world.orderUntilClear(OrderKind::DeclareRollout, 0, record(1), [&](const auto& a) { status = a.status; });
-  world.run(Millis(1500));
-  cr_assert_eq(status, 200);
+  // An exact resend of the last order is acknowledged; of one that was overtaken it is not.
+  const auto send = [&](OrderKind kind, const std::string& body) {
+    int status = 0;
+    world.orderUntilClear(kind, 0, body, [&](const auto& a) { status = a.status; });
+    world.run(Millis(1500));
+    return status;
+  };
+  cr_assert_eq(send(OrderKind::DeclareRollout, record(1)), 200);
+  fleet.mayServe.clear();
+  cr_assert_eq(send(OrderKind::WithdrawRollout, R"({"service":"plain","number":2})"), 200);
+  cr_assert_eq(send(OrderKind::WithdrawRollout, R"({"service":"plain","number":2})"), 200);
+  cr_assert_eq(send(OrderKind::DeclareRollout, record(1)), 409);
+  same(fleet.readBack(), R"({"rollouts":[{"service":"plain","number":2,"withdrawn":true}]})");
   fleet.holds();
 }
 
@@ -772,3 +783,106 @@
   for (int i = 0; i < 4; ++i) round(plainly);
   cr_assert(follower.informed() && picture.rollouts.at("plain").record);
 }
+
+Test(rollout, the_plan_shows_who_would_be_held_back) {
+  plan::Side from;
+  from.configuration = std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(tests::document(1))));
+  from.runners = {runner("a"), runner("b", "v1", 2), runner("e", "v1", 1, {}, "engine")};
+  auto to = from;
+  cr_assert(!plan::make(from, to, 50).moves());
+  to.rollouts = {inForce(0)};
+  const auto shown = plan::make(from, to, 50);
+  cr_assert(shown.moves() && shown.invalid.empty() && shown.heldBack.size() == 1 && shown.heldBack[0].instanceId == "b");
+  cr_assert(has(plan::asText(shown), "runner b of plain: held back, model m has weights 2, wanted 1") &&
+            has(plan::asText(shown), "service plain: 2 -> 1 runners"));
+  cr_assert(has(plan::asJson(shown), R"("heldBack":[{"service":"plain","instanceId":"b")"));
+  to.rollouts = {inForce(2)};
+  cr_assert(has(plan::asText(plan::make(from, to, 50)), "invalid: services 'plain': no runner is left for it"));
+}
+
+// The command line against stand-in controllers.
+
+namespace {
+struct Desks {
+  asio::io_context io;
+  std::vector<std::string> seen;  // METHOD target body
+  std::vector<std::unique_ptr<http::Server>> servers;
+  std::thread thread;
+  using Answers = std::function<std::pair<int, std::string>(const std::string& target)>;
+
+  // Each answers by its function; a 307 names the next one.
+  explicit Desks(std::vector<Answers> answers) {
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+      const auto probe = http::listen(io.get_executor(), {0x7f000001, 0}, "probe");
+      ports.push_back(probe.local_endpoint().port());
+    }
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+      servers.push_back(std::make_unique<http::Server>(
+          io.get_executor(), settings::Endpoint{0x7f000001, ports[i]}, http::Server::Limits{},
+          [this, i, answer = answers[i]](http::Request r, settings::Endpoint) -> asio::awaitable<http::Response> {
+            const std::string target(r.target());
+            seen.push_back(fmt::format("{} {} {}", i, target, r.body()));
+            const auto [status, body] = answer(target);
+            auto out = http::answer(r, status, body);
+            if (status == 307) out.set("Location", fmt::format("http://127.0.0.1:{}{}", ports[(i + 1) % ports.size()], target));
+            co_return out;
+          }));
+      servers.back()->start();
+    }
+    thread = std::thread([this] { io.run(); });
+  }
+  ~Desks() {
+    io.stop();
+    thread.join();
+  }
+  cli::RolloutArguments arguments() {
+    cli::RolloutArguments a;
+    for (const auto port : ports) a.control.push_back(fmt::format("127.0.0.1:{}", port));
+    a.service = "plain";
+    a.waitS = 1;
+    return a;
+  }
+  std::vector<std::uint16_t> ports;
+};
+std::string described(std::uint64_t number) {
+  return fmt::format(R"({{"rollouts":[{{"service":"plain","number":{},"stage":"before","record":{}}}]}})", number, record(number));
+}
+}  // namespace
+
+Test(rollout_cli, redirections_are_followed_and_what_settles_nothing_is_sent_again) {
+  int refused = 0;
+  Desks desks({[](const auto&) { return std::pair{307, std::string()}; },
+               [&](const auto& target) {
+                 if (target == "/v1/Rollouts.Describe") return std::pair{200, described(4)};
+                 return ++refused < 3 ? std::pair{503, std::string("no primary")} : std::pair{200, std::string("{}")};
+               }});
+  auto a = desks.arguments();
+  a.waitS = 20;
+  cr_assert_eq(cli::runRollout(cli::RolloutVerb::Advance, a), 0);
+  cr_assert_gt(refused, 2);
+  for (const auto& line : desks.seen)
+    if (has(line, "Advance")) cr_assert(has(line, R"(/v1/Rollouts.Advance/plain {"service":"plain","number":5})"), "%s", line.c_str());
+}
+
+Test(rollout_cli, exit_statuses_tell_what_happened) {
+  int status = 200;
+  std::string held = "[]";
+  Desks desks({[&](const auto& target) {
+    if (target == "/v1/Rollouts.Describe") return std::pair{200, described(1)};
+    if (target == "/v1/Status") return std::pair{200, R"({"rollouts":[{"service":"plain","serving":1,"heldBack":)" + held + "}]}"};
+    return std::pair{status, std::string("why")};
+  }});
+  auto a = desks.arguments();
+  using enum cli::RolloutVerb;
+  cr_assert_eq(cli::runRollout(Status, a), 0);
+  held = R"([{"instanceId":"b","zone":"z","why":"unknown"}])";
+  cr_assert_eq(cli::runRollout(Status, a), 1);
+  for (const auto& [answered, exit] : std::map<int, int>{{200, 0}, {400, 2}, {409, 4}, {503, 5}}) {
+    status = answered;
+    cr_assert_eq(cli::runRollout(Withdraw, a), exit, "%d", answered);
+  }
+  a.file = "/nowhere/record.json";
+  cr_assert_eq(cli::runRollout(Declare, a), 3);
+  a.control = {"nowhere"};
+  cr_assert_eq(cli::runRollout(Status, a), 3);
+}
