--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -336,7 +336,7 @@
   conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
   const auto usage = view(request[kUsage]);
   conduct.asked().promptTokens = number<std::uint32_t>(usage.substr(0, usage.find(',')), 0);
-  conduct.asked().model = std::string(request[kModel]);
+  conduct.asked().modelName = std::string(request[kModel]);
   x.service = conduct.asked().service;
   conduct.arrived(arrivedAt);
 
@@ -377,7 +377,7 @@
     // One answer is of one snapshot: a stream that has begun goes on where it came from, or at its like. Where the
     // answer's version is not the listed one, the version alone says what its like is.
     if (x.started && !conduct.asked().snapshot && !conduct.asked().version) {
-      const auto listed = to.snapshot.version(conduct.asked().model);
+      const auto listed = to.snapshot.version(conduct.asked().modelName);
       if (!x.version || (!x.versionChanged && listed == x.version)) conduct.asked().snapshot = to.snapshot;
     }
     if (x.started) {
@@ -473,10 +473,10 @@
   const auto idle = idleOf(head);
   const bool reusable = head.keep_alive();
   if (notRun) {
-    table_.mark(to.instanceId, routing::Mark::Refused, base::Clock::now());
-    // What a client wished for tells nothing about the runner.
-    if (status == 421 && to.expectedVersion && x.expected == to.expectedVersion)
-      table_.turnedAway(to.instanceId, base::Clock::now());
+    // One that has other weights by now is well. What a client wished for tells nothing about the runner.
+    const bool otherWeights = status == 421 && to.expectedVersion && x.expected == to.expectedVersion;
+    table_.mark(to.instanceId, otherWeights ? routing::Mark::Good : routing::Mark::Refused, base::Clock::now());
+    if (otherWeights) table_.turnedAway(to.instanceId, base::Clock::now());
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
     if (!co_await skipBody(*connection, *parser)) co_return outcome;
   } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -29,12 +29,6 @@
 
 // Rendezvous hashing: the runner with the highest rank for a key is the same for every router.
 std::uint64_t rankOf(const std::string& instanceId, std::uint64_t key) { return base::hash(instanceId, key + 1); }
-
-// Whether a stream that has begun may go on at a runner with this snapshot.
-bool goesOn(const Asked& asked, const rollout::Snapshot& snapshot) {
-  if (asked.snapshot) return *asked.snapshot == snapshot;
-  return !asked.version || snapshot.version(asked.model) == asked.version;
-}
 }  // namespace
 
 const control::Route* Picture::route(std::string_view host, std::string_view path) const {
@@ -247,6 +241,13 @@
   return found == picture_->rollouts.end() ? nullptr : &found->second;
 }
 
+// Whether this request may go there as far as versions are concerned: a stream that has begun goes on at its like.
+bool Table::versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const {
+  if (runner.heldUntil > now) return false;
+  if (asked.snapshot) return *asked.snapshot == runner.snapshot;
+  return !asked.version || runner.snapshot.version(asked.modelName) == asked.version;
+}
+
 // What a runner's answers told against its entry counts until the entry or the record is another one.
 void Table::judge(Runner& runner, const Picture& before) const {
   auto listed = rollout::snapshotOf(runner.entry);
@@ -323,7 +324,7 @@
       held += runner.listed && runner.entry.service == asked.service && !runner.heldBack.empty();
       continue;
     }
-    if (runner.heldUntil > now || !goesOn(asked, runner.snapshot)) {
+    if (!versionFits(runner, asked, now)) {
       ++held;
       continue;
     }
@@ -398,7 +399,7 @@
                   Taking(this, runner.entry.instanceId, toRead, told),
                   runner.snapshot,
                   asked.version ? asked.version
-                  : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.model)
+                  : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.modelName)
                                                         : std::nullopt};
   }
   return none("every runner is full");
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -66,7 +66,7 @@
   std::uint32_t promptTokens = 0, outTokens = 0;
   std::uint32_t tries = 0;
   std::set<std::string> tried;  // runners that had it already
-  std::string model;
+  std::string modelName;
   // A stream that goes on: at a runner of the same snapshot alone, or of this version where the snapshot is not known.
   std::optional<rollout::Snapshot> snapshot;
   std::optional<std::uint64_t> version;
@@ -205,6 +205,7 @@
   };
 
   bool usable(const Runner& runner, const std::string& service) const;
+  bool versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const;
   void judge(Runner& runner, const Picture& before) const;
   const rollout::InForce* rolloutOf(const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
