--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -710,6 +710,9 @@
       next.evacuated.push_back(order.body);
     return std::nullopt;
   }
+  if (order.kind == OrderKind::DeclareRollout) return prepareRollout(order, rollout::Change::Declare, next);
+  if (order.kind == OrderKind::AdvanceRollout) return prepareRollout(order, rollout::Change::Advance, next);
+  if (order.kind == OrderKind::WithdrawRollout) return prepareRollout(order, rollout::Change::Withdraw, next);
   const bool update = order.kind == OrderKind::Update;
   const auto digest = orderDigest(update ? "update" : "replace", order.baseVersion, order.body);
   if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
@@ -734,17 +737,33 @@
   return std::nullopt;
 }
 
+// Rollouts stand beside the operator's document, which is read back as it was sent.
+std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const {
+  const auto digest = orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
+  if (next.document.empty()) return Answer{order.call, 409, "there is no configuration yet", {}};
+  auto parsed = parseConfiguration(next.document);
+  const auto known = [&](const std::string& service) {
+    return base::fault(parsed) == nullptr && std::get<Configuration>(parsed).service(service) != nullptr;
+  };
+  auto changed = rollout::change(kind, order.service, order.body, {next.rollouts, order.runners, known, digest});
+  if (const auto* refused = std::get_if<rollout::Refusal>(&changed))
+    return Answer{order.call, refused->status, refused->what, {}};
+  if (std::get<0>(changed) == next.rollouts) return Answer{order.call, 200, "{}", {}};
+  next.rollouts = std::get<0>(std::move(changed));
+  return std::nullopt;
+}
+
 void Replica::nextOrder(base::TimePoint now, Effects& fx) {
   while (active() && !current_ && !candidacy_ && !orders_.empty()) {
     // Before anything was acknowledged there is time for the machines that are still starting. And as long as the
     // group's view rests on the voters before, it does not bear the loss of as many as this record's voters.
     const bool untouched = frame_->revision == 0 && frame_->evacuated.empty();
     const bool wanting = (untouched && !complete()) || around_.voters != record_->voters;
-    if (wanting && now - activeSince_ < times_.gather && orders_.front().first.kind != OrderKind::Describe) return;
+    if (wanting && now - activeSince_ < times_.gather && !isReading(orders_.front().first.kind)) return;
     auto order = std::move(orders_.front().first);
     const auto at = orders_.front().second;
     orders_.pop_front();
-    if (order.kind == OrderKind::Describe) {
+    if (isReading(order.kind)) {
       readings_.push_back({order, random_(), at, now, {}});
       ask(readings_.back(), fx);
       considerAnswering(now, fx);
@@ -787,7 +806,9 @@
   if (!active()) return;
   std::erase_if(readings_, [&](const auto& reading) {
     if (!majority(reading.confirmed, record_->voters)) return false;
-    if (published_->document.empty())
+    if (reading.order.kind == OrderKind::DescribeRollouts)
+      fx.answers.push_back({reading.order.call, 200, rollout::describe(published_->rollouts), {}});
+    else if (published_->document.empty())
       fx.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
     else
       fx.answers.push_back({reading.order.call, 200, published_->document, {}});
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -30,6 +30,11 @@
 
   // Versions only rise within one life: what is older than what is held is not taken.
   bool setFrame(const schema::Frame& frame);
+  // Looks whether what is held under a stamp is what the answering daemon holds under it. What is doubted is given up
+  // before long and so fetched whole again; until then, and until it has come, the daemon is not ready.
+  void compare(const schema::News& news);
+  void doubt() { doubted_ = true; }
+  bool doubted() const { return doubted_; }
   bool setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners, base::TimePoint listedAt);
   // The same from another's news, whole or as changes. Changes of a version that is not held here, or that don't give
   // the list they should, are not taken; the whole is asked for next.
@@ -79,8 +84,10 @@
   schema::Stamp runnersStamp_;
   std::vector<schema::RunnerEntry> runners_;
   base::TimePoint listedAt_{};
-  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false;
-  std::uint64_t runnersDigest_ = 0;
+  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false, doubted_ = false;
+  std::uint64_t frameDigest_ = 0, runnersDigest_ = 0;
+  schema::Stamp floor_;  // of what was given up: nothing older is taken
+  base::TimePoint givenUpAt_{};
   std::deque<Change> changes_;
   std::map<Key, Asker> askers_;
   // What is new, encoded, by what the asker lacks: the configuration, the runners, and the version it has of these.
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -46,7 +46,8 @@
 
   // A configuration that was confirmed as the newest within this life, and runners to send to.
   bool informed() const {
-    return sink_.everConfirmed() && source_.frame() && source_.frame()->revision > 0 && source_.hasRunners();
+    return sink_.everConfirmed() && source_.frame() && source_.frame()->revision > 0 && source_.hasRunners() &&
+           !source_.doubted();
   }
   // How long no controller has vouched for the configuration held here; nothing while that is usual.
   std::optional<base::Millis> unvouched(base::TimePoint now) const;
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -20,6 +20,7 @@
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
 constexpr base::Millis kTellAgain{1000};  // trouble at one runner is told no more often than this
+constexpr const char* kContradicted = "its answers are of another version";
 
 constexpr std::size_t kOverlaps = 8;  // runners that the index is asked for
 constexpr std::size_t kPlaces = 8;    // of the rendezvous order
@@ -38,10 +39,12 @@
 
 void fold(Picture& picture, const Event& event) {
   if (const auto* frame = std::get_if<FrameCame>(&event)) {
-    if (frame->stamp <= picture.frameStamp) return;
+    if (frame->stamp < picture.frameStamp) return;
     picture.frameStamp = frame->stamp;
     picture.configuration = frame->configuration;
     picture.evacuated = {frame->evacuated.begin(), frame->evacuated.end()};
+    picture.rollouts.clear();
+    for (const auto& rollout : frame->rollouts) picture.rollouts.emplace(rollout.service, rollout);
     picture.byHost.clear();
     if (!picture.configuration) return;
     for (const auto& route : picture.configuration->routes) picture.byHost[route.host].push_back(&route);
@@ -126,6 +129,7 @@
     runner.listed = true;
     const bool newsOfIt = picture_->runnersStamp != before->runnersStamp;
     runner.entry = entry;
+    judge(runner, *before);
     // The list was read before it came here and lags by itself; what is left is counted from now, on the safe side.
     if (newsOfIt && entry.warmupLeftMs > 0)
       runner.coldUntil = std::max(runner.coldUntil, now + base::Millis(entry.warmupLeftMs));
@@ -140,6 +144,10 @@
     return gone;
   });
   if (std::exchange(remake_, false)) index_ = std::make_unique<kvindex::Index>(bounds_.indexBytes);
+  makePools();
+}
+
+void Table::makePools() {
   pools_.clear();
   for (auto& [id, runner] : runners_)
     if (usable(runner, runner.entry.service)) {
@@ -362,7 +370,58 @@
 
 bool Table::usable(const Runner& runner, const std::string& service) const {
   const auto& e = runner.entry;
-  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone);
+  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone) &&
+         runner.heldBack.empty();
+}
+
+const rollout::InForce* Table::rolloutOf(const std::string& service) const {
+  const auto found = picture_->rollouts.find(service);
+  return found == picture_->rollouts.end() ? nullptr : &found->second;
+}
+
+// Whether this request may go there as far as versions are concerned: a stream that has begun goes on at its like.
+bool Table::versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const {
+  if (runner.heldUntil > now) return false;
+  if (asked.snapshot) return *asked.snapshot == runner.snapshot;
+  return !asked.version || runner.snapshot.version(asked.modelName) == asked.version;
+}
+
+// What a runner's answers told against its entry counts until the entry or the record is another one.
+void Table::judge(Runner& runner, const Picture& before) const {
+  auto listed = rollout::snapshotOf(runner.entry);
+  const auto* now = rolloutOf(runner.entry.service);
+  const auto had = before.rollouts.find(runner.entry.service);
+  const bool otherRecord = now != nullptr && (had == before.rollouts.end() || had->second.number != now->number);
+  if (listed != runner.snapshot || otherRecord) {
+    runner.contradicted = false;
+    runner.turnedAway = 0;
+    runner.heldUntil = {};
+  }
+  runner.snapshot = std::move(listed);
+  runner.heldBack = now == nullptr ? "" : now->heldBack(runner.snapshot);
+  if (now != nullptr && runner.contradicted && runner.heldBack.empty()) runner.heldBack = kContradicted;
+}
+
+void Table::contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
+  auto& runner = found->second;
+  // The list may have caught up while the answer was on its way.
+  if (told && runner.snapshot.version(model) == told) return;
+  runner.contradicted = true;
+  if (!runner.heldBack.empty()) return;
+  runner.heldBack = kContradicted;
+  makePools();
+}
+
+// It may just be changing, so it is asked again; asking costs a further try, hence ever less often.
+void Table::turnedAway(const std::string& instanceId, base::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = runners_.find(instanceId);
+  if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
+  auto& runner = found->second;
+  runner.heldUntil = now + bounds_.policy.ejectMs * (1u << std::min(runner.turnedAway++, kEjectDoublings));
 }
 
 std::string Table::home(const std::string& service,
@@ -381,8 +440,16 @@
   auto& ranking = asked.ranking;
   ranking.order.clear();
   ++rankings_;
-  const auto size = pool.runners.size();
-  ranking.all = size <= policy.candidates;
+  // Runners of other weights would take the places of the few that may have the request. Whom a runner has turned away
+  // may go there again before long, so such a ranking is not taken to hold everybody.
+  const bool apart = asked.snapshot || asked.version || rolloutOf(asked.service) != nullptr;
+  std::vector<Runner*> fitting;
+  if (apart)
+    std::copy_if(pool.runners.begin(), pool.runners.end(), std::back_inserter(fitting),
+                 [&](const auto* runner) { return versionFits(*runner, asked, now); });
+  const auto& among = apart ? fitting : pool.runners;
+  const bool few = among.size() <= policy.candidates;
+  ranking.all = few && !apart;
   const auto shared = sharedParts(asked.prompt);
   std::uint64_t sharedTokens = 0;
   for (const auto& part : shared) sharedTokens += part.second;
@@ -390,6 +457,7 @@
   const double pooled = engine ? pooledTokens(asked) : 0;
   ranking.order.reserve(policy.candidates + kOverlaps);
   const auto add = [&](Runner& runner, double kept) {
+    if (!versionFits(runner, asked, now)) return;
     if (std::exchange(seenIn_[runner.number], rankings_) == rankings_) return;
     Ranked r{runner.number, runner.idHash, 0, 0};
     if (engine && !asked.prompt.empty()) {
@@ -430,15 +498,26 @@
     }
     for (const auto& [runner, tokens] : known) add(*runner, tokens);
   }
-  if (ranking.all) {
-    for (auto* runner : pool.runners) add(*runner, 0);
+  if (few) {
+    for (auto* runner : among) add(*runner, 0);
   } else {
     for (auto left = 2 * policy.candidates; left > 0 && ranking.order.size() < policy.candidates; --left)
-      add(*pool.runners[random_() % size], 0);
+      add(*among[random_() % among.size()], 0);
   }
   std::sort(ranking.order.begin(), ranking.order.end(), [](const Ranked& a, const Ranked& b) { return a.logit < b.logit; });
 }
 
+// What a request without any runner to go to is told.
+const char* Table::whyNobody(const Asked& asked, base::TimePoint now) const {
+  bool held = false;
+  for (const auto& [id, runner] : runners_) {
+    if (usable(runner, asked.service) && versionFits(runner, asked, now)) return "no runner left to try";
+    held = held || usable(runner, asked.service) ||
+           (runner.listed && runner.entry.service == asked.service && !runner.heldBack.empty());
+  }
+  return held ? "no runner with a snapshot that may serve" : "no runner";
+}
+
 Decision Table::decide(Asked& asked, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
@@ -460,7 +539,7 @@
     if (now >= waitUntil()) return Shed{503, policy.retryAfterS, why};
     return Wait{waitUntil()};
   };
-  if (pool == nullptr) return none("no runner");
+  if (pool == nullptr) return none(whyNobody(asked, now));
 
   struct Choice {
     Runner* runner;
@@ -474,7 +553,7 @@
     const double aimMs = static_cast<double>(asked.route->targetLatency.count());
     for (const auto& r : asked.ranking.order) {
       auto* runner = ranked(r);
-      if (runner == nullptr || !usable(*runner, asked.service)) continue;
+      if (runner == nullptr || !usable(*runner, asked.service) || !versionFits(*runner, asked, now)) continue;
       if (asked.tried.contains(runner->entry.instanceId) || runner->own >= connections) continue;
       Choice choice{runner, demand(*runner, now), r.logit, r.toRead};
       if (engine && r.toRead != 0) {
@@ -503,7 +582,7 @@
     rank(asked, *pool, engine, now);
     gather();
   }
-  if (choices.empty()) return none("no runner left to try");
+  if (choices.empty()) return none(whyNobody(asked, now));
   for (auto& choice : choices) {
     auto& runner = *choice.runner;
     if (full(choice)) continue;
@@ -522,7 +601,11 @@
                   runner.entry.zone,
                   connections,
                   Taking(this, runner.entry.instanceId, toRead, told, asked.model,
-                         engine ? asked.prompt : decltype(asked.prompt){})};
+                         engine ? asked.prompt : decltype(asked.prompt){}),
+                  runner.snapshot,
+                  asked.version ? asked.version
+                  : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.modelName)
+                                                        : std::nullopt};
   }
   return none("every runner is full");
 }
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -15,6 +15,7 @@
 #include "base/time.hpp"
 #include "control/configuration.hpp"
 #include "kvindex/index.hpp"
+#include "rollout/record.hpp"
 #include "routing/heat.hpp"
 #include "routing/health.hpp"
 #include "routing/warm.hpp"
@@ -30,6 +31,7 @@
   std::shared_ptr<const control::Configuration> configuration;
   std::unordered_map<std::string, std::vector<const control::Route*>> byHost;  // longest prefix first
   std::set<std::string> evacuated;
+  std::map<std::string, rollout::InForce> rollouts;  // by service; none for most
   std::vector<schema::RunnerEntry> runners;
   base::TimePoint listedAt{};
   bool hasRunners = false;
@@ -45,6 +47,7 @@
   schema::Stamp stamp;
   std::shared_ptr<const control::Configuration> configuration;
   std::vector<std::string> evacuated;
+  std::vector<rollout::InForce> rollouts{};
 };
 struct RunnersCame {
   schema::Stamp stamp;
@@ -83,6 +86,10 @@
   std::uint32_t tries = 0;
   Ranking ranking;
   std::set<std::string> tried;  // runners that had it already
+  std::string modelName;
+  // A stream that goes on: at a runner of the same snapshot alone, or of this version where the snapshot is not known.
+  std::optional<rollout::Snapshot> snapshot;
+  std::optional<std::uint64_t> version;
   base::TimePoint arrivedAt, deadline;
 };
 
@@ -131,6 +138,8 @@
   std::string zone;
   std::uint32_t connections = 1;  // how many this daemon may hold to it
   Taking taking;
+  rollout::Snapshot snapshot{};  // as listed
+  std::optional<std::uint64_t> expectedVersion{};  // of the weights; asked for while a rollout or a stream wants one
 };
 struct Wait {
   base::TimePoint until;
@@ -186,6 +195,10 @@
   void heard(const schema::Suspicions& suspicions, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
+  // While a rollout is declared, a runner whose answer told another version than its list entry (none: a mixture) is
+  // held back until that entry changes, and one that turned away a request for the listed version for a while.
+  void contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told);
+  void turnedAway(const std::string& instanceId, base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
   // A runner keeps this prompt now: it has answered it.
   void stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
@@ -235,6 +248,11 @@
     Suspension suspension;
     base::TimePoint toldAt{};  // when trouble met here was last told
     bool listed = true;
+    rollout::Snapshot snapshot;      // as listed
+    std::string heldBack;            // why the rollout of its service keeps it from serving; empty: it does not
+    bool contradicted = false;       // by an answer of its own
+    std::uint32_t turnedAway = 0;    // requests that asked for the listed version
+    base::TimePoint heldUntil{};     // for those
   };
   struct Window {
     std::deque<std::pair<base::TimePoint, std::uint32_t>> buckets;
@@ -254,6 +272,7 @@
 
   void number(Runner& runner);
   void forget(const Runner& runner);
+  void makePools();
   const Pool* poolOf(const std::string& service) const;
   std::vector<kvindex::Overlap> overlaps(const Asked& asked);
   double pooledTokens(const Asked& asked);
@@ -262,6 +281,10 @@
   Runner* ranked(const Ranked& ranked) const;
   bool usable(const Runner& runner, const std::string& service) const;
   bool leftOut(const Runner& runner, base::TimePoint now) const;
+  const char* whyNobody(const Asked& asked, base::TimePoint now) const;
+  bool versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const;
+  void judge(Runner& runner, const Picture& before) const;
+  const rollout::InForce* rolloutOf(const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
   void met(Runner& runner, base::TimePoint now);
   void gather(Runner& runner, const RouterId& reporter, base::TimePoint now);
