--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -96,11 +96,12 @@
     return;
   }
   if (const auto* news = std::get_if<schema::News>(&message)) {
-    frameSink_.receive(*news, from, now);
+    const bool ofFrame = frameSink_.receive(*news, from, now);
     const bool ofRunners = runnerSink_.receive(*news, from, now);
     const auto content = feed::contentOf(*news);
     for (const auto& frame : content.frames)
       if (!replica_.active() && source_.setFrame(frame)) group_.setHeld(frame.stamp);
+    if (ofFrame && !replica_.active()) source_.compare(*news);
     source_.takeRunners(*news, content, ofRunners ? now - base::Millis(news->runnersAgeMs) : base::TimePoint{});
   } else {
     group_.receive(message, from, now, fx.out);
@@ -116,6 +117,9 @@
 }
 
 void Controller::order(Order order, base::TimePoint now, Effects& fx) {
+  // Whether a rollout would leave a service without runners is judged by the list that this controller has.
+  if (order.kind == OrderKind::DeclareRollout || order.kind == OrderKind::AdvanceRollout)
+    order.runners = source_.runners();
   replica_.order(std::move(order), now, fx);
   settle(now, fx);
 }
@@ -163,7 +167,7 @@
   // A relay vouches for what it has only while it is in touch with the primary and has all that is in force there.
   const bool fresh =
       replica_.active() || (replica_.primaryFresh(now) && source_.frame() && frameStamp() >= replica_.primaryStamp());
-  source_.setConfirmed(fresh && group_.leaseHeld(now));
+  source_.setConfirmed(fresh && !source_.doubted() && group_.leaseHeld(now));
   source_.publish(now, fx.out);
   askForNews(now, fx.out);
 }
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -15,21 +15,38 @@
 
 std::uint64_t digestOf(const std::vector<schema::RunnerEntry>& runners) {
   std::uint64_t sum = runners.size();
-  for (const auto& e : runners)
-    sum = base::hash(fmt::format("{} {} {} {} {} {} {} {}", e.instanceId, e.service, e.zone, e.ip, e.port, e.slots,
-                                 e.draining, e.warmupLeftMs),
+  for (const auto& e : runners) {
+    sum = base::hash(fmt::format("{} {} {} {} {} {} {} {} {} {}", e.instanceId, e.service, e.zone, e.ip, e.port, e.slots,
+                                 e.draining, e.warmupLeftMs, e.revision, e.models.size()),
                      sum);
+    for (const auto& model : e.models) {
+      sum = base::hash(fmt::format("{} {} {}", model.name, model.revision, model.adapters.size()), sum);
+      for (const auto& adapter : model.adapters) sum = base::hash(adapter, sum);
+    }
+  }
   return sum;
 }
+
+// Of all but the digests of orders, which the primary keeps to itself.
+std::uint64_t digestOf(schema::Frame frame) {
+  frame.digests.clear();
+  return base::hash(net::encodeFrame(frame));
+}
 }  // namespace
 
 bool Source::setFrame(const schema::Frame& frame) {
-  if (frame_ && frame.stamp <= frame_->stamp) return false;
+  if ((frame_ && frame.stamp <= frame_->stamp) || frame.stamp < floor_) return false;
   frame_ = frame;
   contents_.clear();
+  frameDigest_ = digestOf(frame);
+  doubted_ = false;
   return true;
 }
 
+void Source::compare(const schema::News& news) {
+  if (news.confirmed && frame_ && news.frameStamp == frame_->stamp && news.frameDigest != frameDigest_) doubted_ = true;
+}
+
 bool Source::setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners,
                         base::TimePoint listedAt) {
   if (hasRunners_ && stamp < runnersStamp_) return false;
@@ -142,6 +159,10 @@
   schema::News news;
   news.token = ask.token;
   news.confirmed = confirmed_;
+  if (frame_) {
+    news.frameStamp = frame_->stamp;
+    news.frameDigest = frameDigest_;
+  }
   news.runnersStamp = runnersStamp_;
   const auto age = hasRunners_ ? std::chrono::duration_cast<base::Millis>(now - listedAt_).count() : 1'000'000;
   news.runnersAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, 1'000'000));
@@ -185,6 +206,13 @@
 }
 
 void Source::tick(base::TimePoint now, net::Outbox& out) {
+  // At a pace: what comes again may be doubted again.
+  if (doubted_ && frame_ && now - givenUpAt_ >= times_.again) {
+    givenUpAt_ = now;
+    floor_ = frame_->stamp;
+    frame_.reset();
+    contents_.clear();
+  }
   publish(now, out);
   std::erase_if(askers_, [&](const auto& entry) { return now - entry.second.at > 3 * times_.hold; });
 }
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "rollout/orders.hpp"
+
 namespace indigohill::feed {
 
 using base::Millis;
@@ -74,12 +76,23 @@
       }
       configuration = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
     }
-    source_.setFrame(frame);
+    if (!source_.setFrame(frame)) continue;
     group_.setHeld(frame.stamp);
     fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision,
                                    frame.stamp.epoch, frame.stamp.serial));
-    fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated});
+    auto rollouts = rollout::readAll(frame.rollouts);
+    for (const auto& r : rollouts) {
+      if (r.record) continue;
+      source_.doubt();
+      fx.notes.push_back(fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
+    }
+    fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated, std::move(rollouts)});
   }
+  const bool doubted = source_.doubted();
+  if (asked) source_.compare(news);
+  if (source_.doubted() && !doubted)
+    fx.notes.push_back(fmt::format("what is held of configuration {} is not what is in force; fetched whole again",
+                                   source_.frame()->revision));
   // How old the list is counts only in the answer to an ask under way: other news may have lain in a buffer.
   const auto listedAt = asked ? now - Millis(news.runnersAgeMs) : base::TimePoint{};
   const bool first = !source_.hasRunners();
