Streams beside mismatched workers; a stream is taken up behind the last event passed on

Cause: with the code that notes the last event passed on taken out, no check failed. Change: the stand-in runner keeps the Last-Event-Id it was sent; streams under a declaration are looked at as slot checks are.

--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -28,7 +28,7 @@
   std::vector<std::string> stream;          // chunks of a stream's events; empty: an answer that is no stream
   std::atomic<bool> breaks{false};          // after its chunks it closes without the last
   std::atomic<int> ran{0}, turnedAway{0};
-  std::atomic<int> resumed{0};
+  std::atomic<int> resumed{0}, resumedFrom{-1};  // behind which event
 
   explicit Weighted(schema::RunnerEntry entry_) : entry(std::move(entry_)), acceptor(http::listen(io.get_executor(), {0x7f000001, 0}, "runner")) {
     entry.ip = 0x7f000001;
@@ -74,6 +74,7 @@
     std::string out = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const bool goesOn = request.count("Last-Event-Id") > 0;
     resumed += goesOn;
+    if (goesOn) resumedFrom = std::stoi(std::string(request["Last-Event-Id"]));
     for (const auto& part : stream) out += fmt::format("{:x}\r\n{}\r\n", part.size(), part);
     return breaks ? out : out + "0\r\n\r\n";
   }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -492,6 +492,33 @@
     cr_assert(has(out, "s.changes") && !has(out, kNowTwo) && !has(out, "s.same"));
   }
   cr_assert_gt(same.resumed.load(), 0);
+  cr_assert_eq(same.resumedFrom.load(), 1);  // the last event that was passed on, not the last that came
+}
+
+Test(rollout_pass, mismatched_workers_serve_no_stream_and_a_liar_none_that_is_passed_on) {
+  const auto engine = [](const std::string& id, const std::string& revision = "v1", std::uint64_t weights = 1, std::vector<std::string> adapters = {"law"}) {
+    return runner(id, revision, weights, std::move(adapters), "engine");
+  };
+  Weighted good(engine("good")), software(engine("software", "v2")), weights(engine("weights", "v1", 2)), adapters(engine("adapters", "v1", 1, {})),
+      changed(engine("changed")), liar(engine("liar"));
+  for (auto* r : {&good, &software, &weights, &adapters, &changed, &liar}) r->stream = {event(1), event(2)};
+  weights.weights = changed.weights = liar.weights = 2;
+  liar.heedsExpected = false;
+  Traffic router({&good, &software, &weights, &adapters, &changed, &liar});
+  router.declare({ofEngine(0)});
+  int whole = 0;
+  std::string all;
+  for (int i = 0; i < 100; ++i) {
+    const auto out = router.get("/text/1");
+    whole += out.starts_with("HTTP/1.1 200") && out.ends_with(kEnd);
+    all += out;
+  }
+  fmt::print(stderr, "streams after the declaration: {} whole, {} run by mismatched workers, {} by the liar\n", whole,
+             software.ran + weights.ran + adapters.ran + changed.ran, liar.ran.load());
+  cr_assert_eq(whole, 100);
+  cr_assert_eq(software.ran + weights.ran + adapters.ran + changed.ran, 0);
+  cr_assert_leq(liar.ran.load(), 1);
+  cr_assert(!has(all, "s.liar"));
 }
 
 Test(rollout_pass, a_broken_stream_goes_on_at_the_same_snapshot_alone) {
