--- a/tests/operator.hpp
+++ b/tests/operator.hpp
@@ -2,6 +2,10 @@
 #include <criterion/criterion.h>
 
 #include <cstdlib>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
 
 #include "documents.hpp"
 #include "sim/world.hpp"
@@ -74,4 +78,28 @@
   holds(world);
 }
 
+// Groups without a world: a tick each 100 ms for `span`, every message delivered within its tick, at most `most` a tick.
+inline void exchange(std::map<settings::Endpoint, std::unique_ptr<membership::Group>>& groups, base::TimePoint start,
+                     Millis span, std::size_t most) {
+  for (Millis at{0}; at < span; at += Millis(100)) {
+    const auto now = start + at;
+    std::vector<std::pair<settings::Endpoint, net::Outgoing>> flying;
+    const auto collect = [&](const settings::Endpoint& from, net::Outbox& out) {
+      for (auto& item : out) flying.emplace_back(from, item);
+      out.clear();
+    };
+    for (auto& [address, group] : groups) {
+      net::Outbox out;
+      group->tick(now, out);
+      collect(address, out);
+    }
+    for (std::size_t i = 0; i < flying.size() && i < most; ++i) {
+      const auto [from, item] = flying[i];
+      net::Outbox out;
+      if (groups.contains(item.to)) groups[item.to]->receive(item.message, from, now, out);
+      collect(item.to, out);
+    }
+  }
+}
+
 }  // namespace indigohill::tests
--- a/tests/test_losses.cpp
+++ b/tests/test_losses.cpp
@@ -537,24 +537,6 @@
     if (i == 1) groups[address]->setVoters(1, {"a", "x", "y"});
     if (i == 2 || i == 3) groups[address]->setVoters(2, voters);
   }
-  for (int ms = 0; ms < 4000; ms += 100) {
-    const auto now = start + Millis(ms);
-    std::vector<std::pair<settings::Endpoint, net::Outgoing>> flying;
-    const auto collect = [&](const settings::Endpoint& from, net::Outbox& out) {
-      for (auto& item : out) flying.emplace_back(from, item);
-      out.clear();
-    };
-    for (auto& [address, group] : groups) {
-      net::Outbox out;
-      group->tick(now, out);
-      collect(address, out);
-    }
-    for (std::size_t i = 0; i < flying.size() && i < 2000; ++i) {
-      const auto [from, item] = flying[i];
-      net::Outbox out;
-      if (groups.contains(item.to)) groups[item.to]->receive(item.message, from, now, out);
-      collect(item.to, out);
-    }
-  }
+  indigohill::tests::exchange(groups, start, Millis(4000), 2000);
   for (auto& [address, group] : groups) cr_assert(group->view() && group->view()->members.size() == 5);
 }
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -382,25 +382,7 @@
         membership::Group::Self{id, id, "z", membership::Role::Controller, address}, seeds, membership::Times{}, i);
     groups[address]->setVoters(1, voters);
   }
-  for (int ms = 0; ms < 4000; ms += 100) {
-    const auto now = start + Millis(ms);
-    std::vector<std::pair<settings::Endpoint, net::Outgoing>> flying;
-    const auto collect = [&](const settings::Endpoint& from, net::Outbox& out) {
-      for (auto& item : out) flying.emplace_back(from, item);
-      out.clear();
-    };
-    for (auto& [address, group] : groups) {
-      net::Outbox out;
-      group->tick(now, out);
-      collect(address, out);
-    }
-    for (std::size_t i = 0; i < flying.size() && i < 1000; ++i) {
-      const auto [from, item] = flying[i];
-      net::Outbox out;
-      if (groups.contains(item.to)) groups[item.to]->receive(item.message, from, now, out);
-      collect(item.to, out);
-    }
-  }
+  indigohill::tests::exchange(groups, start, Millis(4000), 1000);
   for (auto& [address, group] : groups) cr_assert(group->view() && group->view()->members.size() == 3);
 }
 
