--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -23,7 +23,10 @@
 class Process {
  public:
   Process(const settings::Settings& settings, const std::string& path, std::unique_ptr<store::Store> store)
-      : watch_(path, "controller", settings), seed_(randomSeed()), store_(std::move(store)), io_(1),
+      : watch_(path, "controller", settings),
+        seed_(randomSeed()),
+        store_(std::move(store)),
+        io_(1),
         executor_(io_.get_executor()),
         core_({settings.nodeName, settings.zone, cohortAddress(settings, true)}, identity(settings),
               seedAddresses(settings), tuningOf(settings), seed_),
@@ -37,7 +40,10 @@
     control_.start();
     link_.start();
     asio::co_spawn(io_, every(executor_, store_ ? kTick : kRelayTick, [this] { return tick(); }), asio::detached);
-    asio::co_spawn(io_, onSignals(executor_, [this] { leave(); }, [this] { reread(true); }), asio::detached);
+    asio::co_spawn(io_,
+                   onSignals(
+                       executor_, [this] { leave(); }, [this] { reread(true); }),
+                   asio::detached);
     const auto& record = core_.replica().record();
     spdlog::info("controller started: control {}, cohort {}, voter {}, {}", settings::text(watch_.now().controlPlane),
                  settings::text(cohortAddress(watch_.now(), true)), store_ ? core_.replica().voterId() : "none (relay)",
@@ -92,8 +98,7 @@
     order.body = found->argument.empty() || ofRollout ? request.body() : found->argument;
     const auto version = request["Indigohill-Base-Version"];
     if (order.kind == control::OrderKind::Replace || order.kind == control::OrderKind::Update) {
-      const auto [at, error] =
-          std::from_chars(version.data(), version.data() + version.size(), order.baseVersion);
+      const auto [at, error] = std::from_chars(version.data(), version.data() + version.size(), order.baseVersion);
       if (!version.empty() && (error != std::errc{} || at != version.data() + version.size()))
         co_return http::answer(request, 400, "Indigohill-Base-Version: a whole number is wanted");
     }
@@ -106,8 +111,8 @@
     if (!waiting_[id].answer) co_await timer->async_wait(http::kTuple);
     const auto answer = waiting_[id].answer.value_or(control::Answer{id, 503, "not finished in time", {}});
     waiting_.erase(id);
-    auto reply = http::answer(request, answer.status, answer.body,
-                              answer.status == 200 ? "application/json" : "text/plain");
+    auto reply =
+        http::answer(request, answer.status, answer.body, answer.status == 200 ? "application/json" : "text/plain");
     if (answer.status == 307) {
       const settings::Endpoint primary{answer.redirect.ip, watch_.now().controlPlane.port};
       reply.set(http::wire::field::location, "http://" + settings::text(primary) + std::string(request.target()));
@@ -234,7 +239,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   // No disk, or one whose loss does not count: nothing is kept there.
   if (settings.dataDirectory.empty() || !settings.quorumMember) return Process(settings, settingsPath, nullptr).run();
-  const auto mapBytes = std::max<std::uint64_t>(4u << 20, std::min<std::uint64_t>(32u << 20, settings.diskMb * (1u << 19)));
+  const auto mapBytes =
+      std::max<std::uint64_t>(4u << 20, std::min<std::uint64_t>(32u << 20, settings.diskMb * (1u << 19)));
   auto opened = store::Store::open(settings.dataDirectory, mapBytes);
   if (const auto* bad = base::fault(opened)) {
     spdlog::critical("store: {}", bad->what);
--- a/src/cli/hollow.cpp
+++ b/src/cli/hollow.cpp
@@ -55,14 +55,18 @@
   app.add_option("--linkMbps", base.linkMbps, "what a machine's link carries outwards")
       ->capture_default_str()
       ->check(CLI::Range(0.1, 1e6));
-  app.add_option("--steadyS", steadyS, "simulated seconds of the steady state")->capture_default_str()->check(CLI::Range(1, 600));
+  app.add_option("--steadyS", steadyS, "simulated seconds of the steady state")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 600));
   app.add_option("--partedS", partedS, "simulated seconds that the regions are parted")
       ->capture_default_str()
       ->check(CLI::Range(1, 7200));
   app.add_option("--repeats", course.repeats, "changes, list changes and faults at each size")
       ->capture_default_str()
       ->check(CLI::Range(1, 100));
-  app.add_option("--choices", choices, "choices of a runner at each size")->capture_default_str()->check(CLI::Range(1, 10'000'000));
+  app.add_option("--choices", choices, "choices of a runner at each size")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 10'000'000));
   app.add_option("--csv", csvPath, "where the figures go as CSV; - is standard output");
   app.add_option("--json", jsonPath, "where they go as JSON");
   app.add_option("--tables", tablesPath, "where the tables go")->capture_default_str();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -74,7 +74,8 @@
   plan->add_option("--rollout", planned.rollouts, "record of a rollout to come (JSON), one for each service");
   plan->add_option("--rollout-stage", planned.rolloutStage, "stage to show of it; default: the first");
   plan->add_flag("--json", planned.json, "the result as JSON");
-  plan->footer("Exit status: 0 nothing moves, 1 something moves, 2 the change would be invalid, 3 an input cannot be used.");
+  plan->footer(
+      "Exit status: 0 nothing moves, 1 something moves, 2 the change would be invalid, 3 an input cannot be used.");
   auto* import = app.add_subcommand("import", "make a configuration of an Envoy file");
   indigohill::cli::ImportArguments imported;
   import->add_option("file", imported.file, "Envoy's static configuration (YAML)")->required();
@@ -83,21 +84,26 @@
   import->footer("Exit status: 0 all was carried over, 1 some was not and is listed, 3 the file cannot be used.");
   auto* rollout = app.add_subcommand("rollout", "keep runners apart whose weights must not serve together");
   rollout->require_subcommand(1);
-  rollout->footer("Exit status: 0 done (status: nobody is held back), 1 status: somebody is held back, 2 the order or its "
-                  "record is wrong, 3 an input cannot be used, 4 the order does not fit what is in force, 5 no clear answer.");
+  rollout->footer(
+      "Exit status: 0 done (status: nobody is held back), 1 status: somebody is held back, 2 the order or its "
+      "record is wrong, 3 an input cannot be used, 4 the order does not fit what is in force, 5 no clear answer.");
   using indigohill::cli::RolloutVerb;
   indigohill::cli::RolloutArguments rolled;
   std::optional<RolloutVerb> rolloutVerb;
   const auto verb = [&](const char* name, const char* what, RolloutVerb is) {
     auto* command = rollout->add_subcommand(name, what);
-    command->add_option("--control", rolled.control, "control address HOST:PORT; given several times, they are tried in turn")
+    command
+        ->add_option("--control", rolled.control,
+                     "control address HOST:PORT; given several times, they are tried in turn")
         ->required()
         ->allow_extra_args(false);
-    command->add_option("--wait", rolled.waitS, "seconds to go on until there is a clear answer")->capture_default_str();
+    command->add_option("--wait", rolled.waitS, "seconds to go on until there is a clear answer")
+        ->capture_default_str();
     command->add_flag("--json", rolled.json, "the result as JSON");
     command->callback([&rolloutVerb, is] { rolloutVerb = is; });
     if (is == RolloutVerb::Declare || is == RolloutVerb::Advance)
-      command->add_flag("--even-without-runners", rolled.evenWithoutRunners, "also if no runner of the service may serve then");
+      command->add_flag("--even-without-runners", rolled.evenWithoutRunners,
+                        "also if no runner of the service may serve then");
     if (is == RolloutVerb::Advance || is == RolloutVerb::Withdraw) {
       command->add_option("service", rolled.service, "service")->required();
       command->add_option("--number", rolled.number, "number of the order; default: the one after that in force");
@@ -105,7 +111,8 @@
     return command;
   };
   verb("declare", "put a record in force, at its first stage", RolloutVerb::Declare)
-      ->add_option("file", rolled.file, "the record (JSON)")->required();
+      ->add_option("file", rolled.file, "the record (JSON)")
+      ->required();
   verb("status", "show the rollouts in force and who is held back", RolloutVerb::Status)
       ->add_option("service", rolled.service, "this service alone");
   verb("advance", "go to the next stage", RolloutVerb::Advance)
--- a/src/cli/rollout.cpp
+++ b/src/cli/rollout.cpp
@@ -198,7 +198,8 @@
   json::array shown;
   bool held = false;
   for (auto& r : described_.at("rollouts").as_array()) {
-    if (r.as_object().contains("withdrawn") || (!a.service.empty() && r.at("service").as_string() != a.service)) continue;
+    if (r.as_object().contains("withdrawn") || (!a.service.empty() && r.at("service").as_string() != a.service))
+      continue;
     auto out = r.as_object();
     if (const auto* judged = state_.as_object().if_contains("rollouts"))
       for (const auto& j : judged->as_array())
@@ -213,7 +214,8 @@
     std::cout << json::serialize(json::object{{"rollouts", std::move(shown)}}) << "\n";
     return held ? 1 : 0;
   }
-  if (shown.empty()) std::cout << "no rollout is declared" << (a.service.empty() ? "" : " for service " + a.service) << "\n";
+  if (shown.empty())
+    std::cout << "no rollout is declared" << (a.service.empty() ? "" : " for service " + a.service) << "\n";
   for (const auto& r : shown) {
     std::cout << "service " << r.at("service").as_string().c_str() << ": number " << r.at("number") << ", stages "
               << (r.at("record").is_object() ? stages(r) : "that this program cannot read");
--- a/src/cli/rollout.hpp
+++ b/src/cli/rollout.hpp
@@ -9,7 +9,7 @@
   std::vector<std::string> control;  // addresses of controllers, tried in turn
   std::string file;                  // of the record, to declare
   std::string service, stage;
-  std::uint64_t number = 0;          // 0: the one after that in force
+  std::uint64_t number = 0;  // 0: the one after that in force
   double waitS = 10;
   bool evenWithoutRunners = false, json = false;
 };
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -22,20 +22,30 @@
 constexpr Millis kTick{200};
 
 routing::Bounds boundsOf(const settings::Settings& s) {
-  return {s.retryBudgetRatio, s.retryBudgetSlack, s.warmupOvershoot, s.warmupSlack, s.retryWindowS,
-          groupTimes(s).lease, s.policy,
-          static_cast<std::size_t>((s.policy.indexMb > 0 ? s.policy.indexMb : 0.1 * static_cast<double>(s.memoryMb)) * (1 << 20))};
+  return {s.retryBudgetRatio,
+          s.retryBudgetSlack,
+          s.warmupOvershoot,
+          s.warmupSlack,
+          s.retryWindowS,
+          groupTimes(s).lease,
+          s.policy,
+          static_cast<std::size_t>((s.policy.indexMb > 0 ? s.policy.indexMb : 0.1 * static_cast<double>(s.memoryMb)) *
+                                   (1 << 20))};
 }
 
 class Router {
  public:
   Router(const settings::Settings& settings, const std::string& path)
-      : watch_(path, "router", settings), seed_(randomSeed()), workers_(workersOf(settings)),
-        io_(static_cast<int>(workers_)), cohort_(asio::make_strand(io_)),
+      : watch_(path, "router", settings),
+        seed_(randomSeed()),
+        workers_(workersOf(settings)),
+        io_(static_cast<int>(workers_)),
+        cohort_(asio::make_strand(io_)),
         core_({settings.nodeName, settings.zone, cohortAddress(settings, false)}, seedAddresses(settings),
               groupTimes(settings), feed::Times{}, settings.drainTimeoutMs, seed_, base::Clock::now()),
         journal_(routing::fold),
-        table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()), executor_(io_.get_executor(), table_),
+        table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()),
+        executor_(io_.get_executor(), table_),
         acceptor_(http::listen(io_.get_executor(), settings.frontend, "frontend")),
         readiness_(io_.get_executor(), settings.readiness, {},
                    [this](http::Request request, settings::Endpoint) -> asio::awaitable<http::Response> {
@@ -58,7 +68,10 @@
     link_.start();
     asio::co_spawn(io_, executor_.accept(acceptor_), asio::detached);
     asio::co_spawn(cohort_, every(cohort_, kTick, [this] { return tick(); }), asio::detached);
-    asio::co_spawn(cohort_, onSignals(cohort_, [this] { leave(); }, [this] { reread(true); }), asio::detached);
+    asio::co_spawn(cohort_,
+                   onSignals(
+                       cohort_, [this] { leave(); }, [this] { reread(true); }),
+                   asio::detached);
     spdlog::info("router started: frontend {}, cohort {}", settings::text(watch_.now().frontend),
                  settings::text(cohortAddress(watch_.now(), false)));
     std::vector<std::thread> others;
@@ -66,14 +79,16 @@
     io_.run();
     for (auto& other : others) other.join();
     const auto& c = executor_.counters();
-    spdlog::info("router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed, "
-                 "{} connections to runners",
-                 c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed, executor_.pool().opened());
+    spdlog::info(
+        "router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed, "
+        "{} connections to runners",
+        c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed, executor_.pool().opened());
     const auto i = table_.indexState();
-    spdlog::info("index of prompt parts: {} hits, {} misses, {} stores, {} removes, {} forgotten, {} blocks in {} bytes, "
-                 "{} failed look-ups, {} rankings",
-                 i.counters.hits, i.counters.misses, i.counters.stores, i.counters.removes, i.counters.forgotten, i.blocks,
-                 i.bytes, i.failed, i.rankings);
+    spdlog::info(
+        "index of prompt parts: {} hits, {} misses, {} stores, {} removes, {} forgotten, {} blocks in {} bytes, "
+        "{} failed look-ups, {} rankings",
+        i.counters.hits, i.counters.misses, i.counters.stores, i.counters.removes, i.counters.forgotten, i.blocks,
+        i.bytes, i.failed, i.rankings);
     return 0;
   }
 
--- a/src/control/calls.hpp
+++ b/src/control/calls.hpp
@@ -76,10 +76,10 @@
                                        named("Rollouts.Declare/", OrderKind::DeclareRollout),
                                        named("Rollouts.Advance/", OrderKind::AdvanceRollout),
                                        named("Rollouts.Withdraw/", OrderKind::WithdrawRollout)}),
-          Matcher(method("GET"),
-                  std::vector<Matcher>{exactly("Configuration.Describe", {Call::Kind::Order, OrderKind::Describe, {}}),
-                                       exactly("Rollouts.Describe", {Call::Kind::Order, OrderKind::DescribeRollouts, {}}),
-                                       exactly("Status", {Call::Kind::Status, {}, {}})})});
+          Matcher(method("GET"), std::vector<Matcher>{
+                                     exactly("Configuration.Describe", {Call::Kind::Order, OrderKind::Describe, {}}),
+                                     exactly("Rollouts.Describe", {Call::Kind::Order, OrderKind::DescribeRollouts, {}}),
+                                     exactly("Status", {Call::Kind::Status, {}, {}})})});
   return tree.match({method_, target.substr(0, target.find('?'))});
 }
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -11,7 +11,7 @@
 namespace indigohill::control {
 
 namespace {
-constexpr std::uint64_t kFloorStep = 1u << 19;  // half of what each founding sets aside
+constexpr std::uint64_t kFloorStep = 1u << 19;   // half of what each founding sets aside
 constexpr schema::Stamp kNothing{~0ULL, ~0ULL};  // asks for nothing of this kind
 }  // namespace
 
@@ -46,11 +46,14 @@
 
 Controller::Controller(Self self, Identity identity, std::vector<settings::Endpoint> seeds, Tuning tuning,
                        std::uint64_t seed)
-    : self_(std::move(self)), tuning_(tuning),
+    : self_(std::move(self)),
+      tuning_(tuning),
       group_({self_.nodeName + "/controller", identity.voterId, self_.zone, membership::Role::Controller, self_.cohort},
              seeds, tuning.group, seed),
       replica_({identity.voterId, self_.cohort, tuning.losses}, identity.loaded, tuning.replica, seed + 1),
-      source_(tuning.feed), frameSink_(tuning.feed, seed), runnerSink_(tuning.feed, ~seed) {
+      source_(tuning.feed),
+      frameSink_(tuning.feed, seed),
+      runnerSink_(tuning.feed, ~seed) {
   group_.setSeeds(known(seeds));
   group_.setFloor(identity.floor);
   floorKept_ = identity.floor;
@@ -138,8 +141,8 @@
 void Controller::settle(base::TimePoint now, Effects& fx) {
   if (replica_.published() && source_.setFrame(*replica_.published())) {
     const auto& frame = *replica_.published();
-    fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision,
-                                   frame.stamp.epoch, frame.stamp.serial));
+    fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision, frame.stamp.epoch,
+                                   frame.stamp.serial));
     group_.setHeld(frame.stamp);
   }
   if (const auto& record = replica_.record()) {
@@ -188,8 +191,8 @@
   if (!source_.hasRunners() || !runners::sameRunners(source_.runners(), runners, between))
     stamp = {group_.view()->number, stamp.epoch == group_.view()->number ? stamp.serial + 1 : 1};
   if (source_.setRunners(stamp, std::move(runners), askedAt))
-    fx.notes.push_back(
-        fmt::format("list of runners: {} of them (version {}.{})", source_.runners().size(), stamp.epoch, stamp.serial));
+    fx.notes.push_back(fmt::format("list of runners: {} of them (version {}.{})", source_.runners().size(), stamp.epoch,
+                                   stamp.serial));
   settle(now, fx);
 }
 
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -11,8 +11,8 @@
 constexpr std::size_t kOrdersWaiting = 64;
 constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
 
-constexpr base::Millis kSilence{5000};   // how long a backup that did not answer is taken only if there is no other
-constexpr base::Millis kSpread{5000};    // how often, at most, copies that all lie in one zone are moved
+constexpr base::Millis kSilence{5000};  // how long a backup that did not answer is taken only if there is no other
+constexpr base::Millis kSpread{5000};   // how often, at most, copies that all lie in one zone are moved
 
 // The machine that a voter's name tells of.
 std::string_view machine(std::string_view voterId) { return voterId.substr(0, voterId.find('/')); }
@@ -24,7 +24,10 @@
 }  // namespace
 
 Replica::Replica(Self self, Loaded loaded, ReplicaTimes times, std::uint64_t seed)
-    : self_(std::move(self)), times_(times), random_(seed), record_(std::move(loaded.record)),
+    : self_(std::move(self)),
+      times_(times),
+      random_(seed),
+      record_(std::move(loaded.record)),
       frame_(std::move(loaded.frame)) {
   if (loaded.vote) vote_ = *loaded.vote;
   // Before the first record is replaced nothing can have been acknowledged, so no frame means an empty one.
@@ -188,8 +191,8 @@
   };
   std::vector<std::string> out;
   while (out.size() < count && !pool.empty()) {
-    const auto best = std::min_element(pool.begin(), pool.end(),
-                                       [&](const auto* a, const auto* b) { return rank(*a) < rank(*b); });
+    const auto best =
+        std::min_element(pool.begin(), pool.end(), [&](const auto* a, const auto* b) { return rank(*a) < rank(*b); });
     ++copies[(*best)->zone];
     out.push_back((*best)->voterId);
     pool.erase(best);
@@ -202,9 +205,9 @@
 // than f.
 //
 // Any change may be made in one record. The record after epoch e is the value of one decree among the voters of e, so
-// there is one whatever its voters are. It also needs a majority of its own voters to have accepted it, so whoever later
-// holds a majority of them finds it. Voters of e that missed it cannot go on by themselves: a majority of them holds
-// one that accepted it, or has since learned of a later record, and is handed that.
+// there is one whatever its voters are. It also needs a majority of its own voters to have accepted it, so whoever
+// later holds a majority of them finds it. Voters of e that missed it cannot go on by themselves: a majority of them
+// holds one that accepted it, or has since learned of a later record, and is handed that.
 void Replica::chooseVoters(schema::EpochRecord& target, base::TimePoint now) const {
   auto& voters = target.voters;
   const auto pool = keepers(true);
@@ -287,7 +290,8 @@
   // Those that are backups stay, unless one of them is why there is a choice.
   if (record_->primary == self_.voterId && record_->backups.size() == count && !inOneZone(record_->backups) &&
       std::all_of(record_->backups.begin(), record_->backups.end(),
-                  [&](const auto& b) { return controller(b) != nullptr; }) && !anySilent(now))
+                  [&](const auto& b) { return controller(b) != nullptr; }) &&
+      !anySilent(now))
     target.backups = record_->backups;
   return true;
 }
@@ -489,8 +493,7 @@
   drainLocal(now, fx);
 }
 
-void Replica::handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
-                     Effects& fx) {
+void Replica::handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx) {
   std::visit(
       [&](const auto& m) {
         if constexpr (requires { on(m, now, fx); }) {
@@ -743,7 +746,8 @@
 
 // Rollouts stand beside the operator's document, which is read back as it was sent.
 std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const {
-  const auto digest = orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
+  const auto digest =
+      orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
   if (next.document.empty()) return Answer{order.call, 409, "there is no configuration yet", {}};
   auto parsed = parseConfiguration(next.document);
   const auto known = [&](const std::string& service) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -36,8 +36,8 @@
   std::uint64_t call = 0;
   OrderKind kind = OrderKind::Describe;
   std::uint64_t baseVersion = 0;
-  std::string body;  // document, update, or name of the zone
-  std::string service{};                      // of a rollout
+  std::string body;                            // document, update, or name of the zone
+  std::string service{};                       // of a rollout
   std::vector<schema::RunnerEntry> runners{};  // as this controller knows them, for rollouts
 };
 
@@ -79,8 +79,8 @@
   base::Millis writeStuck{900};  // a write that a backup or the disk does not finish in this time
   base::Millis orderLife{3500};  // an order not finished by then is answered 503
   base::Millis exchange{3000};   // a voter missing for so long is exchanged
-  base::Millis turn{500};        // of several backups that would take over, each waits so much longer than the one before
-  base::Millis gather{1500};     // an order waits so long for the machines that faultTolerance calls for
+  base::Millis turn{500};     // of several backups that would take over, each waits so much longer than the one before
+  base::Millis gather{1500};  // an order waits so long for the machines that faultTolerance calls for
 };
 
 class Replica {
@@ -211,7 +211,7 @@
   std::optional<schema::Frame> frame_, published_;
   std::map<std::string, settings::Endpoint> lastAddress_;
   std::map<std::string, base::TimePoint> missingSince_;
-  std::map<std::string, std::string> seenIn_;  // the zone in which each voter was last seen
+  std::map<std::string, std::string> seenIn_;        // the zone in which each voter was last seen
   std::map<std::string, base::TimePoint> silentAt_;  // when a backup last failed to answer in time
 
   Phase phase_ = Phase::Idle;
@@ -223,8 +223,7 @@
   std::deque<schema::Message> local_;
   std::uint64_t nextToken_ = 1;
   schema::Stamp beatStamp_;
-  base::TimePoint beatAt_{}, beatSentAt_{}, standAt_{}, leaseSince_{}, primaryGoneAt_{},
-      activeSince_{}, spreadAt_{};
+  base::TimePoint beatAt_{}, beatSentAt_{}, standAt_{}, leaseSince_{}, primaryGoneAt_{}, activeSince_{}, spreadAt_{};
   bool beatSeen_ = false, handOverAsked_ = false, diskBad_ = false, primaryGone_ = false;
 };
 
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -16,8 +16,8 @@
 std::uint64_t digestOf(const std::vector<schema::RunnerEntry>& runners) {
   std::uint64_t sum = runners.size();
   for (const auto& e : runners) {
-    sum = base::hash(fmt::format("{} {} {} {} {} {} {} {} {} {}", e.instanceId, e.service, e.zone, e.ip, e.port, e.slots,
-                                 e.draining, e.warmupLeftMs, e.revision, e.models.size()),
+    sum = base::hash(fmt::format("{} {} {} {} {} {} {} {} {} {}", e.instanceId, e.service, e.zone, e.ip, e.port,
+                                 e.slots, e.draining, e.warmupLeftMs, e.revision, e.models.size()),
                      sum);
     for (const auto& model : e.models) {
       sum = base::hash(fmt::format("{} {} {}", model.name, model.revision, model.adapters.size()), sum);
@@ -154,8 +154,7 @@
   return (frame_ && frame_->stamp > ask.frame) || (hasRunners_ && runnersStamp_ > ask.runners);
 }
 
-void Source::answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now,
-                    net::Outbox& out) const {
+void Source::answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now, net::Outbox& out) const {
   schema::News news;
   news.token = ask.token;
   news.confirmed = confirmed_;
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -12,10 +12,16 @@
 
 Follower::Follower(Self self, std::vector<settings::Endpoint> seeds, membership::Times group, Times times,
                    Millis drainBound, std::uint64_t seed, base::TimePoint startedAt)
-    : self_(std::move(self)), seeds_(seeds), drainBound_(drainBound), seed_(seed),
+    : self_(std::move(self)),
+      seeds_(seeds),
+      drainBound_(drainBound),
+      seed_(seed),
       group_({self_.nodeName + "/router", "", self_.zone, membership::Role::Router, self_.cohort}, std::move(seeds),
              group, seed),
-      source_(times), sink_(times, seed), times_(times), startedAt_(startedAt) {}
+      source_(times),
+      sink_(times, seed),
+      times_(times),
+      startedAt_(startedAt) {}
 
 void Follower::tick(base::TimePoint now, Followed& fx) {
   group_.tick(now, fx.out);
@@ -37,8 +43,9 @@
   const auto since = unvouched(now);
   if (since.has_value() == unvouchedNoted_) return;
   unvouchedNoted_ = since.has_value();
-  fx.notes.push_back(since ? fmt::format("no controller has vouched for the configuration for {} ms; it is kept", since->count())
-                           : std::string("a controller vouches for the configuration again"));
+  fx.notes.push_back(
+      since ? fmt::format("no controller has vouched for the configuration for {} ms; it is kept", since->count())
+            : std::string("a controller vouches for the configuration again"));
 }
 
 void Follower::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
@@ -78,15 +85,17 @@
     }
     if (!source_.setFrame(frame)) continue;
     group_.setHeld(frame.stamp);
-    fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision,
-                                   frame.stamp.epoch, frame.stamp.serial));
+    fx.notes.push_back(fmt::format("configuration {} in force (epoch {}, serial {})", frame.revision, frame.stamp.epoch,
+                                   frame.stamp.serial));
     auto rollouts = rollout::readAll(frame.rollouts);
     for (const auto& r : rollouts) {
       if (r.record) continue;
       source_.doubt();
-      fx.notes.push_back(fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
+      fx.notes.push_back(
+          fmt::format("rollout of {} cannot be read, its runners are held back: {}", r.service, r.problem));
     }
-    fx.events.push_back(routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated, std::move(rollouts)});
+    fx.events.push_back(
+        routing::FrameCame{frame.stamp, std::move(configuration), frame.evacuated, std::move(rollouts)});
   }
   const bool doubted = source_.doubted();
   if (asked) source_.compare(news);
@@ -123,8 +132,7 @@
   }
   auto proposed = group_.pending() ? routing::routersOf(group_.pending()->result) : routing::Routers{};
   if (proposed != proposed_) fx.events.push_back(routing::ProposalCame{proposed_ = std::move(proposed)});
-  if (const auto holder = group_.flushFrom())
-    fx.out.push_back({*holder, schema::Ask{0, frameStamp(), {~0ULL, ~0ULL}}});
+  if (const auto holder = group_.flushFrom()) fx.out.push_back({*holder, schema::Ask{0, frameStamp(), {~0ULL, ~0ULL}}});
 }
 
 void Follower::tell(const schema::Message& message, net::Outbox& out) const {
--- a/src/hollow/daemon.cpp
+++ b/src/hollow/daemon.cpp
@@ -93,7 +93,8 @@
   perform(effects, fx);
 }
 
-void Daemon::update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now, Output& fx) {
+void Daemon::update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now,
+                    Output& fx) {
   control::Effects effects;
   controller_->order({call, control::OrderKind::Update, baseVersion, std::move(change)}, now, effects);
   perform(effects, fx);
@@ -103,7 +104,8 @@
   return controller_ ? controller_->readingDue(now) : follower_->readingDue(now);
 }
 
-void Daemon::listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Output& fx) {
+void Daemon::listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now,
+                    Output& fx) {
   if (controller_) {
     control::Effects effects;
     controller_->listed(std::move(runners), askedAt, now, effects);
--- a/src/hollow/daemon.hpp
+++ b/src/hollow/daemon.hpp
@@ -36,10 +36,9 @@
 constexpr std::size_t kRoles = std::size(kRoleNames);
 
 // Names of messages by their index in schema::Message; the first is none.
-constexpr const char* kKindNames[] = {
-    "",
+constexpr const char* kKindNames[] = {"",
 #define INDIGOHILL_KIND(number, name) #name,
-    INDIGOHILL_MESSAGES(INDIGOHILL_KIND)
+                                      INDIGOHILL_MESSAGES(INDIGOHILL_KIND)
 #undef INDIGOHILL_KIND
 };
 constexpr std::size_t kKinds = std::size(kKindNames);
--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -14,13 +14,13 @@
 
 namespace {
 
-constexpr std::size_t kSeeds = 3;        // as the settings have it: up to three
+constexpr std::size_t kSeeds = 3;  // as the settings have it: up to three
 constexpr std::uint32_t kFirstIp = 0x0a000001u;
 constexpr Millis kDiskSync{4};
-constexpr Millis kRetransmit{200};       // a packet lost on a connection comes again after this
+constexpr Millis kRetransmit{200};  // a packet lost on a connection comes again after this
 constexpr Millis kPlatformAnswer{5};
 constexpr Millis kOrderAgain{300};
-constexpr std::size_t kPacket = 1448;    // bytes of a message in one packet
+constexpr std::size_t kPacket = 1448;        // bytes of a message in one packet
 constexpr std::size_t kChannelBacklog = 16;  // these two as net::Link has them
 constexpr Millis kCallLimit{2000};
 
@@ -53,7 +53,8 @@
     out += fmt::format(R"({}{{"name":"model-{}","healthCheckPath":"/health","maxConnections":690,"warmupS":3.0,)"
                        R"("warmupPerS":18.0,"engine":{{"capacitySlots":24,"kvCacheTokens":437458}}}})",
                        m == 0 ? "" : ",", m);
-  return out + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+  return out +
+         R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 }
 
 std::vector<schema::RunnerEntry> runnerList(std::size_t runners, std::size_t models, std::size_t zones) {
@@ -88,7 +89,8 @@
     place.isController = i < shape.controllers;
     place.name = fmt::format("node-{}", i);
     place.zone = fmt::format("zone-{}", zoneOf(i));
-    place.cohort = {kFirstIp + static_cast<std::uint32_t>(i), static_cast<std::uint16_t>(place.isController ? 7001 : 7000)};
+    place.cohort = {kFirstIp + static_cast<std::uint32_t>(i),
+                    static_cast<std::uint16_t>(place.isController ? 7001 : 7000)};
     place.control = {place.cohort.ip, 8000};
     if (place.isController && seeds_.size() < kSeeds) seeds_.push_back(place);
   }
@@ -148,7 +150,8 @@
   Output fx;
   {
     const HeapScope scope(account(i));
-    n.daemon = std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, shape_.losses, random_(), now_, fx);
+    n.daemon =
+        std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, shape_.losses, random_(), now_, fx);
   }
   for (auto& write : fx.writes) n.disk[write.slot] = write.bytes;
   at(now_ + Millis(random_() % 200), [this, i, life = n.life] { tickLoop(i, life); });
@@ -231,7 +234,8 @@
 // between flows, and connections keep little in the device's queue.
 base::TimePoint Fleet::arrival(std::size_t from, std::size_t to, std::size_t size) {
   auto& n = nodes_[from];
-  const auto carry = std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(size) * 8000.0 / shape_.linkMbps));
+  const auto carry =
+      std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(size) * 8000.0 / shape_.linkMbps));
   n.linkFreeAt = std::max(n.linkFreeAt, now_) + carry;
   const auto leaves = size > kDatagram ? n.linkFreeAt : std::min(n.linkFreeAt, now_ + carry);
   const auto way = zoneOf(to) == zoneOf(from)       ? shape_.inZone
@@ -257,7 +261,8 @@
   at(when, [this, to, from, parcel = std::move(parcel)] { arrived(to, from, parcel); });
 }
 
-// The next message that waits. One that is not there within the limit is lost, and all that waits behind it (net::Link).
+// The next message that waits. One that is not there within the limit is lost, and all that waits behind it
+// (net::Link).
 void Fleet::overChannel(std::size_t from, std::size_t to, std::uint64_t life) {
   auto& n = nodes_[from];
   if (!n.daemon || n.life != life) return;
--- a/src/hollow/fleet.hpp
+++ b/src/hollow/fleet.hpp
@@ -23,7 +23,7 @@
   std::size_t zones = 5, regions = 2;
   std::size_t losses = 1;  // machines with a disk that may be lost at once
   std::uint64_t seed = 1;
-  double loss = 0.001;  // of packets
+  double loss = 0.001;    // of packets
   double linkMbps = 100;  // of each daemon's machine, outgoing
   std::chrono::microseconds inZone{250}, inRegion{700}, betweenRegions{10000};
 };
@@ -60,7 +60,7 @@
   std::size_t zoneOf(std::size_t i) const { return i % shape_.zones; }
   std::size_t regionOf(std::size_t i) const { return zoneOf(i) % shape_.regions; }
   static std::size_t account(std::size_t i) { return i + 1; }  // of its memory
-  void setBack();  // counters and the most memory
+  void setBack();                                              // counters and the most memory
 
   void start(std::size_t i);
   void kill(std::size_t i);  // loses its power: writes that are not on disk yet are lost
--- a/src/hollow/heap.cpp
+++ b/src/hollow/heap.cpp
@@ -48,7 +48,8 @@
 HeapScope::~HeapScope() { open = before_; }
 
 HeapUse heapOf(std::size_t account) {
-  return {accounts[account].live.load(std::memory_order_relaxed), accounts[account].most.load(std::memory_order_relaxed)};
+  return {accounts[account].live.load(std::memory_order_relaxed),
+          accounts[account].most.load(std::memory_order_relaxed)};
 }
 
 void forgetMost(std::size_t account) {
--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr double kNever = std::numeric_limits<double>::quiet_NaN();
-constexpr Millis kSettle{8000};  // longer than anything that follows a change by the clock (exchange of a voter, leases)
+constexpr Millis kSettle{
+    8000};  // longer than anything that follows a change by the clock (exchange of a voter, leases)
 
 double perS(double sum, Millis span) { return sum * 1000.0 / static_cast<double>(span.count()); }
 
@@ -270,7 +271,8 @@
     const double view = until([this] { return fleet_.viewEverywhere(); });
     put("power lost", "viewEverywhere", view, "ms");
     const double rest = until([this] { return fleet_.inForceEverywhere(revision_); });
-    put("power lost", "inForceEverywhere", (std::isnan(view) ? static_cast<double>(course_.limit.count()) : view) + rest, "ms");
+    put("power lost", "inForceEverywhere",
+        (std::isnan(view) ? static_cast<double>(course_.limit.count()) : view) + rest, "ms");
     fleet_.run(Millis(1000));
     cost("power lost", 1000 + (std::isnan(view + rest) ? 0 : view + rest));
   }
@@ -358,8 +360,7 @@
   constexpr std::size_t kEvents = 300;  // more than a journal keeps
   for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::ViewCame{viewOf(shape)});
   put("journal", "fullOfViews", live() - beforeViews, "bytes", true);
-  for (std::size_t i = 0; i < kEvents; ++i)
-    journal.append(routing::RunnersCame{{1, 2 + i}, runners, now});
+  for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::RunnersCame{{1, 2 + i}, runners, now});
   put("journal", "fullOfLists", live() - beforeViews, "bytes", true);
   return out;
 }
--- a/src/hollow/report.cpp
+++ b/src/hollow/report.cpp
@@ -62,10 +62,14 @@
 std::string json(const std::vector<Figure>& figures) {
   boost::json::array out;
   for (const auto& f : figures) {
-    boost::json::object o{{"daemons", f.shape.daemons}, {"controllers", f.shape.controllers},
-                          {"runners", f.shape.runners}, {"tenants", f.shape.tenants},
-                          {"seed", f.shape.seed},       {"scenario", f.scenario},
-                          {"measure", f.measure},       {"unit", f.unit},
+    boost::json::object o{{"daemons", f.shape.daemons},
+                          {"controllers", f.shape.controllers},
+                          {"runners", f.shape.runners},
+                          {"tenants", f.shape.tenants},
+                          {"seed", f.shape.seed},
+                          {"scenario", f.scenario},
+                          {"measure", f.measure},
+                          {"unit", f.unit},
                           {"basis", f.simulated ? "simulated" : "real"}};
     if (!f.role.empty()) o["role"] = f.role;
     if (!f.kind.empty()) o["kind"] = f.kind;
@@ -140,7 +144,8 @@
 
 std::string budget(const std::vector<Figure>& figures, const Target& target) {
   std::string out = fmt::format(
-      "\n### budget at {:.0f} daemons and {:.0f} runners\n\n| what | unit | basis | slope a daemon | as n^ | line at the target | "
+      "\n### budget at {:.0f} daemons and {:.0f} runners\n\n| what | unit | basis | slope a daemon | as n^ | line at "
+      "the target | "
       "at the largest size run | budget | |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
       target.daemons, target.runners);
   const auto row = [&](const std::string& what, const std::vector<std::pair<double, double>>& points,
@@ -152,8 +157,11 @@
     // Not reached at the largest size is over; else what was measured there counts, and the line beside it.
     const bool over = std::isnan(last) || std::max(last, expected) > most;
     out += fmt::format("| {} | {} | {} | {} | {:.1f} | {} | {} | {} | {} |\n", what, unit,
-                       simulated ? "simulated" : "real", number(line.slope), power(points), number(expected), number(last), most > 0 ? number(most) : "",
-                       most <= 0 ? "" : over ? "**over**" : "within");
+                       simulated ? "simulated" : "real", number(line.slope), power(points), number(expected),
+                       number(last), most > 0 ? number(most) : "",
+                       most <= 0 ? ""
+                       : over    ? "**over**"
+                                 : "within");
   };
   const auto steady = [&](const char* measure, const std::string& role) {
     return pointsOf(figures, "steady", measure, role);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,7 +27,10 @@
 }
 
 Server::Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler)
-    : executor_(executor), limits_(limits), handler_(std::move(handler)), acceptor_(listen(executor, at, "server at")) {}
+    : executor_(executor),
+      limits_(limits),
+      handler_(std::move(handler)),
+      acceptor_(listen(executor, at, "server at")) {}
 
 void Server::start() { asio::co_spawn(executor_, accept(), asio::detached); }
 
--- a/src/import/envoy.cpp
+++ b/src/import/envoy.cpp
@@ -73,10 +73,12 @@
       const auto thresholds = list(breakers, "thresholds");
       if (thresholds && thresholds.size() > 0 && thresholds[0]["max_connections"])
         service["maxConnections"] = thresholds[0]["max_connections"].as<std::uint64_t>();
-      if (thresholds && thresholds.size() > 1) note(thresholds, where + ".circuit_breakers: only the first threshold is carried over");
+      if (thresholds && thresholds.size() > 1)
+        note(thresholds, where + ".circuit_breakers: only the first threshold is carried over");
     }
     if (node["load_assignment"])
-      note(node["load_assignment"], where + ".load_assignment: not carried over; runners come from the platform's list");
+      note(node["load_assignment"],
+           where + ".load_assignment: not carried over; runners come from the platform's list");
     leftOver(node, where, {"name", "health_checks", "circuit_breakers", "load_assignment", "type", "connect_timeout"});
     return service;
   }
@@ -108,7 +110,8 @@
     } else if (action["weighted_clusters"] && action["weighted_clusters"]["clusters"]) {
       json::array split;
       for (const auto& part : action["weighted_clusters"]["clusters"])
-        split.push_back({{"targetService", text(part, "name")}, {"weight", part["weight"] ? part["weight"].as<std::uint64_t>() : 0}});
+        split.push_back({{"targetService", text(part, "name")},
+                         {"weight", part["weight"] ? part["weight"].as<std::uint64_t>() : 0}});
       out["trafficSplit"] = std::move(split);
     } else {
       note(action, where + ": not carried over; it names no cluster");
@@ -174,10 +177,12 @@
             const auto domains = Reader::list(host, "domains");
             if (!domains) throw Wrong{at(host) + ": domains: missing"};
             reader.leftOver(host, "virtual host " + Reader::text(host, "name"), {"name", "domains", "routes"});
-            for (const auto& route : Reader::list(host, "routes")) reader.route(route, domains, Reader::text(host, "name"), routes);
+            for (const auto& route : Reader::list(host, "routes"))
+              reader.route(route, domains, Reader::text(host, "name"), routes);
           }
         }
-    out.document = json::serialize(json::object{{"revision", revision}, {"routes", std::move(routes)}, {"services", std::move(services)}});
+    out.document = json::serialize(
+        json::object{{"revision", revision}, {"routes", std::move(routes)}, {"services", std::move(services)}});
     // The same checks as for an operator's configuration.
     if (auto parsed = control::parseConfiguration(out.document); base::fault(parsed) != nullptr)
       throw Wrong{"what comes of the file is no valid configuration: " + base::fault(parsed)->what};
--- a/src/kvindex/index.cpp
+++ b/src/kvindex/index.cpp
@@ -17,7 +17,7 @@
 std::size_t Index::PairHash::operator()(std::uint64_t key) const { return base::mix(key); }
 
 std::size_t Index::bytes() const {
-  return liveNodes_ * (sizeof(Node) + kPlace<decltype(edges_)>) + liveBlocks_ * (sizeof(Block) + kPlace<decltype(held_)>);
+  return liveNodes_ * (sizeof(Node) + kPlace<decltype(edges_)>)+liveBlocks_ * (sizeof(Block) + kPlace<decltype(held_)>);
 }
 
 std::uint64_t Index::keptTokens(RunnerId runner) const { return runner < runners_.size() ? runners_[runner].kept : 0; }
--- a/src/kvindex/index.hpp
+++ b/src/kvindex/index.hpp
@@ -41,7 +41,7 @@
 struct Counters {
   std::uint64_t hits = 0, misses = 0;  // look-ups that found a runner, and that found none
   std::uint64_t stores = 0, removes = 0;
-  std::uint64_t forgotten = 0;         // blocks that left because the index itself was full
+  std::uint64_t forgotten = 0;  // blocks that left because the index itself was full
 };
 
 // A radix tree over part ids for each model, and per node the runners that keep it with their tiers.
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -20,7 +20,8 @@
   std::string text = fmt::format("{} {} {}", view.number, view.epoch, view.lister);
   for (const auto& voter : view.voters) text += fmt::format(" {}", voter);
   for (const auto& m : view.members)
-    text += fmt::format("\n{} {} {} {} {} {} {} {}", m.id, m.voterId, m.zone, m.role, m.ip, m.port, m.bootId, m.incarnation);
+    text += fmt::format("\n{} {} {} {} {} {} {} {}", m.id, m.voterId, m.zone, m.role, m.ip, m.port, m.bootId,
+                        m.incarnation);
   return base::hash(text);
 }
 
@@ -103,9 +104,7 @@
 
 bool Group::watchesAll() const {
   if (!view_) return false;
-  if (!self_.voterId.empty() &&
-      base::contains(view_->voters, self_.voterId))
-    return true;
+  if (!self_.voterId.empty() && base::contains(view_->voters, self_.voterId)) return true;
   std::size_t oldest = 0;
   for (const auto& m : view_->members) {
     if (suspected_.contains(m.incarnation)) continue;
@@ -186,9 +185,7 @@
 void Group::sendHellos(base::TimePoint now, net::Outbox& out) {
   helloAt_ = now;
   const bool all = watchesAll();
-  const auto watchesToo = [&](const schema::Member& m) {
-    return base::contains(view_->voters, m.voterId);
-  };
+  const auto watchesToo = [&](const schema::Member& m) { return base::contains(view_->voters, m.voterId); };
   for (const auto* m : watched()) {
     // Those that watch everybody are asked by everybody and answer; among themselves both sides ask.
     const bool answersOnly = all && heardAt_.contains(m->incarnation) && stampOf_.contains(m->incarnation) &&
@@ -310,8 +307,8 @@
   auto next = result.number;
   for (const auto& m : result.members) next = std::max(next, m.incarnation);
   for (const auto& [id, joiner] : joiners_) {
-    const bool there =
-        std::any_of(result.members.begin(), result.members.end(), [&](const auto& m) { return m.id == joiner.member.id; });
+    const bool there = std::any_of(result.members.begin(), result.members.end(),
+                                   [&](const auto& m) { return m.id == joiner.member.id; });
     if (there || id == self_.id || barred_.contains(id) || now - joiner.heardAt > 4 * times_.join) continue;
     auto m = joiner.member;
     m.incarnation = ++next;
@@ -329,8 +326,7 @@
   if (!in(result, result.lister)) {
     result.lister = 0;
     for (const auto& m : result.members)
-      if (m.role == static_cast<std::uint8_t>(Role::Controller) &&
-          (result.lister == 0 || m.incarnation == successor_))
+      if (m.role == static_cast<std::uint8_t>(Role::Controller) && (result.lister == 0 || m.incarnation == successor_))
         result.lister = m.incarnation;
   }
   result.number = next + 1;
@@ -355,7 +351,8 @@
   for (const auto& s : old.steps)
     for (auto join : s.joins) {
       const auto same = [&](const auto& m) { return m.id == join.id; };
-      if (faults.contains(join.incarnation) || std::any_of(result.members.begin(), result.members.end(), same)) continue;
+      if (faults.contains(join.incarnation) || std::any_of(result.members.begin(), result.members.end(), same))
+        continue;
       join.incarnation = ++next;
       result.members.push_back(join);
       step.joins.push_back(join);
@@ -443,9 +440,9 @@
 std::optional<schema::Extend> Group::changesOf(const schema::Propose& proposal) const {
   if (!view_ || proposal.founding || proposal.base != view_->number) return std::nullopt;
   const auto& result = proposal.result;
-  schema::Extend changes{proposal.base, viewDigest_, proposal.round, proposal.proposer, proposal.insist,
-                         proposal.steps, result.number,  result.epoch,   result.lister,     result.voters,
-                         digestOf(result)};
+  schema::Extend changes{proposal.base,   viewDigest_,    proposal.round,  proposal.proposer,
+                         proposal.insist, proposal.steps, result.number,   result.epoch,
+                         result.lister,   result.voters,  digestOf(result)};
   if (digestOf(extended(*view_, changes)) != changes.digest) return std::nullopt;
   return changes;
 }
@@ -730,9 +727,8 @@
         const bool has = std::any_of(m.result.members.begin(), m.result.members.end(), [&](const auto& member) {
           return member.id == join.id && member.bootId == join.bootId;
         });
-        const bool failedSince = std::any_of(m.steps.begin(), m.steps.end(), [&](const auto& s) {
-          return base::contains(s.faults, join.incarnation);
-        });
+        const bool failedSince = std::any_of(m.steps.begin(), m.steps.end(),
+                                             [&](const auto& s) { return base::contains(s.faults, join.incarnation); });
         // A joiner that has since started again has failed in the meantime as well.
         if (!has && !failedSince && join.id != self_.id) nack.joins.push_back(join);
       }
@@ -770,12 +766,9 @@
   const auto* sender = find(round_->proposal.result, m.incarnation);
   if (sender == nullptr) return;
   heardAt_[m.incarnation] = now;
-  const bool senderVotes =
-      base::contains(view_->voters, sender->voterId);
+  const bool senderVotes = base::contains(view_->voters, sender->voterId);
   auto trial = round_->proposal.result;
-  std::erase_if(trial.members, [&](const auto& member) {
-    return base::contains(m.faults, member.incarnation);
-  });
+  std::erase_if(trial.members, [&](const auto& member) { return base::contains(m.faults, member.incarnation); });
   const bool namesMe = !in(trial, incarnation_);
   if (!senderVotes && (namesMe || !quorate(trial))) {
     // The missing events come from a manager on the small side of a cut: with them no quorum would be left. Once a
@@ -828,13 +821,14 @@
 }
 
 std::string Group::describe(base::TimePoint now) const {
-  auto out = fmt::format("view {} incarnation {} epoch {} lease {}", view_ ? view_->number : 0, incarnation_, knownEpoch_,
-                         leaseHeld(now));
+  auto out = fmt::format("view {} incarnation {} epoch {} lease {}", view_ ? view_->number : 0, incarnation_,
+                         knownEpoch_, leaseHeld(now));
   if (view_) {
     out += fmt::format(" of epoch {} members", view_->epoch);
     for (const auto& m : view_->members) out += fmt::format(" {}:{}", m.id, m.incarnation);
   }
-  if (pending_) out += fmt::format("; pending {} on {} by {}", pending_->result.number, pending_->base, pending_->proposer);
+  if (pending_)
+    out += fmt::format("; pending {} on {} by {}", pending_->result.number, pending_->base, pending_->proposer);
   if (waiting_) out += fmt::format("; held back {}", waiting_->result.number);
   if (round_) {
     out += fmt::format("; round {} on {} insisting {} without", round_->proposal.result.number, round_->proposal.base,
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -91,8 +91,7 @@
 
 std::string sealedMessage(std::uint8_t kind, const std::string& body, bool mayShrink = true) {
   if (mayShrink && body.size() >= kDeflateFrom)
-    if (const auto shorter = deflated(body); !shorter.empty())
-      return sealed(kDeflatedVersion, kind, shorter);
+    if (const auto shorter = deflated(body); !shorter.empty()) return sealed(kDeflatedVersion, kind, shorter);
   return sealed(kWireVersion, kind, body);
 }
 
@@ -126,7 +125,8 @@
   return opened;
 }
 
-// Numbers that no message has, for what is kept on disk. 200 and 202 were a record with a single backup and votes on it.
+// Numbers that no message has, for what is kept on disk. 200 and 202 were a record with a single backup and votes on
+// it.
 constexpr std::uint8_t kFrame = 201, kRecord = 203, kVote = 204, kContent = 205;
 
 template <class T>
@@ -148,8 +148,9 @@
 }
 
 std::string encode(const schema::Message& message) {
-#define INDIGOHILL_ENCODE(number, name) \
-  if (const auto* m = std::get_if<schema::name>(&message)) return sealedMessage(number, pack(*m), !std::is_same_v<schema::name, schema::News>);
+#define INDIGOHILL_ENCODE(number, name)                    \
+  if (const auto* m = std::get_if<schema::name>(&message)) \
+    return sealedMessage(number, pack(*m), !std::is_same_v<schema::name, schema::News>);
   INDIGOHILL_MESSAGES(INDIGOHILL_ENCODE)
 #undef INDIGOHILL_ENCODE
   return {};
@@ -161,11 +162,11 @@
   if (const auto* bad = base::fault(opened)) return *bad;
   const auto& [version, kind, body] = std::get<0>(opened);
   switch (kind) {
-#define INDIGOHILL_DECODE(number, name)                         \
-  case number: {                                                \
-    auto read = unpack<schema::name>(body);                     \
-    if (const auto* bad = base::fault(read)) return *bad;       \
-    return schema::Message(std::move(std::get<0>(read)));       \
+#define INDIGOHILL_DECODE(number, name)                   \
+  case number: {                                          \
+    auto read = unpack<schema::name>(body);               \
+    if (const auto* bad = base::fault(read)) return *bad; \
+    return schema::Message(std::move(std::get<0>(read))); \
   }
     INDIGOHILL_MESSAGES(INDIGOHILL_DECODE)
 #undef INDIGOHILL_DECODE
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -18,7 +18,10 @@
 }  // namespace
 
 Link::Link(asio::any_io_executor strand, settings::Endpoint self, Receive receive)
-    : strand_(strand), self_(self), receive_(std::move(receive)), socket_(strand),
+    : strand_(strand),
+      self_(self),
+      receive_(std::move(receive)),
+      socket_(strand),
       server_(strand, self, {16384, kMaxMessageBytes, base::Millis(60000)},
               [this](http::Request request, settings::Endpoint from) -> asio::awaitable<http::Response> {
                 const auto port = request[kPortHeader];
--- a/src/pass/executor.cpp
+++ b/src/pass/executor.cpp
@@ -54,12 +54,29 @@
 std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
 // Heads of answers are copied by this list: what a runner may tell a client, and nothing that concerns a connection.
-constexpr std::array kAnswerHeads{
-    "Content-Type",     "Content-Language", "Content-Encoding", "Content-Disposition", "Content-Range",
-    "Cache-Control",    "ETag",             "Expires",          "Last-Modified",       "Location",
-    "Vary",             "Date",             "Set-Cookie",       "Retry-After",         "Accept-Ranges",
-    "WWW-Authenticate", "X-Request-Id",     kAttemptId,         kSeal,                 kLoad,
-    "Indigohill-Instance-Id", kWeightVersions, "Indigohill-Token-Usage"};
+constexpr std::array kAnswerHeads{"Content-Type",
+                                  "Content-Language",
+                                  "Content-Encoding",
+                                  "Content-Disposition",
+                                  "Content-Range",
+                                  "Cache-Control",
+                                  "ETag",
+                                  "Expires",
+                                  "Last-Modified",
+                                  "Location",
+                                  "Vary",
+                                  "Date",
+                                  "Set-Cookie",
+                                  "Retry-After",
+                                  "Accept-Ranges",
+                                  "WWW-Authenticate",
+                                  "X-Request-Id",
+                                  kAttemptId,
+                                  kSeal,
+                                  kLoad,
+                                  "Indigohill-Instance-Id",
+                                  kWeightVersions,
+                                  "Indigohill-Token-Usage"};
 
 bool concernsConnection(const wire::fields::value_type& field, const std::vector<std::string>& named) {
   switch (field.name()) {
@@ -97,7 +114,8 @@
 // told 408.
 class Bound {
  public:
-  Bound(beast::tcp_stream& stream, Millis limit) : timer_(stream.get_executor(), limit), state_(std::make_shared<State>()) {
+  Bound(beast::tcp_stream& stream, Millis limit)
+      : timer_(stream.get_executor(), limit), state_(std::make_shared<State>()) {
     stream.expires_never();
     state_->stream = &stream;
     timer_.async_wait([state = state_](boost::system::error_code error) {
@@ -120,8 +138,9 @@
   std::shared_ptr<State> state_;
 };
 
-// Watches over a runner that is silent. When the aim has passed without a first byte, others are told. A request that may
-// run again is taken away from a runner once the routers together hold it to be ill; silence by itself is no reason.
+// Watches over a runner that is silent. When the aim has passed without a first byte, others are told. A request that
+// may run again is taken away from a runner once the routers together hold it to be ill; silence by itself is no
+// reason.
 class SilenceWatch {
  public:
   SilenceWatch(asio::any_io_executor strand, routing::Table& table, std::string instanceId, Connection& connection,
@@ -189,14 +208,14 @@
   std::string attemptId;
   std::string service;
   base::TimePoint deadline;
-  bool stream = false;      // answered as events come
-  bool started = false;     // the client has bytes of the answer
-  bool keep = true;         // the client's connection can be used further
+  bool stream = false;   // answered as events come
+  bool started = false;  // the client has bytes of the answer
+  bool keep = true;      // the client's connection can be used further
   EventCutter events;
-  std::string resumeFrom;   // Last-Event-Id for the next runner
-  base::TimePoint firstAt{};          // when the first event left
-  base::TimePoint sentAt{};           // when it went to the runner that has it now
-  routing::Taking* taking = nullptr;  // the place at the runner that has it now
+  std::string resumeFrom;                 // Last-Event-Id for the next runner
+  base::TimePoint firstAt{};              // when the first event left
+  base::TimePoint sentAt{};               // when it went to the runner that has it now
+  routing::Taking* taking = nullptr;      // the place at the runner that has it now
   std::optional<http::Response> failure;  // a runner's own 5xx, passed on if no other runner does better
   // Weights of the runner that the stream's events come from, as its answers tell; and what is expected of this try.
   std::optional<std::uint64_t> version, expected;
@@ -364,7 +383,8 @@
 
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
   auto picture = table_.picture();
-  const Millis told(std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
+  const Millis told(
+      std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
   // Just started: a configuration and runners come within moments, and a request that waits for them is served sooner
   // than one that is sent away. Bounded, so that a client sent away has most of its time left.
   const auto patience = arrivedAt + std::min(kFirstNews, told / 4);
@@ -374,8 +394,23 @@
   }
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
-  Exchange x{client, request, route != nullptr ? *route : kNoRoute, std::string(request[kAttemptId]), {}, {}, false,
-             false, true, {}, {}, {}, {}, nullptr, {}, {}, {}};
+  Exchange x{client,
+             request,
+             route != nullptr ? *route : kNoRoute,
+             std::string(request[kAttemptId]),
+             {},
+             {},
+             false,
+             false,
+             true,
+             {},
+             {},
+             {},
+             {},
+             nullptr,
+             {},
+             {},
+             {}};
   if (!picture->configuration) co_return co_await reply(x, 503, "no configuration yet", 0.5);
   if (route == nullptr) co_return co_await reply(x, 404, "no route");
 
@@ -403,7 +438,8 @@
     }
     if (const auto* wait = std::get_if<routing::Wait>(&next)) {
       // Woken when a place comes free; looked at again anyway, since a cold runner's rate fills with time alone.
-      if (!co_await waitlist_.wait(route->priority, std::min(wait->until, now + Millis(25)))) ending = conduct.ending(now);
+      if (!co_await waitlist_.wait(route->priority, std::min(wait->until, now + Millis(25))))
+        ending = conduct.ending(now);
       continue;
     }
     auto& to = std::get<routing::PassTo>(next);
@@ -419,13 +455,13 @@
     if (outcome.end == Outcome::End::Answered) {
       ++counters_.passed;
       record(x, arrivedAt, 200, conduct.asked().tries);
-      co_return x.keep && keepAlive(request);
+      co_return x.keep&& keepAlive(request);
     }
     if (outcome.end == Outcome::End::ClientGone) co_return false;
     const auto after = base::Clock::now();
-    const bool more = outcome.end == Outcome::End::Unreached
-                          ? conduct.unreached({outcome.verdict, outcome.what}, after)
-                          : conduct.again({outcome.verdict, outcome.what}, x.started, !x.events.lastId().empty(), after);
+    const bool more = outcome.end == Outcome::End::Unreached ? conduct.unreached({outcome.verdict, outcome.what}, after)
+                                                             : conduct.again({outcome.verdict, outcome.what}, x.started,
+                                                                             !x.events.lastId().empty(), after);
     if (!more) ending = conduct.ending(after);
     if (!x.events.lastId().empty()) x.resumeFrom = x.events.lastId();
     x.events.drop();
@@ -596,8 +632,7 @@
 bool Executor::mayChange(const Exchange& x, std::uint64_t from, std::uint64_t to) const {
   const auto picture = table_.picture();
   const auto found = picture->rollouts.find(x.service);
-  return found != picture->rollouts.end() &&
-         found->second.allowsWithinStream(view(x.request[kModel]), from, to);
+  return found != picture->rollouts.end() && found->second.allowsWithinStream(view(x.request[kModel]), from, to);
 }
 
 // An answer that is no stream: read whole before a byte of it is passed on, so that the client gets all or nothing.
@@ -615,7 +650,8 @@
     if (error && error != wire::error::need_buffer)
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer breaks off: " + error.message()};
     out.body().append(part.data(), part.size() - parser.get().body().size);
-    if (out.body().size() > kBodyBuffered) co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer is too large"};
+    if (out.body().size() > kBodyBuffered)
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer is too large"};
   }
   const auto status = out.result_int();
   // To a client these statuses promise that the request has not run. The runner gave no such word.
@@ -633,8 +669,8 @@
     out.content_length(boost::none);
   else
     out.prepare_payload();
-  // A failure of the runner's own has run. What may run again is tried elsewhere, and this answer kept for the case that
-  // nobody does better.
+  // A failure of the runner's own has run. What may run again is tried elsewhere, and this answer kept for the case
+  // that nobody does better.
   if (status >= 500 && x.route.repeatable()) {
     x.failure = std::move(out);
     co_return Outcome{End::Fault, Verdict::MayHaveRun, instanceId + " answered " + std::to_string(status)};
@@ -700,11 +736,13 @@
       // may take the stream up, else it ends visibly.
       whole.resize(change->at);
       x.events.passedOnly(idBefore, whole);
-      if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+      if (!whole.empty() && !co_await pass(std::move(whole), false))
+        co_return Outcome{End::ClientGone, Verdict::Ran, {}};
       co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
     }
     if (error && error != wire::error::need_buffer) {
-      if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+      if (!whole.empty() && !co_await pass(std::move(whole), false))
+        co_return Outcome{End::ClientGone, Verdict::Ran, {}};
       co_return Outcome{End::Fault, Verdict::MayHaveRun, "the stream breaks off: " + error.message()};
     }
     if (x.events.waiting() > kEventMost) co_return Outcome{End::Fault, Verdict::MayHaveRun, "an event is too large"};
@@ -712,7 +750,8 @@
     if (last) {
       // The runner's body is whole: what is left of it is passed on even if no blank line ends it.
       if (const auto change = rollout::forbiddenChange(x.events.rest(), x.version, may)) {
-        if (!whole.empty() && !co_await pass(std::move(whole), false)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
+        if (!whole.empty() && !co_await pass(std::move(whole), false))
+          co_return Outcome{End::ClientGone, Verdict::Ran, {}};
         co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
       }
       whole += x.events.rest();
--- a/src/pass/executor.hpp
+++ b/src/pass/executor.hpp
@@ -3,12 +3,12 @@
 #include <functional>
 #include <string>
 
+#include "base/log.hpp"
 #include "http/types.hpp"
 #include "pass/events.hpp"
 #include "pass/pool.hpp"
 #include "pass/prompt.hpp"
 #include "pass/waitlist.hpp"
-#include "base/log.hpp"
 #include "routing/conduct.hpp"
 
 namespace indigohill::pass {
--- a/src/pass/pool.hpp
+++ b/src/pass/pool.hpp
@@ -1,9 +1,9 @@
 #pragma once
 #include <array>
+#include <atomic>
 #include <list>
 #include <map>
 #include <memory>
-#include <atomic>
 #include <mutex>
 #include <set>
 #include <string>
@@ -24,8 +24,8 @@
 };
 
 // What runners of a service have been seen to keep of idle connections. They may forget one early and without notice;
-// what is then sent on it is reset, and whether it ran is not known. Runners that crash reset connections of every age, so
-// single resets say nothing: counted is how many of the reused ones were reset, by how long they had stood.
+// what is then sent on it is reset, and whether it ran is not known. Runners that crash reset connections of every age,
+// so single resets say nothing: counted is how many of the reused ones were reset, by how long they had stood.
 class IdleLimit {
  public:
   void reused(base::Clock::duration idleFor, bool reset, base::TimePoint now);
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -6,8 +6,8 @@
 #include <boost/json.hpp>
 #include <set>
 
-#include "base/lists.hpp"
 #include "base/hash.hpp"
+#include "base/lists.hpp"
 #include "membership/group.hpp"
 #include "rollout/orders.hpp"
 
@@ -55,8 +55,7 @@
 
 std::size_t usable(const Side& side, const std::string& service) {
   return static_cast<std::size_t>(std::count_if(side.runners.begin(), side.runners.end(), [&](const auto& r) {
-    return r.service == service && !r.draining &&
-           !base::contains(side.evacuated, r.zone) &&
+    return r.service == service && !r.draining && !base::contains(side.evacuated, r.zone) &&
            std::none_of(side.rollouts.begin(), side.rollouts.end(), [&](const auto& rollout) {
              return rollout.service == service && !rollout.heldBack(rollout::snapshotOf(r)).empty();
            });
@@ -86,7 +85,8 @@
     }
     if (old.split != now->split)
       plan.routes.push_back({old.name, "re-aimed", aims(old), aims(*now), movedRequests(old, *now, samples)});
-    if (const auto names = fields(old, *now); !names.empty()) plan.routes.push_back({old.name, "changed", names, "", 0});
+    if (const auto names = fields(old, *now); !names.empty())
+      plan.routes.push_back({old.name, "changed", names, "", 0});
   }
   for (const auto& now : to.configuration->routes)
     if (find(*from.configuration, now.name) == nullptr) plan.routes.push_back({now.name, "added", "", aims(now), 0});
@@ -124,7 +124,8 @@
 }  // namespace
 
 bool Plan::moves() const {
-  return !routes.empty() || !services.empty() || !heldBack.empty() || routersFrom != routersTo || controllersFrom != controllersTo;
+  return !routes.empty() || !services.empty() || !heldBack.empty() || routersFrom != routersTo ||
+         controllersFrom != controllersTo;
 }
 
 Plan make(const Side& from, const Side& to, std::size_t samples) {
@@ -158,17 +159,22 @@
   for (const auto& w : p.invalid) out += "invalid: " + w + "\n";
   for (const auto& r : p.routes) {
     if (r.what == "re-aimed")
-      out += fmt::format("route {}: re-aimed from {} to {}; {:.1f}% of its requests move\n", r.name, r.from, r.to, 100 * r.moved);
+      out += fmt::format("route {}: re-aimed from {} to {}; {:.1f}% of its requests move\n", r.name, r.from, r.to,
+                         100 * r.moved);
     else
-      out += fmt::format("route {}: {}{}\n", r.name, r.what, r.from.empty() && r.to.empty() ? "" : ": " + (r.from.empty() ? r.to : r.from));
+      out += fmt::format("route {}: {}{}\n", r.name, r.what,
+                         r.from.empty() && r.to.empty() ? "" : ": " + (r.from.empty() ? r.to : r.from));
   }
   for (const auto& s : p.services)
-    out += fmt::format("service {}: {} -> {} runners; {:.1f}% of prompt prefixes move; to a cold runner {:.2f} -> {:.2f} a second "
-                       "from each router that holds a part\n", s.name, s.runnersFrom, s.runnersTo, 100 * s.prefixesMoved, s.warmRateFrom, s.warmRateTo);
-  for (const auto& h : p.heldBack) out += fmt::format("runner {} of {}: held back, {}\n", h.instanceId, h.service, h.why);
+    out += fmt::format(
+        "service {}: {} -> {} runners; {:.1f}% of prompt prefixes move; to a cold runner {:.2f} -> {:.2f} a second "
+        "from each router that holds a part\n",
+        s.name, s.runnersFrom, s.runnersTo, 100 * s.prefixesMoved, s.warmRateFrom, s.warmRateTo);
+  for (const auto& h : p.heldBack)
+    out += fmt::format("runner {} of {}: held back, {}\n", h.instanceId, h.service, h.why);
   if (p.routersFrom != p.routersTo)
-    out += fmt::format("routers: {} -> {}; each one's part of the retry slack {:.2f} -> {:.2f}\n", p.routersFrom, p.routersTo,
-                       p.slackFrom, p.slackTo);
+    out += fmt::format("routers: {} -> {}; each one's part of the retry slack {:.2f} -> {:.2f}\n", p.routersFrom,
+                       p.routersTo, p.slackFrom, p.slackTo);
   if (p.controllersFrom != p.controllersTo)
     out += fmt::format("controllers: {} -> {}\n", p.controllersFrom, p.controllersTo);
   return out.empty() ? "nothing moves\n" : out;
@@ -176,14 +182,22 @@
 
 std::string asJson(const Plan& p) {
   json::array routes, services, held;
-  for (const auto& h : p.heldBack) held.push_back({{"service", h.service}, {"instanceId", h.instanceId}, {"why", h.why}});
+  for (const auto& h : p.heldBack)
+    held.push_back({{"service", h.service}, {"instanceId", h.instanceId}, {"why", h.why}});
   for (const auto& r : p.routes)
     routes.push_back({{"name", r.name}, {"what", r.what}, {"from", r.from}, {"to", r.to}, {"moved", r.moved}});
   for (const auto& s : p.services)
-    services.push_back({{"name", s.name}, {"runnersFrom", s.runnersFrom}, {"runnersTo", s.runnersTo},
-                        {"prefixesMoved", s.prefixesMoved}, {"warmRateFrom", s.warmRateFrom}, {"warmRateTo", s.warmRateTo}});
-  return json::serialize(json::object{{"invalid", json::value_from(p.invalid)}, {"moves", p.moves()},
-                                      {"routes", std::move(routes)}, {"services", std::move(services)}, {"heldBack", std::move(held)},
+    services.push_back({{"name", s.name},
+                        {"runnersFrom", s.runnersFrom},
+                        {"runnersTo", s.runnersTo},
+                        {"prefixesMoved", s.prefixesMoved},
+                        {"warmRateFrom", s.warmRateFrom},
+                        {"warmRateTo", s.warmRateTo}});
+  return json::serialize(json::object{{"invalid", json::value_from(p.invalid)},
+                                      {"moves", p.moves()},
+                                      {"routes", std::move(routes)},
+                                      {"services", std::move(services)},
+                                      {"heldBack", std::move(held)},
                                       {"routers", {p.routersFrom, p.routersTo}},
                                       {"controllers", {p.controllersFrom, p.controllersTo}},
                                       {"retrySlackShare", {p.slackFrom, p.slackTo}}});
@@ -220,8 +234,9 @@
     into = v->to_number<double>();
     return {};
   };
-  for (const auto& problem : {bound("retryBudgetSlack", out.bounds.retrySlack), bound("warmupOvershoot", out.bounds.warmupOvershoot),
-                              bound("warmupSlack", out.bounds.warmupSlack), bound("faultTolerance", losses)})
+  for (const auto& problem :
+       {bound("retryBudgetSlack", out.bounds.retrySlack), bound("warmupOvershoot", out.bounds.warmupOvershoot),
+        bound("warmupSlack", out.bounds.warmupSlack), bound("faultTolerance", losses)})
     if (!problem.empty()) return wrong(problem);
   out.losses = std::max<std::size_t>(1, static_cast<std::size_t>(losses));
   return out;
--- a/src/plan/plan.hpp
+++ b/src/plan/plan.hpp
@@ -28,14 +28,14 @@
 };
 
 struct RouteChange {
-  std::string name, what;   // added, removed, re-aimed, changed
-  std::string from, to;     // services with weights, or the fields that differ
-  double moved = 0;         // share of its requests that go to another service
+  std::string name, what;  // added, removed, re-aimed, changed
+  std::string from, to;    // services with weights, or the fields that differ
+  double moved = 0;        // share of its requests that go to another service
 };
 struct ServiceChange {
   std::string name;
   std::size_t runnersFrom = 0, runnersTo = 0;
-  double prefixesMoved = 0;  // share of prompt prefixes whose parts are expected at another runner
+  double prefixesMoved = 0;                 // share of prompt prefixes whose parts are expected at another runner
   double warmRateFrom = 0, warmRateTo = 0;  // requests a second that one router may send to a cold runner
 };
 
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -28,8 +28,8 @@
   const control::Route* route = nullptr;
   std::unique_ptr<routing::Conduct> conduct;
   std::optional<routing::Taking> taking;
-  std::string runner;          // the one that has it
-  std::uint64_t sending = 0;   // counts the sends, so that what belongs to an earlier one is told apart
+  std::string runner;         // the one that has it
+  std::uint64_t sending = 0;  // counts the sends, so that what belongs to an earlier one is told apart
   std::uint32_t workMs = 0, outTokens = 0, eventsSent = 0;
   bool started = false, done = false;
 };
@@ -44,7 +44,8 @@
       r->name = fmt::format("{}/{}/{}", g.service, g.zone, n);
       r->instanceId = r->name + "#0";
       r->group = &g;
-      r->entry = {r->instanceId, g.service, g.zone, static_cast<std::uint32_t>(runners_.size() + 1), 80, g.slots, false, 0};
+      r->entry = {r->instanceId, g.service, g.zone, static_cast<std::uint32_t>(runners_.size() + 1), 80,
+                  g.slots,       false,     0};
       runners_.push_back(std::move(r));
     }
   routing::Bounds bounds;
@@ -172,8 +173,8 @@
   job->taking.emplace(std::move(to.taking));
   const auto sending = ++job->sending;
   job->sentAt = now_;
-  const auto found = std::find_if(runners_.begin(), runners_.end(),
-                                  [&](const auto& r) { return r->instanceId == to.instanceId; });
+  const auto found =
+      std::find_if(runners_.begin(), runners_.end(), [&](const auto& r) { return r->instanceId == to.instanceId; });
   if (found == runners_.end() || !(*found)->up) {
     // Nobody listens there any more.
     after(kHop, [this, job] { broken(job, {Verdict::NotRun, "no connection"}); });
@@ -261,8 +262,8 @@
   ++outcome.runs;
   after(first, [this, job, &runner, sending, life] {
     if (job->done || job->sending != sending || runner.life != life) return;
-    routers_[job->router].table->load(runner.instanceId, runner.running, static_cast<std::uint32_t>(runner.queue.size()),
-                                      runner.group->slots, now_);
+    routers_[job->router].table->load(runner.instanceId, runner.running,
+                                      static_cast<std::uint32_t>(runner.queue.size()), runner.group->slots, now_);
     if (job->taking) job->taking->begun(now_ - job->sentAt);
     if (job->route->type != control::RouteType::Streaming) return;
     if (!job->started) {
--- a/src/replay/fleet.hpp
+++ b/src/replay/fleet.hpp
@@ -24,10 +24,10 @@
 struct Outcome {
   std::string id, route;
   bool served = false, late = false;
-  std::uint32_t runs = 0;      // runs that a runner began
-  std::uint32_t allowed = 0;   // runs it may have had: any number if repeatable, else one for each of the client's tries
-  std::uint32_t tries = 0;     // sends to runners
-  std::uint64_t again = 0;     // tokens of shared parts that were read although some runner had read them before
+  std::uint32_t runs = 0;     // runs that a runner began
+  std::uint32_t allowed = 0;  // runs it may have had: any number if repeatable, else one for each of the client's tries
+  std::uint32_t tries = 0;    // sends to runners
+  std::uint64_t again = 0;    // tokens of shared parts that were read although some runner had read them before
   base::Millis took{0};
   bool doubled() const { return allowed != 0 && runs > allowed; }
 };
@@ -50,7 +50,7 @@
     std::uint64_t life = 0;
     std::uint32_t running = 0;
     std::list<std::function<void()>> queue;
-    base::TimePoint promptsReadAt{};  // when the prompts accepted so far have been read
+    base::TimePoint promptsReadAt{};                          // when the prompts accepted so far have been read
     std::list<std::pair<std::uint64_t, std::uint32_t>> kept;  // parts, the latest used first
     std::unordered_map<std::uint64_t, std::list<std::pair<std::uint64_t, std::uint32_t>>::iterator> keptAt;
     std::uint64_t keptTokens = 0;
--- a/src/replay/recording.cpp
+++ b/src/replay/recording.cpp
@@ -143,8 +143,7 @@
     for (std::size_t i = 0; i < groups.size(); ++i) {
       const auto where = fmt::format("runners[{}].", i);
       m.groups.push_back(readGroup(objectAt(groups[i], where), where));
-      if (!base::contains(m.zones, m.groups.back().zone))
-        m.zones.push_back(m.groups.back().zone);
+      if (!base::contains(m.zones, m.groups.back().zone)) m.zones.push_back(m.groups.back().zone);
     }
     if (m.groups.empty()) throw Wrong{"runners: missing"};
     if (m.routers == 0) m.routers = static_cast<std::uint32_t>(m.zones.size());
--- a/src/replay/recording.hpp
+++ b/src/replay/recording.hpp
@@ -21,9 +21,9 @@
 struct Group {
   std::string service, zone;
   std::uint32_t count = 1, slots = 1, queue = 16;
-  double speed = 1;                 // 1.3: takes 1.3 times as long
+  double speed = 1;  // 1.3: takes 1.3 times as long
   // Engines alone:
-  double promptTokensPerMs = 0;     // 0: no engine
+  double promptTokensPerMs = 0;  // 0: no engine
   double stepMs = 3.5, stepMsPerSlot = 0.1;
   std::uint32_t tokensPerEvent = 6;
   std::uint64_t cacheTokens = 600000;
@@ -41,8 +41,8 @@
   std::vector<Trouble> troubles;
   std::vector<std::string> zones;  // one router each, in this order, unless `routers` says more
   std::uint32_t routers = 0;
-  std::uint32_t clientTries = 1;   // further tries that a client makes by itself
-  base::Millis listLag{500};       // until routers know that a runner drains or is gone
+  std::uint32_t clientTries = 1;  // further tries that a client makes by itself
+  base::Millis listLag{500};      // until routers know that a runner drains or is gone
 };
 
 // Lines of the log that are records of requests, in order of time; other lines are passed over. A record that cannot
--- a/src/replay/report.cpp
+++ b/src/replay/report.cpp
@@ -35,8 +35,8 @@
 }
 
 json::object object(const Counts& c) {
-  return {{"requests", c.requests}, {"inAim", c.inAim},     {"late", c.late},
-          {"missing", c.missing},   {"doubled", c.doubled}, {"furtherRuns", c.furtherRuns},
+  return {{"requests", c.requests},      {"inAim", c.inAim},     {"late", c.late},
+          {"missing", c.missing},        {"doubled", c.doubled}, {"furtherRuns", c.furtherRuns},
           {"tokensAgain", c.tokensAgain}};
 }
 
@@ -67,8 +67,8 @@
 }
 
 std::string asText(const Comparison& c, std::size_t most) {
-  auto out = fmt::format("{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13} {:>13}\n", "route", "requests", "in aim",
-                         "late", "missing", "doubled", "further runs", "tokens again");
+  auto out = fmt::format("{:<10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>13} {:>13}\n", "route", "requests", "in aim", "late",
+                         "missing", "doubled", "further runs", "tokens again");
   for (const auto& [route, counts] : c.current) {
     out += route + "\n" + row("current", counts);
     if (const auto found = c.changed.find(route); found != c.changed.end()) out += row("changed", found->second);
--- a/src/rollout/orders.cpp
+++ b/src/rollout/orders.cpp
@@ -32,7 +32,8 @@
   const auto inForce = read(next);
   if (serving(*inForce, standing.runners) > 0) return;
   std::string whys;
-  for (const auto& held : heldBack({*inForce}, standing.runners)) whys += fmt::format("; {}: {}", held.instanceId, held.why);
+  for (const auto& held : heldBack({*inForce}, standing.runners))
+    whys += fmt::format("; {}: {}", held.instanceId, held.why);
   conflict(fmt::format("service {} would have no runner left at stage '{}'{}", next.service,
                        inForce->record->stages[next.stage].name, whys.empty() ? "; none is listed" : whys));
 }
@@ -78,7 +79,8 @@
   const auto* now = find(standing, name);
   // A service whose rollout is in force may have left the configuration meanwhile; its rollout can still be ended.
   if (now == nullptr) checkService(service, name, standing);
-  if (!service.empty() && service != name) wrong("service", "'" + name + "' is not '" + service + "', which the call names");
+  if (!service.empty() && service != name)
+    wrong("service", "'" + name + "' is not '" + service + "', which the call names");
   const auto number = in.whole("number");
   if (now == nullptr || now->document.empty()) conflict("no rollout is declared for service " + name);
   checkNumber(number, now);
@@ -144,7 +146,9 @@
     if (const auto inForce = read(r)) {
       json::error_code error;
       auto record = json::parse(r.document, error);
-      list.push_back({{"service", r.service}, {"number", r.number}, {"stage", stageName(*inForce)},
+      list.push_back({{"service", r.service},
+                      {"number", r.number},
+                      {"stage", stageName(*inForce)},
                       {"record", error ? json::value(r.document) : std::move(record)}});
     } else {
       list.push_back({{"service", r.service}, {"number", r.number}, {"withdrawn", true}});
@@ -158,8 +162,11 @@
     json::array held;
     for (const auto& h : heldBack({r}, runners))
       held.push_back({{"instanceId", h.instanceId}, {"zone", h.zone}, {"why", h.why}});
-    list.push_back({{"service", r.service}, {"number", r.number}, {"stage", stageName(r)},
-                    {"serving", serving(r, runners)}, {"heldBack", std::move(held)}});
+    list.push_back({{"service", r.service},
+                    {"number", r.number},
+                    {"stage", stageName(r)},
+                    {"serving", serving(r, runners)},
+                    {"heldBack", std::move(held)}});
   }
   return json::serialize(list);
 }
--- a/src/rollout/orders.hpp
+++ b/src/rollout/orders.hpp
@@ -15,7 +15,7 @@
 // What an order is checked against.
 struct Standing {
   const std::vector<schema::Rollout>& rollouts;
-  const std::vector<schema::RunnerEntry>& runners;  // as last listed
+  const std::vector<schema::RunnerEntry>& runners;        // as last listed
   std::function<bool(const std::string& service)> known;  // whether the configuration has the service
   std::string order{};                                    // digest of the order that is checked
 };
@@ -26,10 +26,11 @@
   std::string what;
 };
 
-// The rollouts that the order makes of those in force; the same ones where it is an exact resend of the last order about
-// its service. (Of an older one it is not: that may have been overtaken, and must not be acknowledged.) `service` is that of the path, empty to take the body's word.
-// The body of `Declare` is a record; of the others {"number": .., "stage": .., "evenWithoutRunners": ..}, where stage
-// (of `Advance` alone) names the one to go to and has to be the next.
+// The rollouts that the order makes of those in force; the same ones where it is an exact resend of the last order
+// about its service. (Of an older one it is not: that may have been overtaken, and must not be acknowledged.) `service`
+// is that of the path, empty to take the body's word. The body of `Declare` is a record; of the others {"number": ..,
+// "stage": .., "evenWithoutRunners": ..}, where stage (of `Advance` alone) names the one to go to and has to be the
+// next.
 std::variant<std::vector<schema::Rollout>, Refusal> change(Change kind, const std::string& service,
                                                            std::string_view body, const Standing& standing);
 
--- a/src/rollout/record.cpp
+++ b/src/rollout/record.cpp
@@ -51,7 +51,8 @@
 
 void parseSnapshots(const Fields& top, Record& out) {
   const auto& snapshots = top.need("snapshots");
-  if (!snapshots.is_object() || snapshots.as_object().empty()) wrong("snapshots", "at least one snapshot by name is wanted");
+  if (!snapshots.is_object() || snapshots.as_object().empty())
+    wrong("snapshots", "at least one snapshot by name is wanted");
   for (const auto& [key, value] : snapshots.as_object()) {
     const std::string name(key);
     if (name.empty()) wrong("snapshots", "a name must not be empty");
@@ -74,7 +75,8 @@
     for (const auto& name : before)
       if (!base::contains(now, name)) left.insert(name);
     for (const auto& name : now)
-      if (left.contains(name)) wrong(where, "contradicts the stages: '" + name + "' was left out before and comes back");
+      if (left.contains(name))
+        wrong(where, "contradicts the stages: '" + name + "' was left out before and comes back");
   }
 }
 
@@ -206,7 +208,8 @@
 bool InForce::allowsWithinStream(std::string_view model, std::uint64_t from, std::uint64_t to) const {
   if (!record) return false;
   return std::any_of(record->withinStream.begin(), record->withinStream.end(), [&](const auto& pair) {
-    return record->snapshots.at(pair.first).version(model) == from && record->snapshots.at(pair.second).version(model) == to;
+    return record->snapshots.at(pair.first).version(model) == from &&
+           record->snapshots.at(pair.second).version(model) == to;
   });
 }
 
--- a/src/routing/health.cpp
+++ b/src/routing/health.cpp
@@ -45,9 +45,9 @@
   // One zone that has left it out by itself says nothing about the others.
   const bool eased = before.probationForAll(now);
   const std::size_t elsewhere = inZone == routers.size() ? 0 : eased ? 1 : 2;
-  if (reporters_.size() >= reportsNeeded(expected, eased) && reporters_.size() - most >= elsewhere)
-    return kEveryZone;
-  const double ofZone = expected * static_cast<double>(inZone) / static_cast<double>(std::max<std::size_t>(1, routers.size()));
+  if (reporters_.size() >= reportsNeeded(expected, eased) && reporters_.size() - most >= elsewhere) return kEveryZone;
+  const double ofZone =
+      expected * static_cast<double>(inZone) / static_cast<double>(std::max<std::size_t>(1, routers.size()));
   if (most >= reportsNeeded(ofZone, before.probation(now))) return commonest;
   return std::nullopt;
 }
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -10,7 +10,8 @@
 #include "routing/warm.hpp"
 
 // What routers tell each other of ill runners. At 88 routers each sends a runner a request in ten seconds: alone it
-// finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health answer.
+// finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health
+// answer.
 namespace indigohill::routing {
 
 // The routers that gather the evidence about a runner: the first of the view in rendezvous order of its id.
@@ -38,10 +39,11 @@
 class Evidence {
  public:
   void told(const RouterId& reporter, base::TimePoint now);
-  // For whom enough routers agree. For all: `needed` of them, two of which are outside the zone that most are of (one is
-  // enough on probation). Else for the routers of that zone alone, when enough of it agree: a cut between two zones is no
-  // evidence for the others, nor is one router's own bad path, and a runner may be ill toward one zone only.
-  std::optional<std::uint64_t> agreed(const Routers& routers, double expected, const Suspension& before, base::TimePoint now);
+  // For whom enough routers agree. For all: `needed` of them, two of which are outside the zone that most are of (one
+  // is enough on probation). Else for the routers of that zone alone, when enough of it agree: a cut between two zones
+  // is no evidence for the others, nor is one router's own bad path, and a runner may be ill toward one zone only.
+  std::optional<std::uint64_t> agreed(const Routers& routers, double expected, const Suspension& before,
+                                      base::TimePoint now);
   void clear() { reporters_.clear(); }
 
  private:
@@ -60,8 +62,8 @@
   std::map<std::string, std::uint32_t> waiting_;  // late there; in time elsewhere since then
 };
 
-// Reports needed: as many routers as would meet trouble by a sixth of the requests it gets, and never fewer than three (two
-// on probation). `expected`: requests that it gets from all routers while evidence lasts.
+// Reports needed: as many routers as would meet trouble by a sixth of the requests it gets, and never fewer than three
+// (two on probation). `expected`: requests that it gets from all routers while evidence lasts.
 std::size_t reportsNeeded(double expected, bool probation);
 constexpr base::Millis kEvidenceLife{3000};
 constexpr std::uint64_t kEveryZone = 0;
--- a/src/routing/rendezvous.hpp
+++ b/src/routing/rendezvous.hpp
@@ -11,7 +11,9 @@
 namespace indigohill::routing {
 
 // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
-inline kvindex::Chain sharedParts(kvindex::Chain prompt) { return prompt.first(prompt.empty() ? 0 : prompt.size() - 1); }
+inline kvindex::Chain sharedParts(kvindex::Chain prompt) {
+  return prompt.first(prompt.empty() ? 0 : prompt.size() - 1);
+}
 
 // A number for the shared parts of a prompt, in their order; 0: there are none.
 inline std::uint64_t sharedKey(kvindex::Chain prompt) {
@@ -20,8 +22,8 @@
   return key;
 }
 
-// Rendezvous hashing: the first places for a key, the best first, as positions in `runners` (hashes of their ids). Every
-// router has the same list and so the same order, and a runner that comes or goes moves only what it has.
+// Rendezvous hashing: the first places for a key, the best first, as positions in `runners` (hashes of their ids).
+// Every router has the same list and so the same order, and a runner that comes or goes moves only what it has.
 inline std::vector<std::uint32_t> places(std::uint64_t key, std::span<const std::uint64_t> runners, std::size_t most) {
   std::vector<std::pair<std::uint64_t, std::uint32_t>> best;
   best.reserve(most + 1);
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kFaultsToEject = 2;
 constexpr std::uint32_t kEjectDoublings = 3;
 constexpr std::uint32_t kLongPrompt = 2000;  // tokens from which a prompt tells how fast an engine reads
-constexpr base::Millis kWarmMargin{1000};  // beyond the lease: cold runners' rates are counted by the second
+constexpr base::Millis kWarmMargin{1000};    // beyond the lease: cold runners' rates are counted by the second
 constexpr base::Millis kToldLife{3000};
 constexpr std::size_t kToldMost = 256;
 constexpr base::Millis kTellAgain{1000};  // trouble at one runner is told no more often than this
@@ -76,8 +76,12 @@
 }
 
 Table::Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt)
-    : zone_(std::move(zone)), bounds_(bounds), picture_(std::make_shared<const Picture>()),
-      index_(std::make_unique<kvindex::Index>(bounds.indexBytes)), startedAt_(startedAt), random_(seed) {}
+    : zone_(std::move(zone)),
+      bounds_(bounds),
+      picture_(std::make_shared<const Picture>()),
+      index_(std::make_unique<kvindex::Index>(bounds.indexBytes)),
+      startedAt_(startedAt),
+      random_(seed) {}
 
 std::shared_ptr<const Picture> Table::picture() const {
   const std::lock_guard lock(mutex_);
@@ -116,7 +120,8 @@
   if (routers > 0 && (routerCounts_.empty() || routerCounts_.back().second != routers))
     routerCounts_.emplace_back(now, routers);
   // Nobody asks further back than this.
-  while (routerCounts_.size() > 1 && now - routerCounts_[1].first >= 2 * (bounds_.retryWindow + bounds_.lease) + kWarmMargin)
+  while (routerCounts_.size() > 1 &&
+         now - routerCounts_[1].first >= 2 * (bounds_.retryWindow + bounds_.lease) + kWarmMargin)
     routerCounts_.pop_front();
   for (auto& [id, runner] : runners_) runner.listed = false;
   for (const auto& entry : picture_->runners) {
@@ -154,7 +159,8 @@
       auto& pool = pools_[runner.entry.service];
       pool.runners.push_back(&runner);
       pool.hashes.push_back(runner.idHash);
-      if (const auto* service = picture_->configuration ? picture_->configuration->service(runner.entry.service) : nullptr)
+      if (const auto* service =
+              picture_->configuration ? picture_->configuration->service(runner.entry.service) : nullptr)
         if (index_) index_->setCapacity(runner.number, service->kvCacheTokens);
     }
 }
@@ -494,7 +500,7 @@
       const double left = std::max(1.0, ownTokens + static_cast<double>(sharedTokens) - kept);
       r.toRead = static_cast<std::uint32_t>(left);
       r.logit = kvindex::logit({policy.overlapWeight, policy.blockTokens, left, running, policy.sharedMultiplier,
-                                 std::max(0.0, pooled - kept) / policy.blockTokens});
+                                std::max(0.0, pooled - kept) / policy.blockTokens});
     }
     ranking.order.push_back(r);
   };
@@ -535,7 +541,8 @@
     for (auto left = 2 * policy.candidates; left > 0 && ranking.order.size() < policy.candidates; --left)
       add(*among[random_() % among.size()], 0);
   }
-  std::sort(ranking.order.begin(), ranking.order.end(), [](const Ranked& a, const Ranked& b) { return a.logit < b.logit; });
+  std::sort(ranking.order.begin(), ranking.order.end(),
+            [](const Ranked& a, const Ranked& b) { return a.logit < b.logit; });
 }
 
 // What a request without any runner to go to is told.
@@ -554,15 +561,14 @@
   const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
   if (service == nullptr) return Shed{503, 0.5, "service unknown"};
   const auto& policy = bounds_.policy;
-  const double perS = policy.toldPerS / static_cast<double>(std::max<std::size_t>(1, routersLocked(now, bounds_.lease)));
+  const double perS =
+      policy.toldPerS / static_cast<double>(std::max<std::size_t>(1, routersLocked(now, bounds_.lease)));
   tellings_ = std::min(std::max(5.0, perS), tellings_ + perS * base::seconds(now - std::exchange(tellingsAt_, now)));
   const bool engine = service->kvCacheTokens > 0;
   const auto* pool = poolOf(asked.service);
   const auto routersNow = std::max<std::size_t>(1, routersLocked(now, bounds_.lease));
-  const auto connections =
-      std::max<std::uint32_t>(1, service->maxConnections == 0
-                                     ? 64
-                                     : static_cast<std::uint32_t>(service->maxConnections / routersNow));
+  const auto connections = std::max<std::uint32_t>(
+      1, service->maxConnections == 0 ? 64 : static_cast<std::uint32_t>(service->maxConnections / routersNow));
   const auto waitUntil = [&] {
     const auto aim = asked.route->targetLatency.count() > 0 ? asked.route->targetLatency : base::Millis(1000);
     const base::Millis part(static_cast<std::int64_t>(policy.waitShare * static_cast<double>(aim.count())));
@@ -636,7 +642,7 @@
                   Taking(this, runner.entry.instanceId, toRead, told, asked.model,
                          engine ? asked.prompt : decltype(asked.prompt){}),
                   runner.snapshot,
-                  asked.version ? asked.version
+                  asked.version                         ? asked.version
                   : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.modelName)
                                                         : std::nullopt};
   }
@@ -767,7 +773,8 @@
                           static_cast<double>(std::max<std::size_t>(1, there));
   const auto forWhom = runner.evidence.agreed(routers, expected, runner.suspension, now);
   if (!forWhom) return;
-  const auto own = std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == picture_->self; });
+  const auto own =
+      std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == picture_->self; });
   const bool here = *forWhom == kEveryZone || (own != routers.end() && own->zone == *forWhom);
   // What this router would not follow itself it tells nobody.
   if (here && !suspend(runner, *forWhom == kEveryZone, now)) return;
@@ -809,8 +816,8 @@
   const std::lock_guard lock(mutex_);
   if (!picture_->view) return;
   const auto routers = routersOf(*picture_->view);
-  const auto from = std::find_if(routers.begin(), routers.end(),
-                                 [&](const auto& r) { return r.incarnation == suspicions.reporter; });
+  const auto from =
+      std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == suspicions.reporter; });
   if (from == routers.end()) return;
   if (suspicions.agreed && suspicions.zone != kEveryZone && suspicions.zone != base::hash(zone_)) return;
   for (const auto& id : suspicions.instanceIds) {
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -16,8 +16,8 @@
 #include "control/configuration.hpp"
 #include "kvindex/index.hpp"
 #include "rollout/record.hpp"
-#include "routing/heat.hpp"
 #include "routing/health.hpp"
+#include "routing/heat.hpp"
 #include "routing/warm.hpp"
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
@@ -64,13 +64,13 @@
 using Event = std::variant<FrameCame, RunnersCame, ViewCame, ProposalCame>;
 void fold(Picture& picture, const Event& event);
 
-// The runners that a request may go to, as they were scored when it came: computed once, the lower the better. Admission
-// and stream recovery take the next one from it.
+// The runners that a request may go to, as they were scored when it came: computed once, the lower the better.
+// Admission and stream recovery take the next one from it.
 struct Ranked {
   kvindex::RunnerId runner = 0;
-  std::uint64_t idHash = 0;    // tells whether it is still that runner
+  std::uint64_t idHash = 0;  // tells whether it is still that runner
   double logit = 0;
-  std::uint32_t toRead = 0;    // prompt tokens that are probably not kept there
+  std::uint32_t toRead = 0;  // prompt tokens that are probably not kept there
 };
 struct Ranking {
   std::vector<Ranked> order;
@@ -81,7 +81,7 @@
   const control::Route* route = nullptr;
   std::string service;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt;  // parts: id, tokens
-  std::uint64_t model = 0;  // the model's name, hashed
+  std::uint64_t model = 0;                                      // the model's name, hashed
   std::uint32_t promptTokens = 0, outTokens = 0;
   std::uint32_t tries = 0;
   Ranking ranking;
@@ -101,11 +101,19 @@
   Taking() = default;
   Taking(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told, std::uint64_t model = 0,
          std::vector<std::pair<std::uint64_t, std::uint32_t>> parts = {}) noexcept
-      : table_(table), instanceId_(std::move(instanceId)), prompt_(prompt), told_(told), model_(model),
+      : table_(table),
+        instanceId_(std::move(instanceId)),
+        prompt_(prompt),
+        told_(told),
+        model_(model),
         parts_(std::move(parts)) {}
   Taking(Taking&& other) noexcept
-      : table_(std::exchange(other.table_, nullptr)), instanceId_(std::move(other.instanceId_)), prompt_(other.prompt_),
-        told_(other.told_), model_(other.model_), parts_(std::move(other.parts_)) {}
+      : table_(std::exchange(other.table_, nullptr)),
+        instanceId_(std::move(other.instanceId_)),
+        prompt_(other.prompt_),
+        told_(other.told_),
+        model_(other.model_),
+        parts_(std::move(other.parts_)) {}
   Taking& operator=(Taking&& other) noexcept {
     if (this != &other) {
       release();
@@ -138,7 +146,7 @@
   std::string zone;
   std::uint32_t connections = 1;  // how many this daemon may hold to it
   Taking taking;
-  rollout::Snapshot snapshot{};  // as listed
+  rollout::Snapshot snapshot{};                    // as listed
   std::optional<std::uint64_t> expectedVersion{};  // of the weights; asked for while a rollout or a stream wants one
 };
 struct Wait {
@@ -209,7 +217,7 @@
     std::size_t blocks = 0, bytes = 0;
     std::uint64_t failed = 0;      // look-ups that failed; their requests went by load alone
     std::uint64_t poolFailed = 0;  // the same for the shared pool
-    std::uint64_t rankings = 0;  // computed
+    std::uint64_t rankings = 0;    // computed
   };
   IndexState indexState() const;
   // A pool that every runner can fetch from; none here.
@@ -222,7 +230,8 @@
   double warmShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
                    base::TimePoint now);
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
-  std::string home(const std::string& service, const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
+  std::string home(const std::string& service,
+                   const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
 
   // Long prompts are told to the other routers as they go out and when they have been read. `tell` is called with the
   // table locked: it only hands on.
@@ -238,7 +247,7 @@
     std::uint32_t own = 0;        // own requests there
     std::uint64_t ownPrompt = 0;  // prompt tokens of those that have no first token yet
     std::map<std::uint64_t, std::pair<std::uint32_t, base::TimePoint>> others;  // long prompts of other routers, until
-    double reported = 0;          // running and waiting as last told, less those own
+    double reported = 0;  // running and waiting as last told, less those own
     base::TimePoint reportedAt{};
     base::TimePoint coldUntil{};
     double warmTokens = 1;
@@ -246,15 +255,15 @@
     std::uint32_t faults = 0;
     base::TimePoint ejectedUntil{};
     bool trial = false;
-    Evidence evidence;      // gathered here when this router is its assessor
+    Evidence evidence;  // gathered here when this router is its assessor
     Suspension suspension;
     base::TimePoint toldAt{};  // when trouble met here was last told
     bool listed = true;
-    rollout::Snapshot snapshot;      // as listed
-    std::string heldBack;            // why the rollout of its service keeps it from serving; empty: it does not
-    bool contradicted = false;       // by an answer of its own
-    std::uint32_t turnedAway = 0;    // requests that asked for the listed version
-    base::TimePoint heldUntil{};     // for those
+    rollout::Snapshot snapshot;    // as listed
+    std::string heldBack;          // why the rollout of its service keeps it from serving; empty: it does not
+    bool contradicted = false;     // by an answer of its own
+    std::uint32_t turnedAway = 0;  // requests that asked for the listed version
+    base::TimePoint heldUntil{};   // for those
   };
   struct Window {
     std::deque<std::pair<base::TimePoint, std::uint32_t>> buckets;
@@ -312,7 +321,7 @@
   std::unique_ptr<kvindex::Index> index_;  // none while it is built anew
   std::shared_ptr<kvindex::SharedPool> shared_;
   Heat heat_;
-  bool remake_ = false;            // the index is spoilt
+  bool remake_ = false;  // the index is spoilt
   std::uint64_t failedLookUps_ = 0, failedPool_ = 0, rankings_ = 0;
   std::vector<std::uint64_t> seenIn_;  // by number: the ranking that has the runner
   std::map<std::string, Budget> budgets_;
@@ -324,7 +333,7 @@
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
   std::function<void(const schema::Demand&)> tell_;
-  double tellings_ = 1;            // messages that may be told now
+  double tellings_ = 1;  // messages that may be told now
   base::TimePoint tellingsAt_{};
   double tokensPerMs_ = 0;  // how fast engines read, as seen here; 0: not seen yet
 };
--- a/src/routing/warm.cpp
+++ b/src/routing/warm.cpp
@@ -26,7 +26,8 @@
 Routers routersOf(const schema::View& view) {
   Routers out;
   for (const auto& m : view.members)
-    if (m.role == static_cast<std::uint8_t>(membership::Role::Router)) out.push_back({m.incarnation, base::hash(m.zone)});
+    if (m.role == static_cast<std::uint8_t>(membership::Role::Router))
+      out.push_back({m.incarnation, base::hash(m.zone)});
   return out;
 }
 
@@ -66,17 +67,17 @@
   place = {generation_, 0};
   const auto zoneHash = base::hash(zone);
   for (const auto& group : groups_) {
-    const auto self = std::find_if(group.routers.begin(), group.routers.end(),
-                                   [&](const auto& r) { return r.incarnation == self_; });
+    const auto self =
+        std::find_if(group.routers.begin(), group.routers.end(), [&](const auto& r) { return r.incarnation == self_; });
     // Without a place in one of them there is no part.
     if (self == group.routers.end()) return place.before = std::numeric_limits<std::size_t>::max();
     const auto key = [&](const RouterId& r) {
       return std::tuple(r.zone != zoneHash, routerRank(instanceId, r.incarnation), r.incarnation);
     };
     const auto own = key(*self);
-    place.before = std::max(place.before,
-                            static_cast<std::size_t>(std::count_if(group.routers.begin(), group.routers.end(),
-                                                                   [&](const auto& r) { return key(r) < own; })));
+    place.before =
+        std::max(place.before, static_cast<std::size_t>(std::count_if(group.routers.begin(), group.routers.end(),
+                                                                      [&](const auto& r) { return key(r) < own; })));
   }
   return place.before;
 }
--- a/src/routing/warm.hpp
+++ b/src/routing/warm.hpp
@@ -33,8 +33,8 @@
 
 // The groups that this router may still share a cold runner's rate with: the views and the extensions it has
 // acknowledged. A group stops counting when a later view has been delivered and every lease of its time has lapsed.
-// The holders of a runner are the first in rendezvous order, of its own zone before the others. A router is one only if it
-// is one in every group that counts; since those who hold a lease always have one such group in common, there are
+// The holders of a runner are the first in rendezvous order, of its own zone before the others. A router is one only if
+// it is one in every group that counts; since those who hold a lease always have one such group in common, there are
 // never more than that group names.
 class WarmShares {
  public:
--- a/src/runners/reader.hpp
+++ b/src/runners/reader.hpp
@@ -14,8 +14,7 @@
     std::string token;
     // Bounded: a platform that never ends its pages must not hold the duty for ever.
     for (std::size_t page = 0; page < 200; ++page) {
-      http::Request request(http::wire::verb::get,
-                            token.empty() ? "/instances" : "/instances?pageToken=" + token, 11);
+      http::Request request(http::wire::verb::get, token.empty() ? "/instances" : "/instances?pageToken=" + token, 11);
       auto called = co_await client_.call(std::move(request), limit);
       if (const auto* bad = base::fault(called)) co_return *bad;
       const auto& response = std::get<0>(called);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -129,7 +129,7 @@
   return wrong.empty() ? wrong : std::string(path) + ": " + wrong;
 }
 
-#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                               \
+#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                                    \
   if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
     return wrong;
 
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -32,7 +32,8 @@
     n->isController = i < shape.controllers || n->isRelay;
     n->name = fmt::format("node-{}", i);
     n->zone = fmt::format("zone-{}", i % zones);
-    n->cohort = {0x0a000001u + static_cast<std::uint32_t>(i), static_cast<std::uint16_t>(n->isController ? 7001 : 7000)};
+    n->cohort = {0x0a000001u + static_cast<std::uint32_t>(i),
+                 static_cast<std::uint16_t>(n->isController ? 7001 : 7000)};
     n->control = {n->cohort.ip, 8000};
     nodes_.push_back(std::move(n));
   }
@@ -151,7 +152,10 @@
       n.follower->tick(now_, fx);
       perform(i, fx);
     }
-    after(n.isRelay ? kRelayTick : n.isController ? kControllerTick : kRouterTick, [this, i, life] { tickLoop(i, life); });
+    after(n.isRelay        ? kRelayTick
+          : n.isController ? kControllerTick
+                           : kRouterTick,
+          [this, i, life] { tickLoop(i, life); });
   });
 }
 
@@ -477,7 +481,9 @@
     for (const auto& n : nodes_)
       if (n->alive && !n->isController)
         who += fmt::format(" {}{}:{}/{}", n->name, n->frozen ? "(frozen)" : "",
-                           n->follower->group().leaseHeld(now_) ? n->table->routers(now_, membership::Times{}.lease + Millis(1000)) : 0,
+                           n->follower->group().leaseHeld(now_)
+                               ? n->table->routers(now_, membership::Times{}.lease + Millis(1000))
+                               : 0,
                            n->follower->group().view() ? n->follower->group().view()->number : 0);
     breakRule(fmt::format("the shares of the routers sum to {}:{}", shares, who));
   }
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -70,13 +70,13 @@
   std::size_t losses() const { return std::min(shape_.losses, (shape_.controllers - 1) / 2); }
 
   void start(std::size_t i);
-  void kill(std::size_t i);       // the process ends; the disk keeps what had reached it
-  void powerOff(std::size_t i);   // the same, and all that was not synced is gone
-  void wipe(std::size_t i);       // powerOff, and the disk is gone
+  void kill(std::size_t i);      // the process ends; the disk keeps what had reached it
+  void powerOff(std::size_t i);  // the same, and all that was not synced is gone
+  void wipe(std::size_t i);      // powerOff, and the disk is gone
   void freeze(std::size_t i) { nodes_[i]->frozen = true; }
   void thaw(std::size_t i);
-  void term(std::size_t i);       // SIGTERM
-  void replace(std::size_t i);    // another machine at another address, with an empty disk
+  void term(std::size_t i);     // SIGTERM
+  void replace(std::size_t i);  // another machine at another address, with an empty disk
   void cut(std::size_t a, std::size_t b, bool is, bool bothWays = true);
   void cutOff(std::size_t i, const std::set<std::size_t>& from, bool is);
   void setLoss(double loss) { shape_.loss = loss; }
@@ -112,7 +112,8 @@
   void syncDisk(std::size_t i, std::uint64_t life);
   void onNode(std::size_t i, std::uint64_t life, std::function<void()> what);
   void tickLoop(std::size_t i, std::uint64_t life);
-  void trace(std::size_t i, const std::vector<std::string>& notes) const;  // to standard output, if INDIGOHILL_TRACE is set
+  void trace(std::size_t i,
+             const std::vector<std::string>& notes) const;  // to standard output, if INDIGOHILL_TRACE is set
   void check();
   void stop(std::size_t i, bool power);
   void tryOrder(std::size_t i, control::OrderKind kind, std::uint64_t baseVersion, std::string body,
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -65,8 +65,7 @@
       if (int rc = mdb_env_create(&handles->env)) return rc;
       if (int rc = mdb_env_set_mapsize(handles->env, mapBytes)) return rc;
       // No lock file: one process owns the folder.
-      if (int rc = mdb_env_open(handles->env, file.c_str(), MDB_NOSUBDIR | MDB_NOLOCK | MDB_NOTLS, 0644))
-        return rc;
+      if (int rc = mdb_env_open(handles->env, file.c_str(), MDB_NOSUBDIR | MDB_NOLOCK | MDB_NOTLS, 0644)) return rc;
       Txn txn(handles->env, 0);
       if (txn.rc() != 0) return txn.rc();
       if (int rc = mdb_dbi_open(txn.get(), nullptr, MDB_CREATE, &handles->dbi)) return rc;
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -45,7 +45,8 @@
       m.isController = i < shape.controllers;
       m.name = "edge-" + std::to_string(i);
       m.zone = "zone-" + std::to_string(i % 3);
-      m.cohort = {0x0a000001u + static_cast<std::uint32_t>(i), static_cast<std::uint16_t>(m.isController ? 7001 : 7000)};
+      m.cohort = {0x0a000001u + static_cast<std::uint32_t>(i),
+                  static_cast<std::uint16_t>(m.isController ? 7001 : 7000)};
       byAddress_[m.cohort] = i;
       machines_.push_back(std::move(m));
     }
@@ -90,13 +91,13 @@
           },
           m.life == 1, controls, {m.cohort.ip, 8000}, random_(), writes);
       for (auto& write : writes) m.disk[write.slot] = write.bytes;
-      m.controller = std::make_unique<control::Controller>(control::Controller::Self{m.name, m.zone, m.cohort},
-                                                           std::move(identity), seeds, control::Controller::Tuning{},
-                                                           random_());
+      m.controller =
+          std::make_unique<control::Controller>(control::Controller::Self{m.name, m.zone, m.cohort},
+                                                std::move(identity), seeds, control::Controller::Tuning{}, random_());
     } else {
-      m.follower = std::make_unique<feed::Follower>(feed::Follower::Self{m.name, m.zone, m.cohort}, seeds,
-                                                    membership::Times{}, feed::Times{}, base::Millis(4000), random_(),
-                                                    now_);
+      m.follower =
+          std::make_unique<feed::Follower>(feed::Follower::Self{m.name, m.zone, m.cohort}, seeds, membership::Times{},
+                                           feed::Times{}, base::Millis(4000), random_(), now_);
     }
     after(Micros(random_() % 100'000), [this, i, life = m.life] { tick(i, life); });
   }
@@ -174,7 +175,9 @@
     bool operator>(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
   };
   struct Hash {
-    std::size_t operator()(const settings::Endpoint& e) const { return std::hash<std::uint64_t>{}(e.ip * 65536ULL + e.port); }
+    std::size_t operator()(const settings::Endpoint& e) const {
+      return std::hash<std::uint64_t>{}(e.ip * 65536ULL + e.port);
+    }
   };
 
   void after(Micros delay, std::function<void()> what) { events_.push({now_ + delay, ++order_, std::move(what)}); }
--- a/tests/measure_fleet.cpp
+++ b/tests/measure_fleet.cpp
@@ -45,21 +45,36 @@
   const auto fault = [&](const std::string& what, const std::function<void()>& act, std::size_t members) {
     fleet.counts.clear();
     act();
-    put(rows, what + ", view everywhere (s)", fleet.until(Millis(20'000), [&] { return fleet.viewed(members); }).value_or(kNever));
+    put(rows, what + ", view everywhere (s)",
+        fleet.until(Millis(20'000), [&] { return fleet.viewed(members); }).value_or(kNever));
     put(rows, what + ", sent until then (KB)", bytesOf(fleet));
     fleet.run(Millis(3000));
   };
   const auto last = fleet.size() - 1;
-  fault("one router lost", [&] { fleet.kill(last); }, fleet.size() - 1);
-  fault("one router back", [&] { fleet.start(last); }, fleet.size());
+  fault(
+      "one router lost", [&] { fleet.kill(last); }, fleet.size() - 1);
+  fault(
+      "one router back", [&] { fleet.start(last); }, fleet.size());
   const auto primary = fleet.active();
-  fault("primary lost", [&] { fleet.kill(primary); }, fleet.size() - 1);
-  fault("controller back", [&] { fleet.start(primary); }, fleet.size());
+  fault(
+      "primary lost", [&] { fleet.kill(primary); }, fleet.size() - 1);
+  fault(
+      "controller back", [&] { fleet.start(primary); }, fleet.size());
   std::vector<std::size_t> zone;
   for (std::size_t i = 0; i < fleet.size(); ++i)
     if (fleet.machine(i).zone == "zone-2") zone.push_back(i);
-  fault("zone lost", [&] { for (const auto i : zone) fleet.kill(i); }, fleet.size() - zone.size());
-  fault("zone back", [&] { for (const auto i : zone) fleet.start(i); }, fleet.size());
+  fault(
+      "zone lost",
+      [&] {
+        for (const auto i : zone) fleet.kill(i);
+      },
+      fleet.size() - zone.size());
+  fault(
+      "zone back",
+      [&] {
+        for (const auto i : zone) fleet.start(i);
+      },
+      fleet.size());
   fleet.counts.clear();
   fleet.platform[0].draining = true;
   const auto told = fleet.until(Millis(20'000), [&] {
@@ -103,8 +118,11 @@
     fmt::print("{} routers\n", routers);
     for (auto& [name, values] : rows) {
       std::sort(values.begin(), values.end());
-      const auto text = [](double v) { return v >= kNever ? std::string("never") : (v < 100 ? fmt::format("{:.2f}", v) : fmt::format("{:.0f}", v)); };
-      fmt::print("  {:<45} {:>8} ({}) of {}\n", name, text(values[values.size() / 2]), text(values.back()), values.size());
+      const auto text = [](double v) {
+        return v >= kNever ? std::string("never") : (v < 100 ? fmt::format("{:.2f}", v) : fmt::format("{:.0f}", v));
+      };
+      fmt::print("  {:<45} {:>8} ({}) of {}\n", name, text(values[values.size() / 2]), text(values.back()),
+                 values.size());
     }
     std::fflush(stdout);
   }
--- a/tests/operator.hpp
+++ b/tests/operator.hpp
@@ -20,8 +20,8 @@
 // An operator that keeps what was acknowledged.
 struct Operator {
   sim::World& world;
-  std::uint64_t newest = 0;     // acknowledged
-  std::uint64_t tried = 0;      // highest revision ever sent
+  std::uint64_t newest = 0;  // acknowledged
+  std::uint64_t tried = 0;   // highest revision ever sent
   std::set<std::uint64_t> refused{};
   bool busy = false;  // one change at a time
 
@@ -78,7 +78,8 @@
   holds(world);
 }
 
-// Groups without a world: a tick each 100 ms for `span`, every message delivered within its tick, at most `most` a tick.
+// Groups without a world: a tick each 100 ms for `span`, every message delivered within its tick, at most `most` a
+// tick.
 inline void exchange(std::map<settings::Endpoint, std::unique_ptr<membership::Group>>& groups, base::TimePoint start,
                      Millis span, std::size_t most) {
   for (Millis at{0}; at < span; at += Millis(100)) {
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -22,15 +22,16 @@
 // A runner as the protocol describes it, as far as weights go. What it lists and what it holds may differ. It counts
 // what it runs.
 struct Weighted {
-  schema::RunnerEntry entry;                // as the platform lists it
-  std::atomic<std::uint64_t> weights{1};    // as it answers; 0: it tells none
-  std::atomic<bool> heedsExpected{true};    // turns away what expects other weights
-  std::vector<std::string> stream;          // chunks of a stream's events; empty: an answer that is no stream
-  std::atomic<bool> breaks{false};          // after its chunks it closes without the last
+  schema::RunnerEntry entry;              // as the platform lists it
+  std::atomic<std::uint64_t> weights{1};  // as it answers; 0: it tells none
+  std::atomic<bool> heedsExpected{true};  // turns away what expects other weights
+  std::vector<std::string> stream;        // chunks of a stream's events; empty: an answer that is no stream
+  std::atomic<bool> breaks{false};        // after its chunks it closes without the last
   std::atomic<int> ran{0}, turnedAway{0};
   std::atomic<int> resumed{0}, resumedFrom{-1};  // behind which event
 
-  explicit Weighted(schema::RunnerEntry entry_) : entry(std::move(entry_)), acceptor(http::listen(io.get_executor(), {0x7f000001, 0}, "runner")) {
+  explicit Weighted(schema::RunnerEntry entry_)
+      : entry(std::move(entry_)), acceptor(http::listen(io.get_executor(), {0x7f000001, 0}, "runner")) {
     entry.ip = 0x7f000001;
     entry.port = acceptor.local_endpoint().port();
     asio::co_spawn(io, accept(), asio::detached);
@@ -70,7 +71,8 @@
     ++ran;
     const auto told = weights == 0 ? "" : "Indigohill-Weight-Versions: " + std::to_string(weights) + "\r\n";
     const auto head = "HTTP/1.1 200 OK\r\n" + id + "Indigohill-Response-Seal: s." + entry.instanceId + "\r\n" + told;
-    if (stream.empty()) return head + fmt::format("Content-Length: {}\r\n\r\n{}", entry.instanceId.size(), entry.instanceId);
+    if (stream.empty())
+      return head + fmt::format("Content-Length: {}\r\n\r\n{}", entry.instanceId.size(), entry.instanceId);
     std::string out = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const bool goesOn = request.count("Last-Event-Id") > 0;
     resumed += goesOn;
@@ -87,7 +89,10 @@
 // A router's traffic side: table and executor; its news are given by the test.
 struct Traffic {
   asio::io_context io;
-  routing::Table table{"z0", {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()}, 1, base::Clock::now() - Millis(60000)};
+  routing::Table table{"z0",
+                       {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
+                       1,
+                       base::Clock::now() - Millis(60000)};
   pass::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
@@ -115,8 +120,8 @@
 
   // The time that a request may take is no part of what is tested here: a busy machine must not decide it.
   static std::shared_ptr<const control::Configuration> configuration() {
-    return std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(
-        replaced(document(1, 60000), "\"timeoutMs\":1500", "\"timeoutMs\":60000"))));
+    return std::make_shared<const control::Configuration>(std::get<0>(
+        control::parseConfiguration(replaced(document(1, 60000), "\"timeoutMs\":1500", "\"timeoutMs\":60000"))));
   }
   void declare(std::vector<rollout::InForce> rollouts) {
     routing::fold(picture, routing::FrameCame{{1, ++serial}, configuration(), {}, std::move(rollouts)});
@@ -136,8 +141,10 @@
     asio::io_context own;
     tcp::socket socket(own);
     socket.connect(acceptor.local_endpoint());
-    asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\n"
-                                     "Indigohill-Model: m\r\nConnection: close\r\n" + more + "\r\n"));
+    asio::write(socket, asio::buffer("GET " + path +
+                                     " HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\n"
+                                     "Indigohill-Model: m\r\nConnection: close\r\n" +
+                                     more + "\r\n"));
     std::string out;
     boost::system::error_code error;
     asio::read(socket, asio::dynamic_buffer(out), error);
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -4,12 +4,12 @@
 #include <functional>
 #include <random>
 
+#include <criterion/criterion.h>
 #include "documents.hpp"
 #include "membership/group.hpp"
 #include "net/codec.hpp"
 #include "routing/table.hpp"
 #include "sim/world.hpp"
-#include <criterion/criterion.h>
 
 using namespace indigohill;
 using base::Millis;
@@ -46,8 +46,10 @@
     view.members.push_back(m);
     tables.push_back(std::make_unique<routing::Table>(m.zone, bounds, tables.size(), now - std::chrono::hours(1)));
     pictures.emplace_back();
-    routing::fold(pictures.back(), routing::FrameCame{{1, 1}, std::make_shared<const control::Configuration>(std::get<0>(
-                                                                  control::parseConfiguration(tests::document(1)))), {}});
+    routing::fold(pictures.back(), routing::FrameCame{{1, 1},
+                                                      std::make_shared<const control::Configuration>(
+                                                          std::get<0>(control::parseConfiguration(tests::document(1)))),
+                                                      {}});
   }
   void apply(std::size_t i) { tables[i]->setPicture(std::make_shared<const routing::Picture>(pictures[i]), now); }
   void deliver() {
@@ -150,7 +152,9 @@
         // A change: acknowledged by all that it keeps at some moment, committed after the last of them.
         changeAt = fleet.now + Millis(300 + random() % 3000);
         const auto gone = random() % (fleet.view.members.size() / 3);
-        for (std::size_t g = 0; g < gone; ++g) fleet.view.members.erase(fleet.view.members.begin() + static_cast<std::ptrdiff_t>(random() % fleet.view.members.size()));
+        for (std::size_t g = 0; g < gone; ++g)
+          fleet.view.members.erase(fleet.view.members.begin() +
+                                   static_cast<std::ptrdiff_t>(random() % fleet.view.members.size()));
         for (auto joins = random() % 20; joins > 0 && fleet.tables.size() < 400; --joins) {
           fleet.join();
           routing::fold(fleet.pictures.back(), routing::RunnersCame{{1, fleet.serial}, fleet.runners, fleet.now});
@@ -190,7 +194,8 @@
       }
     }
     cr_assert(sent.most <= 35, "seed %llu: %zu in one second", static_cast<unsigned long long>(seed), sent.most);
-    cr_assert(sent.all >= 60, "seed %llu: %zu in 15 s, the rate is hardly used", static_cast<unsigned long long>(seed), sent.all);
+    cr_assert(sent.all >= 60, "seed %llu: %zu in 15 s, the rate is hardly used", static_cast<unsigned long long>(seed),
+              sent.all);
   }
 }
 
@@ -224,7 +229,8 @@
 
 namespace {
 
-// The routers hear each other: what one has to tell reaches the others, in the test's own time. Returns the bytes heard.
+// The routers hear each other: what one has to tell reaches the others, in the test's own time. Returns the bytes
+// heard.
 std::size_t exchange(Fleet& fleet) {
   std::size_t heard = 0;
   for (std::size_t i = 0; i < fleet.tables.size(); ++i)
@@ -241,8 +247,8 @@
 }
 
 struct Played {
-  std::size_t sent = 0, hit = 0;      // requests, and those that met trouble
-  std::size_t heard = 0;              // bytes of evidence
+  std::size_t sent = 0, hit = 0;          // requests, and those that met trouble
+  std::size_t heard = 0;                  // bytes of evidence
   std::map<std::string, std::size_t> at;  // requests at each runner
 };
 
@@ -280,7 +286,8 @@
   std::set<std::string> ill;
   for (int i = 0; i < 10; ++i) ill.insert(fleet.runners[static_cast<std::size_t>(7 * i)].instanceId);
   play(fleet, random, 3000, [](auto, const auto&) { return false; });
-  const auto bad = play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
+  const auto bad =
+      play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
   // Left alone, a ninth of the requests go there and half of them fail.
   cr_assert(bad.hit * 40 < bad.sent, "%zu of %zu met trouble", bad.hit, bad.sent);
   // What each router hears for it stays under 1 KB a second.
@@ -306,7 +313,8 @@
     });
     for (std::size_t r = 0; r < kRouters; ++r)
       if (r % 3 != 1)
-        for (const auto& runner : fleet.runners) cr_assert_not(fleet.tables[r]->suspended(runner.instanceId, fleet.now));
+        for (const auto& runner : fleet.runners)
+          cr_assert_not(fleet.tables[r]->suspended(runner.instanceId, fleet.now));
   }
 }
 
@@ -316,9 +324,11 @@
   play(fleet, random, 3000, [](auto, const auto&) { return false; });
   std::size_t there = 0, elsewhere = 0;
   for (int i = 0; i < 20; ++i) {
-    play(fleet, random, 300, [](std::size_t router, const std::string& id) { return router % 3 == 1 && (id == "e5" || id == "e60"); });
+    play(fleet, random, 300,
+         [](std::size_t router, const std::string& id) { return router % 3 == 1 && (id == "e5" || id == "e60"); });
     for (std::size_t r = 0; r < kRouters; ++r)
-      (r % 3 == 1 ? there : elsewhere) += fleet.tables[r]->suspended("e5", fleet.now) + fleet.tables[r]->suspended("e60", fleet.now);
+      (r % 3 == 1 ? there : elsewhere) +=
+          fleet.tables[r]->suspended("e5", fleet.now) + fleet.tables[r]->suspended("e60", fleet.now);
   }
   cr_assert_eq(elsewhere, 0u);
   // Of 30 routers at 20 moments, twice.
@@ -404,7 +414,8 @@
     // A fifth of the requests go to the loaded service, and half of them are late.
     if (i % 4 != 0) continue;
     answer(fleet, router, "p" + std::to_string(random() % 4), i >= 0 && random() % 2 == 0);
-    if (i >= 0) for (int p = 0; p < 4; ++p) out += fleet.tables[40]->suspended("p" + std::to_string(p), fleet.now);
+    if (i >= 0)
+      for (int p = 0; p < 4; ++p) out += fleet.tables[40]->suspended("p" + std::to_string(p), fleet.now);
   }
   cr_assert(out < 4 * 1500 / 20, "left out in %zu of 6000 moments", out);
 }
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -60,7 +60,8 @@
   void fit(RunnerId runner) {
     auto& kept = runners[runner];
     while (capacity[runner] != 0 && tokens(runner) > capacity[runner]) {
-      const auto last = std::find_if(kept.rbegin(), kept.rend(), [](const auto& k) { return k.tiers.contains(Tier::Gpu); });
+      const auto last =
+          std::find_if(kept.rbegin(), kept.rend(), [](const auto& k) { return k.tiers.contains(Tier::Gpu); });
       last->tiers.erase(Tier::Gpu);
       if (last->tiers.empty()) kept.erase(std::prev(last.base()));
     }
@@ -150,7 +151,10 @@
       const auto prompt = randomPrompt(random);
       const auto tier = static_cast<Tier>(random() % 3), other = static_cast<Tier>((static_cast<int>(tier) + 1) % 3);
       switch (random() % 16) {
-        case 0: plain.clear(runner); index.clear(runner); break;
+        case 0:
+          plain.clear(runner);
+          index.clear(runner);
+          break;
         case 1: {
           const auto revision = random() % 3;
           plain.revise(runner, model, revision);
@@ -164,7 +168,10 @@
           index.setCapacity(runner, tokens);
           break;
         }
-        case 3: plain.remove(runner, model, prompt, tier); index.remove(runner, model, prompt, tier); break;
+        case 3:
+          plain.remove(runner, model, prompt, tier);
+          index.remove(runner, model, prompt, tier);
+          break;
         case 4:
         case 5: {
           // At no event of a move does the part go missing.
@@ -234,7 +241,8 @@
   std::mt19937_64 random(5);
   const Prompt used{{1, 100}, {2, 100}, {3, 100}};
   for (std::uint64_t i = 0; i < 20'000; ++i) {
-    index.store(static_cast<RunnerId>(random() % 600), kModel, Prompt{{10 + i % 7, 300}, {1000 + i, 50}, {1'000'000 + i, 9}});
+    index.store(static_cast<RunnerId>(random() % 600), kModel,
+                Prompt{{10 + i % 7, 300}, {1000 + i, 50}, {1'000'000 + i, 9}});
     if (i % 100 == 0) index.store(7, kModel, used);
     cr_assert_leq(index.bytes(), kBound);
   }
@@ -397,8 +405,8 @@
   cr_assert_geq(static_cast<double>(told.size()), most / 2);
 }
 
-// A look-up that fails lets the request go by load alone: by a bound without room, while the index is built anew, and by
-// an exception or a fault of the shared pool. It is counted each time.
+// A look-up that fails lets the request go by load alone: by a bound without room, while the index is built anew, and
+// by an exception or a fault of the shared pool. It is counted each time.
 Test(choice, a_failed_look_up_never_fails_a_request) {
   Chooser c(40);
   c.table.setIndex(nullptr);
@@ -414,7 +422,8 @@
   cr_assert(bad->asked == 5 && c.table.indexState().poolFailed == 5u);
   cr_assert_eq(c.table.indexState().failed, 9u, "the index itself goes on");
   cr_assert_gt(c.table.indexState().counters.stores, 0u);
-  // A store that is broken off by an exception: the index is given up, requests go on, and the next picture has a new one.
+  // A store that is broken off by an exception: the index is given up, requests go on, and the next picture has a new
+  // one.
   auto breaking = std::make_unique<Index>(kRoomy);
   breaking->setWatch([](const kvindex::Event&) { throw std::bad_alloc(); });
   c.table.setIndex(std::move(breaking));
@@ -482,12 +491,14 @@
 }
 
 Test(choice, settings_of_the_policy_are_checked_by_name) {
-  for (const auto* name : {"policy.overlapWeight", "policy.blockTokens", "policy.candidates", "policy.sharedMultiplier"}) {
+  for (const auto* name :
+       {"policy.overlapWeight", "policy.blockTokens", "policy.candidates", "policy.sharedMultiplier"}) {
     auto bad = settings::parsePolicy(std::string(name) + "=-1\n");
     cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(name), "%s", name);
   }
   for (const auto* line : {"policy.blockTokens=0", "policy.candidates=0", "policy.sharedMultiplier=1.5"}) {
     auto bad = settings::parsePolicy(std::string(line) + "\n");
-    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(std::string(line).substr(0, 12)), "%s", line);
+    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(std::string(line).substr(0, 12)), "%s",
+              line);
   }
 }
--- a/tests/test_losses.cpp
+++ b/tests/test_losses.cpp
@@ -92,8 +92,8 @@
             seed, world.describe().c_str());
   holds(world);
   cr_assert(op.readBack(Millis(8000)), "seed %lu: version %lu is lost", seed, op.newest);
-  cr_assert(world.runUntil(Millis(12000), [&] { return complete(world) || world.broken(); }), "seed %lu: not whole again%s",
-            seed, world.describe().c_str());
+  cr_assert(world.runUntil(Millis(12000), [&] { return complete(world) || world.broken(); }),
+            "seed %lu: not whole again%s", seed, world.describe().c_str());
   holds(world);
 }
 
@@ -162,7 +162,8 @@
   world.kill(0);
   world.run(Millis(9000));
   cr_assert(world.active().has_value());
-  for (const auto& voter : world.node(*world.active()).controller->replica().record()->voters) cr_assert(!voter.empty());
+  for (const auto& voter : world.node(*world.active()).controller->replica().record()->voters)
+    cr_assert(!voter.empty());
   holds(world);
 }
 
@@ -299,11 +300,20 @@
     std::set<std::size_t> core;
     for (std::size_t i = 0; i < world.controllers(); ++i) core.insert(i);
     for (const auto i : hit) switch (kind) {
-        case 0: world.node(i).diskStalled = true; break;
-        case 1: world.node(i).diskFull = true; break;
-        case 2: world.freeze(i); break;
-        case 3: world.cutOff(i, core, true); break;
-        default: world.kill(i);
+        case 0:
+          world.node(i).diskStalled = true;
+          break;
+        case 1:
+          world.node(i).diskFull = true;
+          break;
+        case 2:
+          world.freeze(i);
+          break;
+        case 3:
+          world.cutOff(i, core, true);
+          break;
+        default:
+          world.kill(i);
       }
     const auto primary = world.active();
     const bool leads = primary && !indigohill::base::contains(hit, *primary);
@@ -321,8 +331,8 @@
       world.cutOff(i, core, false);
     }
     startAll(world);
-    cr_assert(world.runUntil(Millis(15000), [&] { return settled(world) || world.broken(); }), "seed %lu: does not heal%s",
-              seed, world.describe().c_str());
+    cr_assert(world.runUntil(Millis(15000), [&] { return settled(world) || world.broken(); }),
+              "seed %lu: does not heal%s", seed, world.describe().c_str());
     comesBack(world, op, seed);
   }
 }
@@ -373,15 +383,32 @@
         for (std::size_t i = 0; i < world.size(); ++i) world.kill(i);
       } else {
         for (const auto i : hit) switch (world.random() % 9) {
-            case 0: world.kill(i); break;
-            case 1: world.wipe(i); break;
-            case 2: world.freeze(i); break;
-            case 3: world.cutOff(i, core, true); break;
-            case 4: world.node(i).diskStalled = true; break;
-            case 5: world.node(i).diskFull = true; break;
-            case 6: world.term(i); break;
-            case 7: world.cut(i, (i + 1) % world.controllers(), true, false); break;
-            default: world.replace(i);
+            case 0:
+              world.kill(i);
+              break;
+            case 1:
+              world.wipe(i);
+              break;
+            case 2:
+              world.freeze(i);
+              break;
+            case 3:
+              world.cutOff(i, core, true);
+              break;
+            case 4:
+              world.node(i).diskStalled = true;
+              break;
+            case 5:
+              world.node(i).diskFull = true;
+              break;
+            case 6:
+              world.term(i);
+              break;
+            case 7:
+              world.cut(i, (i + 1) % world.controllers(), true, false);
+              break;
+            default:
+              world.replace(i);
           }
       }
       world.run(span);
@@ -430,9 +457,8 @@
   }
   template <class M>
   std::size_t count() const {
-    return static_cast<std::size_t>(std::count_if(fx.out.begin(), fx.out.end(), [](const auto& item) {
-      return std::holds_alternative<M>(item.message);
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        fx.out.begin(), fx.out.end(), [](const auto& item) { return std::holds_alternative<M>(item.message); }));
   }
   template <class M>
   const M& only() const {
@@ -480,7 +506,8 @@
   c.fx.out.clear();
   c.replica.tick(c.now, c.around, c.fx);
   const auto other = c.only<indigohill::schema::Copy>().token;
-  for (const auto* name : {"c", "d", "e"}) c.replica.receive(indigohill::schema::Copied{name, other, 2, true}, {}, c.now, c.fx);
+  for (const auto* name : {"c", "d", "e"})
+    c.replica.receive(indigohill::schema::Copied{name, other, 2, true}, {}, c.now, c.fx);
   cr_assert_eq(c.count<indigohill::schema::Prepare>(), 0u, "the seal is not on disk");
 }
 
@@ -498,10 +525,12 @@
     const auto& c = *world.node(leader).controller;
     cr_assert(c.group().view()->voters == c.replica().record()->voters, "seed %lu", seed);
     for (std::size_t i = 1; i <= 2; ++i) world.freeze(i);
-    cr_assert(world.runUntil(Millis(9000), [&] {
-      const auto& view = world.node(leader).controller->group().view();
-      return view && view->members.size() == world.size() - 2;
-    }), "seed %lu: the view does not follow", seed);
+    cr_assert(world.runUntil(Millis(9000),
+                             [&] {
+                               const auto& view = world.node(leader).controller->group().view();
+                               return view && view->members.size() == world.size() - 2;
+                             }),
+              "seed %lu: the view does not follow", seed);
   }
 }
 
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -5,8 +5,8 @@
 #include <map>
 
 #include "base/journal.hpp"
-#include "cli/process.hpp"
 #include "base/log.hpp"
+#include "cli/process.hpp"
 #include "control/calls.hpp"
 #include "control/configuration.hpp"
 #include "documents.hpp"
@@ -24,19 +24,26 @@
 
 using namespace indigohill;
 using base::Millis;
-using tests::replaced;
 using tests::document;
+using tests::replaced;
 
 namespace {
 
 std::string settingsText(const std::map<std::string, std::string>& changes = {}) {
-  std::map<std::string, std::string> fields{
-      {"nodeName", "n1"},           {"ipAddress", "10.0.0.1"},          {"zone", "z1"},
-      {"internalPortRange", "7000,7015"}, {"seedNodes", "10.0.0.1:8000,10.0.0.2:8000"},
-      {"bindAddresses.frontend", "10.0.0.1:8001"}, {"bindAddresses.readiness", "10.0.0.1:8002"},
-      {"bindAddresses.controlPlane", "10.0.0.1:8000"}, {"cloudApi.address", "10.9.9.9:80"},
-      {"dataDirectory", "/tmp/x"},  {"bounds.gracePeriodS", "8"},       {"bounds.retryBudgetRatio", "0.2"},
-      {"bootstrap", "true"},        {"unknown.field", "is ignored"}};
+  std::map<std::string, std::string> fields{{"nodeName", "n1"},
+                                            {"ipAddress", "10.0.0.1"},
+                                            {"zone", "z1"},
+                                            {"internalPortRange", "7000,7015"},
+                                            {"seedNodes", "10.0.0.1:8000,10.0.0.2:8000"},
+                                            {"bindAddresses.frontend", "10.0.0.1:8001"},
+                                            {"bindAddresses.readiness", "10.0.0.1:8002"},
+                                            {"bindAddresses.controlPlane", "10.0.0.1:8000"},
+                                            {"cloudApi.address", "10.9.9.9:80"},
+                                            {"dataDirectory", "/tmp/x"},
+                                            {"bounds.gracePeriodS", "8"},
+                                            {"bounds.retryBudgetRatio", "0.2"},
+                                            {"bootstrap", "true"},
+                                            {"unknown.field", "is ignored"}};
   for (const auto& [k, v] : changes)
     if (v == "-")
       fields.erase(k);
@@ -109,8 +116,9 @@
       {replaced(good, "r-check", "r-text"), "routes[1].name:"},
       {replaced(good, "\"name\":\"plain\"", "\"name\":\"engine\""), "services[1].name:"},
       {replaced(good, "\"idempotent\"", "\"sometimes\""), "routes[1].routeType:"},
-      {replaced(good, "\"targetService\":\"plain\"",
-                "\"trafficSplit\":[{\"targetService\":\"plain\",\"weight\":0},{\"targetService\":\"engine\",\"weight\":0}]"),
+      {replaced(
+           good, "\"targetService\":\"plain\"",
+           "\"trafficSplit\":[{\"targetService\":\"plain\",\"weight\":0},{\"targetService\":\"engine\",\"weight\":0}]"),
        "routes[1].trafficSplit:"},
       {replaced(good, "\"targetService\":\"plain\"", "\"trafficSplit\":[{\"targetService\":\"q\",\"weight\":1}]"),
        "routes[1].trafficSplit[0].targetService:"},
@@ -132,7 +140,8 @@
   cr_assert_eq(c.routes.size(), 2u);
   cr_assert(c.routes[1].timeout == Millis(777));
   cr_assert(c.routes[0].timeout == Millis(3000));
-  auto removed = control::applyUpdate(std::get<std::string>(merged), R"({"revision":6,"remove":{"routes":["r-text"]}})");
+  auto removed =
+      control::applyUpdate(std::get<std::string>(merged), R"({"revision":6,"remove":{"routes":["r-text"]}})");
   cr_assert_eq(std::get<0>(control::parseConfiguration(std::get<std::string>(removed))).routes.size(), 1u);
   for (const auto* bad : {R"({"revision":7,"upsert":{"routes":[{}]}})", R"({"revision":7,"remove":{"routes":"r"}})",
                           R"({"upsert":{}})", "{", R"({"revision":7,"upsert":{"houses":[]}})"})
@@ -186,8 +195,8 @@
   for (std::size_t n = 0; n < 400; n += 7) {
     schema::Commit commit;
     for (std::size_t i = 0; i < n; ++i)
-      commit.result.members.push_back({fmt::format("edge-{}/router", i), "", "zone-1", 1, static_cast<std::uint32_t>(i), 7000,
-                                       random(), 1048576 + i});
+      commit.result.members.push_back({fmt::format("edge-{}/router", i), "", "zone-1", 1, static_cast<std::uint32_t>(i),
+                                       7000, random(), 1048576 + i});
     const auto bytes = net::encode(commit);
     const auto back = net::decode(bytes);
     cr_assert(base::fault(back) == nullptr && std::get<schema::Commit>(std::get<0>(back)) == commit, "%zu members", n);
@@ -277,10 +286,11 @@
   routing::Picture picture;
   routing::Table table;
 
-  explicit Routed(routing::Bounds bounds = {0.2, 40, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()}, std::size_t routers = 4)
+  explicit Routed(routing::Bounds bounds = {0.2, 40, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
+                  std::size_t routers = 4)
       : table("z0", bounds, 1, now - std::chrono::hours(1)) {
-    auto configuration = std::make_shared<const control::Configuration>(
-        std::get<0>(control::parseConfiguration(document(1))));
+    auto configuration =
+        std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(document(1))));
     routing::fold(picture, routing::FrameCame{{1, 1}, configuration, {}});
     schema::View view;
     view.number = 1;
@@ -625,6 +635,4 @@
   std::remove(path.c_str());
 }
 
-Test(log, a_line_stays_one_json_string) {
-  cr_assert_eq(base::quoted("a\"b\\c\nd"), "\"a\\\"b\\\\c\\u000ad\"");
-}
+Test(log, a_line_stays_one_json_string) { cr_assert_eq(base::quoted("a\"b\\c\nd"), "\"a\\\"b\\\\c\\u000ad\""); }
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -1,8 +1,8 @@
 // The path of a request against stand-ins for clients and runners, over loopback sockets. The stand-ins write their
 // answers byte by byte as they like, so that a runner's misbehaviour can be played. Nothing here depends on how long
 // something takes: each exchange ends by its own bytes or by a bound of the configuration.
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/strand.hpp>
@@ -11,6 +11,7 @@
 #include <future>
 #include <thread>
 
+#include <spdlog/sinks/ostream_sink.h>
 #include "documents.hpp"
 #include "http/server.hpp"
 #include "membership/group.hpp"
@@ -18,7 +19,6 @@
 #include "replay/recording.hpp"
 #include "routing/table.hpp"
 #include "runners/reader.hpp"
-#include <spdlog/sinks/ostream_sink.h>
 // Criterion's macros get in the way of Boost's headers, so it comes last.
 #include <criterion/criterion.h>
 
@@ -117,8 +117,8 @@
 }
 Runner::Script whole(const std::string& body) {
   return [body](const http::Request& r) {
-    return Runner::Step{"HTTP/1.1 200 OK\r\n" + idLine(r) + kSeal + "X-Inner: secret\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body};
+    return Runner::Step{"HTTP/1.1 200 OK\r\n" + idLine(r) + kSeal +
+                        "X-Inner: secret\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
   };
 }
 Runner::Script raw(const std::string& text, bool close = false) {
@@ -137,16 +137,22 @@
 // A router's traffic side: table and executor, without group or news.
 struct Front {
   asio::io_context io;
-  routing::Table table{"z0", {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()}, 1, base::Clock::now() - Millis(60000)};
+  routing::Table table{"z0",
+                       {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
+                       1,
+                       base::Clock::now() - Millis(60000)};
   pass::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
   routing::Picture picture;
 
-  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain", const std::string& extra = "") {
+  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain",
+                 const std::string& extra = "") {
     const auto past = base::Clock::now() - Millis(30000);
-    routing::fold(picture, routing::FrameCame{{1, 1}, std::make_shared<const control::Configuration>(std::get<0>(
-                                                          control::parseConfiguration(tests::document(1, 3000, extra)))), {}});
+    routing::fold(picture, routing::FrameCame{{1, 1},
+                                              std::make_shared<const control::Configuration>(std::get<0>(
+                                                  control::parseConfiguration(tests::document(1, 3000, extra)))),
+                                              {}});
     schema::View view;
     schema::Member m;
     m.role = static_cast<std::uint8_t>(membership::Role::Router);
@@ -154,7 +160,8 @@
     routing::fold(picture, routing::ViewCame{view});
     std::vector<schema::RunnerEntry> list;
     for (std::size_t i = 0; i < runners.size(); ++i)
-      list.push_back({"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
+      list.push_back(
+          {"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
     routing::fold(picture, routing::RunnersCame{{1, 1}, list, past});
     table.setPicture(std::make_shared<const routing::Picture>(picture), past);
     table.setLease(base::Clock::now() + std::chrono::hours(1));
@@ -237,11 +244,14 @@
       {"GET /check/1 HTTP/1.1\r\n\r\n", "400"},
       {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\n\r\n", "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
-           smuggled, "400"},
+           smuggled,
+       "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" +
-           smuggled, "400"},
+           smuggled,
+       "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: xchunked\r\n\r\n" + smuggled, "400"},
-      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde" + smuggled,
+       "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: -4\r\n\r\n" + smuggled, "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled, "400"},
       {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", "431"},
@@ -341,14 +351,13 @@
 
 Test(pass, what_may_have_run_is_never_promised_not_to_have) {
   // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
-  const std::vector<std::string> answers{
-      "HTTP/1.1 503 Service Unavailable\r\n{id}Content-Length: 0\r\n\r\n",
-      "HTTP/1.1 429 Too Many\r\n{id}Content-Length: 0\r\n\r\n",
-      "HTTP/1.1 200 OK\r\n{id}{seal}Content-Length: 50\r\n\r\nshort",
-      "HTTP/1.1 200 OK\r\n{id}Content-Length: 2\r\n\r\nno",
-      "HTTP/1.1 200 OK\r\n{seal}Content-Length: 2\r\n\r\nno",
-      "this is no answer\r\n\r\n",
-      ""};
+  const std::vector<std::string> answers{"HTTP/1.1 503 Service Unavailable\r\n{id}Content-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 429 Too Many\r\n{id}Content-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 200 OK\r\n{id}{seal}Content-Length: 50\r\n\r\nshort",
+                                         "HTTP/1.1 200 OK\r\n{id}Content-Length: 2\r\n\r\nno",
+                                         "HTTP/1.1 200 OK\r\n{seal}Content-Length: 2\r\n\r\nno",
+                                         "this is no answer\r\n\r\n",
+                                         ""};
   for (const auto& text : answers) {
     Runner runner({raw(text, true)});
     Front front({&runner}, "plain");
@@ -358,8 +367,7 @@
 }
 
 Test(pass, the_late_answer_to_another_request_is_no_answer_to_this_one) {
-  const std::string stray =
-      "HTTP/1.1 200 OK\r\nIndigohill-Attempt-Id: other\r\n{seal}Content-Length: 5\r\n\r\nstray";
+  const std::string stray = "HTTP/1.1 200 OK\r\nIndigohill-Attempt-Id: other\r\n{seal}Content-Length: 5\r\n\r\nstray";
   {
     // In the place of the answer: read past, and the connection is not used again.
     Runner runner({raw(stray + "HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.2\r\nContent-Length: 3\r\n\r\nown"),
@@ -380,7 +388,8 @@
 }
 
 Test(pass, a_stream_is_passed_event_by_event_to_its_end) {
-  Runner runner({raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\nda") + chunk("ta: x\n\n") + "0\r\n\r\n")});
+  Runner runner(
+      {raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\nda") + chunk("ta: x\n\n") + "0\r\n\r\n")});
   Front front({&runner}, "engine");
   const auto out = front.exchange(get("/text/1", "Connection: close\r\n"));
   cr_assert(starts(out, "HTTP/1.1 200"));
@@ -390,8 +399,9 @@
 
 Test(pass, a_broken_stream_is_taken_up_behind_its_last_event) {
   const auto broken = raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\ndata: half"), true);
-  const auto rest = raw("HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.other\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                        chunk(event(3)) + "0\r\n\r\n");
+  const auto rest =
+      raw("HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.other\r\nTransfer-Encoding: chunked\r\n\r\n" +
+          chunk(event(3)) + "0\r\n\r\n");
   const auto either = [&](const http::Request& r) { return r["Last-Event-Id"].empty() ? broken(r) : rest(r); };
   Runner one({either}), two({either});
   Front front({&one, &two}, "engine");
@@ -422,7 +432,9 @@
 
 Test(runners, the_platforms_pages_are_read_to_the_last_over_one_connection) {
   const auto entry = [](const char* id) {
-    return fmt::format(R"({{"targetService":"s","address":"10.0.0.9:80","zone":"z","capacitySlots":6,"state":"ready","instanceId":"{}"}})", id);
+    return fmt::format(
+        R"({{"targetService":"s","address":"10.0.0.9:80","zone":"z","capacitySlots":6,"state":"ready","instanceId":"{}"}})",
+        id);
   };
   const auto page = [&](const std::string& body) {
     return raw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -25,7 +25,8 @@
   cr_assert(base::fault(parsed) == nullptr);
   out.configuration = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
   for (std::uint32_t i = 0; i < engines; ++i)
-    out.runners.push_back({fmt::format("e-{}", i), "engine", fmt::format("zone-{}", i % 3), 0x0a010000 + i, 80, 128, false, 0});
+    out.runners.push_back(
+        {fmt::format("e-{}", i), "engine", fmt::format("zone-{}", i % 3), 0x0a010000 + i, 80, 128, false, 0});
   out.runners.push_back({"p-0", "plain", "zone-0", 0x0a020000, 80, 6, false, 0});
   out.daemons.routers = 5;
   out.daemons.controllers = 3;
@@ -87,7 +88,8 @@
   world.platform = before.runners;
   int status = 0;
   cr_assert(world.runUntil(Millis(5000), [&] { return world.active().has_value(); }));
-  world.orderUntilClear(control::OrderKind::Replace, 0, tests::document(1, 1001), [&](const auto& a) { status = a.status; });
+  world.orderUntilClear(control::OrderKind::Replace, 0, tests::document(1, 1001),
+                        [&](const auto& a) { status = a.status; });
   const auto listed = [&](std::size_t count) {
     return world.runUntil(Millis(8000), [&] {
       for (std::size_t r = world.controllers(); r < world.size(); ++r) {
@@ -112,14 +114,18 @@
 
 Test(plan, routes_are_named_with_what_becomes_of_them) {
   const auto before = side(tests::document(1), 4);
-  auto document = tests::document(2, 2500, R"(,{"name":"r-new","hostname":"a.example","pathPrefix":"/new/","routeType":"idempotent","timeoutMs":5,"targetService":"plain"})");
-  document = replaced(document, R"("targetService":"plain","maxAttempts":2)",
-                      R"("trafficSplit":[{"targetService":"plain","weight":75},{"targetService":"engine","weight":25}],"maxAttempts":2)");
+  auto document = tests::document(
+      2, 2500,
+      R"(,{"name":"r-new","hostname":"a.example","pathPrefix":"/new/","routeType":"idempotent","timeoutMs":5,"targetService":"plain"})");
+  document = replaced(
+      document, R"("targetService":"plain","maxAttempts":2)",
+      R"("trafficSplit":[{"targetService":"plain","weight":75},{"targetService":"engine","weight":25}],"maxAttempts":2)");
   const auto after = side(document, 4);
   const auto p = plan::make(before, after);
   std::map<std::string, plan::RouteChange> changes;
   for (const auto& r : p.routes) changes[r.name + " " + r.what] = r;
-  cr_assert(changes.contains("r-new added") && changes.contains("r-text changed") && changes.contains("r-check re-aimed"));
+  cr_assert(changes.contains("r-new added") && changes.contains("r-text changed") &&
+            changes.contains("r-check re-aimed"));
   cr_assert_eq(changes["r-text changed"].from, "timeoutMs");
   cr_assert(std::abs(changes["r-check re-aimed"].moved - 0.25) < 0.03, "%f", changes["r-check re-aimed"].moved);
   // The other way round a route is removed, and the revision does not rise.
@@ -171,7 +177,8 @@
   a.changed.clear();
   a.daemons = file("daemons", R"({"daemons":[{"id":"a","role":"cook"}]})");
   cr_assert_eq(cli::runPlan(a), 3);
-  cr_assert_eq(base::fault(plan::parseDaemons(R"({"daemons":[{"id":"a","role":"cook"}]})"))->what.substr(0, 15), "daemons[0].role");
+  cr_assert_eq(base::fault(plan::parseDaemons(R"({"daemons":[{"id":"a","role":"cook"}]})"))->what.substr(0, 15),
+               "daemons[0].role");
   a.daemons.clear();
   a.runners = folder + "none";
   cr_assert_eq(cli::runPlan(a), 3);
@@ -212,7 +219,8 @@
     transport_socket: {}
 )";
 bool noted(const import::Imported& in, const std::string& part) {
-  return std::any_of(in.notes.begin(), in.notes.end(), [&](const auto& n) { return n.find(part) != std::string::npos; });
+  return std::any_of(in.notes.begin(), in.notes.end(),
+                     [&](const auto& n) { return n.find(part) != std::string::npos; });
 }
 }  // namespace
 
@@ -227,8 +235,8 @@
   cr_assert(c.routes[1].split.size() == 2 && c.routes[1].split[0].second == 9 && c.routes[1].timeout == Millis(15000));
   cr_assert(c.services[0].healthCheckPath == "/healthz" && c.services[0].maxConnections == 50);
   for (const auto* part : {"line 12: virtual host site route 1: not carried over for domain '*.example'", ".cors",
-                           "retry_policy.retry_on", "match.headers", "'/c' does not", "only match.prefix", "route action",
-                           "load_assignment", "transport_socket", "routeType"})
+                           "retry_policy.retry_on", "match.headers", "'/c' does not", "only match.prefix",
+                           "route action", "load_assignment", "transport_socket", "routeType"})
     cr_assert(noted(in, part), "not listed: %s", part);
 }
 
@@ -242,7 +250,8 @@
   cr_assert(what("a: 1").find("static_resources: missing") != std::string::npos);
   cr_assert(what(replaced(kEnvoy, "timeout: 2.5s", "timeout: soon")).starts_with("line 16: timeout:"), "%s",
             what(replaced(kEnvoy, "timeout: 2.5s", "timeout: soon")).c_str());
-  cr_assert(what(replaced(kEnvoy, "{cluster: one, timeout", "{cluster: none, timeout")).find("unknown service 'none'") !=
-            std::string::npos);
+  cr_assert(
+      what(replaced(kEnvoy, "{cluster: one, timeout", "{cluster: none, timeout")).find("unknown service 'none'") !=
+      std::string::npos);
   cr_assert(what(replaced(kEnvoy, "- name: two\n", "- nome: two\n")).find("name: missing") != std::string::npos);
 }
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -131,7 +131,8 @@
   const auto requests = traffic(mix(400, 30));
   const auto rules = configuration(tests::document(1, 3000, kBooking));
   replay::Fleet current(model, rules, rules, settings::defaultPolicy(), 7);
-  replay::Fleet changed(model, rules, rules, policy("policy.overlapWeight=0\npolicy.blockTokens=1000000\npolicy.lateWeight=0\n"), 7);
+  replay::Fleet changed(model, rules, rules,
+                        policy("policy.overlapWeight=0\npolicy.blockTokens=1000000\npolicy.lateWeight=0\n"), 7);
   const auto comparison = replay::compare(current.play(requests), changed.play(requests));
   cr_assert(comparison.changed.at("r-text").late > comparison.current.at("r-text").late + 3, "%zu, %zu",
             comparison.changed.at("r-text").late, comparison.current.at("r-text").late);
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -29,7 +29,9 @@
       R"("stages":[{{"name":"before","serve":["old"]}},{{"name":"both","serve":["old","new"]}},{{"name":"after","serve":["new"]}}]}})",
       service, number);
 }
-std::string to(std::uint64_t number, const std::string& more = "") { return fmt::format(R"({{"number":{}{}}})", number, more); }
+std::string to(std::uint64_t number, const std::string& more = "") {
+  return fmt::format(R"({{"number":{}{}}})", number, more);
+}
 
 schema::RunnerEntry runner(const std::string& id, const std::string& revision = "v1", std::uint64_t weights = 1,
                            std::vector<std::string> adapters = {"law"}, const std::string& service = "plain") {
@@ -39,15 +41,20 @@
 rollout::InForce inForce(std::size_t stage = 0, const std::string& document = record(1)) {
   return *rollout::read({"plain", 1, static_cast<std::uint32_t>(stage), document});
 }
-std::string why(const rollout::InForce& r, const schema::RunnerEntry& entry) { return r.heldBack(rollout::snapshotOf(entry)); }
+std::string why(const rollout::InForce& r, const schema::RunnerEntry& entry) {
+  return r.heldBack(rollout::snapshotOf(entry));
+}
 
-void same(const std::string& is, const std::string& wanted) { cr_assert(is == wanted, "is: %s\nwanted: %s", is.c_str(), wanted.c_str()); }
+void same(const std::string& is, const std::string& wanted) {
+  cr_assert(is == wanted, "is: %s\nwanted: %s", is.c_str(), wanted.c_str());
+}
 
 using Rollouts = std::vector<schema::Rollout>;
 struct Desk {
   Rollouts rollouts{};
   std::vector<schema::RunnerEntry> runners{runner("a"), runner("b", "v2", 2)};
-  int order(rollout::Change kind, const std::string& body, const std::string& service = "plain", std::string* what = nullptr) {
+  int order(rollout::Change kind, const std::string& body, const std::string& service = "plain",
+            std::string* what = nullptr) {
     auto out = rollout::change(kind, service, body, {rollouts, runners, [](const auto& s) { return s == "plain"; }});
     if (const auto* refused = std::get_if<rollout::Refusal>(&out)) {
       if (what != nullptr) *what = refused->what;
@@ -69,10 +76,13 @@
       {R"("service":"plain")", R"("service":"")", "service: a string"},
       {R"("stages")", R"("steps")", "steps: unknown field"},
       {R"("revision":"v1",)", "", "snapshots.old.revision: missing"},
-      {R"("revision":"v1","models":[{"name":"m","revision":1,"adapters":["law"]}])", R"("revision":"v1")", "snapshots.old.models: missing"},
+      {R"("revision":"v1","models":[{"name":"m","revision":1,"adapters":["law"]}])", R"("revision":"v1")",
+       "snapshots.old.models: missing"},
       {R"("name":"m","revision":2)", R"("name":"m")", "snapshots.new.models[0].revision: missing"},
-      {R"("adapters":["law"]}]},)", R"("adapters":["law","law"]}]},)", "snapshots.old.models[0].adapters: 'law' is there twice"},
-      {R"("revision":"v2","models":[{"name":"m","revision":2)", R"("revision":"v1","models":[{"name":"m","revision":1)", "snapshots.new: is the same as 'old'"},
+      {R"("adapters":["law"]}]},)", R"("adapters":["law","law"]}]},)",
+       "snapshots.old.models[0].adapters: 'law' is there twice"},
+      {R"("revision":"v2","models":[{"name":"m","revision":2)", R"("revision":"v1","models":[{"name":"m","revision":1)",
+       "snapshots.new: is the same as 'old'"},
       {R"("serve":["old"])", R"("serve":[])", "stages[0].serve: at least one"},
       {R"("serve":["old"])", R"("serve":["odd"])", "stages[0].serve: there is no snapshot 'odd'"},
       {R"("name":"both")", R"("name":"before")", "stages[1].name: 'before' is there twice"},
@@ -86,7 +96,8 @@
   for (const auto& [from, to, wanted] : cases) {
     const auto parsed = rollout::parseRecord(replaced(record(1), from, to));
     cr_assert(base::fault(parsed) != nullptr, "%s is taken", to.c_str());
-    cr_assert(base::fault(parsed)->what.find(wanted) != std::string::npos, "wanted %s, got %s", wanted.c_str(), base::fault(parsed)->what.c_str());
+    cr_assert(base::fault(parsed)->what.find(wanted) != std::string::npos, "wanted %s, got %s", wanted.c_str(),
+              base::fault(parsed)->what.c_str());
   }
   cr_assert(base::fault(rollout::parseRecord("{\"service\":")) != nullptr);
   cr_assert(base::fault(rollout::parseRecord("[]")) != nullptr);
@@ -162,7 +173,9 @@
   cr_assert_eq(desk.order(Declare, record(1)), 200);
   cr_assert_eq(desk.order(Advance, to(2)), 200);
   cr_assert_eq(desk.order(Advance, to(3), "plain", &what), 409);
-  same(what, "service plain would have no runner left at stage 'after'; a: it has snapshot 'old', which stage 'after' does not let serve");
+  same(what,
+       "service plain would have no runner left at stage 'after'; a: it has snapshot 'old', which stage 'after' does "
+       "not let serve");
   cr_assert_eq(desk.order(Advance, to(3, R"(,"evenWithoutRunners":true)")), 200);
   // One that drains is not left either, and neither is one that nobody has heard of.
   Desk draining{{}, {runner("a")}};
@@ -171,19 +184,23 @@
   Desk none{{}, {}};
   cr_assert_eq(none.order(Declare, record(1), "plain", &what), 409);
   cr_assert(what.find("none is listed") != std::string::npos);
-  cr_assert_eq(none.order(Declare, replaced(record(1), "\"number\":1", "\"number\":1,\"evenWithoutRunners\":true")), 200);
+  cr_assert_eq(none.order(Declare, replaced(record(1), "\"number\":1", "\"number\":1,\"evenWithoutRunners\":true")),
+               200);
 }
 
 Test(rollout, what_is_shown_is_the_record_as_sent_and_who_is_held_back) {
   const Rollouts list{{"plain", 4, 0, record(3)}, {"engine", 2, 0, ""}};
-  same(rollout::describe(list), (R"({"rollouts":[{"service":"plain","number":4,"stage":"before","record":)" + record(3) +
-                    R"(},{"service":"engine","number":2,"withdrawn":true}]})"));
-  same(rollout::status(list, {runner("a"), runner("b", "v1", 2)}), R"([{"service":"plain","number":4,"stage":"before","serving":1,"heldBack":[{"instanceId":"b","zone":"z0","why":"model m has weights 2, wanted 1"}]}])");
+  same(rollout::describe(list), (R"({"rollouts":[{"service":"plain","number":4,"stage":"before","record":)" +
+                                 record(3) + R"(},{"service":"engine","number":2,"withdrawn":true}]})"));
+  same(
+      rollout::status(list, {runner("a"), runner("b", "v1", 2)}),
+      R"([{"service":"plain","number":4,"stage":"before","serving":1,"heldBack":[{"instanceId":"b","zone":"z0","why":"model m has weights 2, wanted 1"}]}])");
 }
 
 Test(rollout, the_platforms_list_tells_snapshots_and_a_bad_one_is_not_known) {
   const auto entry = [](const std::string& more) {
-    return R"({"instances":[{"targetService":"plain","address":"10.0.0.1:80","zone":"z0","capacitySlots":6,"state":"ready","instanceId":"a")" + more + "}]}";
+    return R"({"instances":[{"targetService":"plain","address":"10.0.0.1:80","zone":"z0","capacitySlots":6,"state":"ready","instanceId":"a")" +
+           more + "}]}";
   };
   const auto read = [&](const std::string& more) {
     auto page = runners::parsePage(entry(more));
@@ -194,8 +211,10 @@
   cr_assert(rollout::snapshotOf(whole) == rollout::snapshotOf(runner("a")));
   cr_assert(read("").revision.empty());
   cr_assert(read(R"(,"revision":"v1")").revision == "v1" && read(R"(,"revision":"v1","models":null)").models.empty());
-  for (const auto* bad : {"{}", "[{}]", "[{\"name\":\"m\"}]", "[{\"name\":\"m\",\"revision\":\"x\"}]", "[{\"name\":\"m\",\"revision\":-1}]", "[3]",
-                          "[{\"name\":\"m\",\"revision\":1,\"adapters\":[1]}]", "[{\"name\":\"m\",\"revision\":1,\"adapters\":\"law\"}]"}) {
+  for (const auto* bad :
+       {"{}", "[{}]", "[{\"name\":\"m\"}]", "[{\"name\":\"m\",\"revision\":\"x\"}]",
+        "[{\"name\":\"m\",\"revision\":-1}]", "[3]", "[{\"name\":\"m\",\"revision\":1,\"adapters\":[1]}]",
+        "[{\"name\":\"m\",\"revision\":1,\"adapters\":\"law\"}]"}) {
     const auto e = read(std::string(R"(,"revision":"v1","models":)") + bad);
     cr_assert(e.revision.empty() && e.models.empty() && e.instanceId == "a", "%s", bad);
   }
@@ -205,7 +224,8 @@
   cr_assert(rollout::parseVersions("3").otherThan(4) && !rollout::parseVersions(" 3 ").otherThan(3));
   cr_assert(rollout::parseVersions("3,4").otherThan(3) && !rollout::parseVersions("3, 3").otherThan(3));
   // What tells nothing rejects nothing.
-  for (const auto* text : {"", "x", "3x", ",", "3,x"}) cr_assert(!rollout::parseVersions(text).otherThan(3), "%s", text);
+  for (const auto* text : {"", "x", "3x", ",", "3,x"})
+    cr_assert(!rollout::parseVersions(text).otherThan(3), "%s", text);
   const auto never = [](auto, auto) { return false; };
   const std::string one = "id: 1\ndata: a\n\n", changes = "indigohill-weight-versions: 2\nid: 2\ndata: b\n\n";
   std::optional<std::uint64_t> version = 1;
@@ -258,8 +278,11 @@
     asked.deadline = now + Millis(5000);
   }
   void frame(std::vector<rollout::InForce> rollouts) {
-    routing::fold(picture, routing::FrameCame{{1, ++serial}, std::make_shared<const control::Configuration>(std::get<0>(
-                                                                 control::parseConfiguration(tests::document(1)))), {}, std::move(rollouts)});
+    routing::fold(picture, routing::FrameCame{{1, ++serial},
+                                              std::make_shared<const control::Configuration>(
+                                                  std::get<0>(control::parseConfiguration(tests::document(1)))),
+                                              {},
+                                              std::move(rollouts)});
     set();
   }
   void list(std::vector<schema::RunnerEntry> runners) {
@@ -280,7 +303,8 @@
 }  // namespace
 
 Test(rollout, a_runner_held_back_is_no_candidate_and_the_others_answer) {
-  Routes r({runner("good"), runner("software", "v2"), runner("weights", "v1", 2), runner("adapters", "v1", 1, {}), runner("unknown", "")});
+  Routes r({runner("good"), runner("software", "v2"), runner("weights", "v1", 2), runner("adapters", "v1", 1, {}),
+            runner("unknown", "")});
   cr_assert_eq(r.chosen().size(), 5u);
   r.frame({inForce(0)});
   auto chosen = r.chosen();
@@ -409,7 +433,9 @@
 }
 bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 const std::string kEnd = "0\r\n\r\n";
-std::string event(int id, const std::string& first = "") { return first + fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
+std::string event(int id, const std::string& first = "") {
+  return first + fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+}
 const std::string kNowTwo = "indigohill-weight-versions: 2\n";
 rollout::InForce ofEngine(std::size_t stage, const std::string& document = record(1, "engine")) {
   return *rollout::read({"engine", 1, static_cast<std::uint32_t>(stage), document});
@@ -418,8 +444,9 @@
 }  // namespace
 
 Test(rollout_pass, mismatched_workers_serve_no_slot_check_and_the_others_answer_all) {
-  Weighted good(runner("good")), fine(runner("fine")), software(runner("software", "v2")), weights(runner("weights", "v1", 2)),
-      adapters(runner("adapters", "v1", 1, {"law", "tax"})), unknown(runner("unknown", ""));
+  Weighted good(runner("good")), fine(runner("fine")), software(runner("software", "v2")),
+      weights(runner("weights", "v1", 2)), adapters(runner("adapters", "v1", 1, {"law", "tax"})),
+      unknown(runner("unknown", ""));
   weights.weights = 2;
   Traffic router({&good, &fine, &software, &weights, &adapters, &unknown});
   const auto all = slotChecks(router, 60);
@@ -429,8 +456,8 @@
   cr_assert_gt(before, 0);  // with nothing declared, all serve
   router.declare({inForce(0)});
   const auto count = slotChecks(router, 200);
-  fmt::print(stderr, "slot checks after the declaration: {} answered, {} at mismatched workers, {} at the others\n", count.good,
-             mismatched() - before, good.ran + fine.ran - (60 - before));
+  fmt::print(stderr, "slot checks after the declaration: {} answered, {} at mismatched workers, {} at the others\n",
+             count.good, mismatched() - before, good.ran + fine.ran - (60 - before));
   cr_assert_eq(count.good, 200, "%s", count.otherwise.c_str());
   cr_assert_eq(mismatched(), before);
 }
@@ -441,8 +468,9 @@
   router.declare({inForce(0)});
   changes.weights = 2;  // the router's list is stale
   const auto count = slotChecks(router, 100);
-  fmt::print(stderr, "slot checks with a stale list: {} answered, {} run and {} turned away by the runner that changed\n", count.good,
-             changes.ran.load(), changes.turnedAway.load());
+  fmt::print(stderr,
+             "slot checks with a stale list: {} answered, {} run and {} turned away by the runner that changed\n",
+             count.good, changes.ran.load(), changes.turnedAway.load());
   cr_assert_eq(count.good, 100);
   cr_assert_eq(changes.ran.load(), 0);
   cr_assert_gt(changes.turnedAway.load(), 0);
@@ -461,7 +489,8 @@
     answered += out.starts_with("HTTP/1.1 200");
     all += out;
   }
-  fmt::print(stderr, "slot checks beside a liar: {} answered, {} run by the liar, none of its answers passed on\n", answered, liar.ran.load());
+  fmt::print(stderr, "slot checks beside a liar: {} answered, {} run by the liar, none of its answers passed on\n",
+             answered, liar.ran.load());
   cr_assert_eq(answered, 100);
   cr_assert(!has(all, "s.liar") && !has(all, "Weight-Versions: 2"));
   cr_assert_eq(liar.ran.load(), 1);
@@ -487,7 +516,12 @@
   cr_assert_eq(count.promised, 20);
   cr_assert_eq(one.ran + two.ran, 0);
   // The news come.
-  one.entry = [&] { auto e = runner("one", "v2", 2); e.ip = one.entry.ip; e.port = one.entry.port; return e; }();
+  one.entry = [&] {
+    auto e = runner("one", "v2", 2);
+    e.ip = one.entry.ip;
+    e.port = one.entry.port;
+    return e;
+  }();
   router.list({&one, &two});
   router.declare({inForce(2)});
   cr_assert_eq(slotChecks(router, 20).good, 20);
@@ -518,17 +552,20 @@
     Traffic router({&only});
     if (declared) router.declare({ofEngine(0)});
     const auto out = router.get("/text/1");
-    cr_assert(has(out, "piece 1") && has(out, "piece 2") && !has(out, "piece 3") && !has(out, "piece 4"), "%s", out.c_str());
+    cr_assert(has(out, "piece 1") && has(out, "piece 2") && !has(out, "piece 3") && !has(out, "piece 4"), "%s",
+              out.c_str());
     cr_assert(!out.ends_with(kEnd));
   }
   // The record may allow that pair.
   Traffic router({&only});
-  router.declare({ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["old","new"]],"stages":)"))});
+  router.declare(
+      {ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["old","new"]],"stages":)"))});
   const auto out = router.get("/text/1");
   cr_assert(has(out, "piece 3") && has(out, "piece 4") && out.ends_with(kEnd), "%s", out.c_str());
   // The other way round it is not allowed.
   Traffic back({&only});
-  back.declare({ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["new","old"]],"stages":)"))});
+  back.declare(
+      {ofEngine(1, replaced(record(1, "engine"), "\"stages\":", R"("withinStream":[["new","old"]],"stages":)"))});
   cr_assert(!back.get("/text/1").ends_with(kEnd));
 }
 
@@ -541,7 +578,8 @@
   for (int i = 0; i < 50 && same.resumed == 0; ++i) {
     const auto out = router.get("/text/1");
     if (same.resumed == 0) continue;
-    cr_assert(out.ends_with(kEnd) && has(out, "piece 1") && has(out, "piece 2") && has(out, "piece 3"), "%s", out.c_str());
+    cr_assert(out.ends_with(kEnd) && has(out, "piece 1") && has(out, "piece 2") && has(out, "piece 3"), "%s",
+              out.c_str());
     cr_assert(has(out, "s.changes") && !has(out, kNowTwo) && !has(out, "s.same"));
   }
   cr_assert_gt(same.resumed.load(), 0);
@@ -549,11 +587,12 @@
 }
 
 Test(rollout_pass, mismatched_workers_serve_no_stream_and_a_liar_none_that_is_passed_on) {
-  const auto engine = [](const std::string& id, const std::string& revision = "v1", std::uint64_t weights = 1, std::vector<std::string> adapters = {"law"}) {
+  const auto engine = [](const std::string& id, const std::string& revision = "v1", std::uint64_t weights = 1,
+                         std::vector<std::string> adapters = {"law"}) {
     return runner(id, revision, weights, std::move(adapters), "engine");
   };
-  Weighted good(engine("good")), software(engine("software", "v2")), weights(engine("weights", "v1", 2)), adapters(engine("adapters", "v1", 1, {})),
-      changed(engine("changed")), liar(engine("liar"));
+  Weighted good(engine("good")), software(engine("software", "v2")), weights(engine("weights", "v1", 2)),
+      adapters(engine("adapters", "v1", 1, {})), changed(engine("changed")), liar(engine("liar"));
   for (auto* r : {&good, &software, &weights, &adapters, &changed, &liar}) r->stream = {event(1), event(2)};
   weights.weights = changed.weights = liar.weights = 2;
   liar.heedsExpected = false;
@@ -576,8 +615,9 @@
 
 Test(rollout_pass, a_broken_stream_goes_on_at_the_same_snapshot_alone) {
   // Nothing is declared: the list tells who is alike.
-  Weighted breaks(runner("breaks", "v1", 1, {"law"}, "engine")), software(runner("software", "v2", 1, {"law"}, "engine")),
-      weights(runner("weights", "v1", 2, {"law"}, "engine")), adapters(runner("adapters", "v1", 1, {}, "engine"));
+  Weighted breaks(runner("breaks", "v1", 1, {"law"}, "engine")),
+      software(runner("software", "v2", 1, {"law"}, "engine")), weights(runner("weights", "v1", 2, {"law"}, "engine")),
+      adapters(runner("adapters", "v1", 1, {}, "engine"));
   weights.weights = 2;
   breaks.breaks = true;
   breaks.stream = {event(1)};
@@ -622,8 +662,13 @@
   std::uint64_t decided = 0, served = 0;
   std::set<std::size_t> outOfTouch;
 
-  explicit Fleet(std::uint64_t seed, double loss = 0.01) : world({.controllers = 3, .routers = 4, .seed = seed, .loss = loss}) {
-    world.platform = {runner("good"), runner("fine"), runner("software", "v2"), runner("weights", "v1", 2), runner("adapters", "v1", 1, {}),
+  explicit Fleet(std::uint64_t seed, double loss = 0.01)
+      : world({.controllers = 3, .routers = 4, .seed = seed, .loss = loss}) {
+    world.platform = {runner("good"),
+                      runner("fine"),
+                      runner("software", "v2"),
+                      runner("weights", "v1", 2),
+                      runner("adapters", "v1", 1, {}),
                       runner("unknown", "")};
     world.checks.push_back([this] { look(); });
     std::uint64_t taken = 0;
@@ -681,7 +726,8 @@
   void holds() { cr_assert(!world.broken(), "%s", world.broken()->c_str()); }
 };
 
-const std::string kReadBack = R"({"rollouts":[{"service":"plain","number":1,"stage":"before","record":)" + record(1) + "}]}";
+const std::string kReadBack =
+    R"({"rollouts":[{"service":"plain","number":1,"stage":"before","record":)" + record(1) + "}]}";
 
 }  // namespace
 
@@ -700,13 +746,15 @@
     // Withdrawn, all serve again.
     fleet.mayServe.clear();
     int status = 0;
-    fleet.world.orderUntilClear(control::OrderKind::WithdrawRollout, 0, R"({"service":"plain","number":2})", [&](const auto& a) { status = a.status; });
+    fleet.world.orderUntilClear(control::OrderKind::WithdrawRollout, 0, R"({"service":"plain","number":2})",
+                                [&](const auto& a) { status = a.status; });
     fleet.world.run(Millis(3000));
     cr_assert_eq(status, 200);
     for (std::size_t i = fleet.world.controllers(); i < fleet.world.size(); ++i)
       cr_assert(fleet.world.node(i).journal->picture()->rollouts.empty());
   }
-  fmt::print(stderr, "simulated: {} decisions after the declaration, {} after the bound, none at a mismatched worker\n", decided, served);
+  fmt::print(stderr, "simulated: {} decisions after the declaration, {} after the bound, none at a mismatched worker\n",
+             decided, served);
 }
 
 Test(rollout_world, a_primary_lost_during_the_declaration_leaves_it_in_force_or_to_be_sent_again) {
@@ -739,7 +787,8 @@
     });
     cr_assert(world.runUntil(Millis(8000), [&] { return acked; }));
     for (std::size_t i = 0; i < world.size(); ++i) world.start(i);
-    cr_assert(world.runUntil(Millis(15000), [&] { return world.active().has_value() && fleet.allInformed(); }), "seed %lu", seed);
+    cr_assert(world.runUntil(Millis(15000), [&] { return world.active().has_value() && fleet.allInformed(); }),
+              "seed %lu", seed);
     world.run(Millis(3000));
     fleet.holds();
     cr_assert_gt(fleet.served, 0u);
@@ -776,14 +825,16 @@
       {OrderKind::DeclareRollout, replaced(record(2), "\"stages\"", "\"steps\""), 400, "steps: unknown field"},
       {OrderKind::DeclareRollout, record(2, "odd"), 400, "service: 'odd' is not in the configuration"},
       {OrderKind::DeclareRollout, replaced(record(1), "\"v2\"", "\"v4\""), 409, "number: 1 is not above"},
-      {OrderKind::DeclareRollout, replaced(replaced(record(2), "\"v1\"", "\"v8\""), "\"v2\"", "\"v9\""), 409, "no runner left"},
+      {OrderKind::DeclareRollout, replaced(replaced(record(2), "\"v1\"", "\"v8\""), "\"v2\"", "\"v9\""), 409,
+       "no runner left"},
       {OrderKind::AdvanceRollout, R"({"service":"plain"})", 400, "number: missing"},
       {OrderKind::WithdrawRollout, R"({"service":"engine","number":2})", 409, "no rollout is declared"}};
   for (const auto& [kind, body, status, what] : cases) {
     control::Answer got;
     world.orderUntilClear(kind, 0, body, [&](const auto& a) { got = a; });
     world.run(Millis(1500));
-    cr_assert(got.status == status && got.body.find(what) != std::string::npos, "%s: %d %s", body.c_str(), got.status, got.body.c_str());
+    cr_assert(got.status == status && got.body.find(what) != std::string::npos, "%s: %d %s", body.c_str(), got.status,
+              got.body.c_str());
   }
   same(fleet.readBack(), kReadBack);
   // An exact resend of the last order is acknowledged; of one that was overtaken it is not.
@@ -869,13 +920,15 @@
 
 Test(rollout, the_plan_shows_who_would_be_held_back) {
   plan::Side from;
-  from.configuration = std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(tests::document(1))));
+  from.configuration =
+      std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(tests::document(1))));
   from.runners = {runner("a"), runner("b", "v1", 2), runner("e", "v1", 1, {}, "engine")};
   auto to = from;
   cr_assert(!plan::make(from, to, 50).moves());
   to.rollouts = {inForce(0)};
   const auto shown = plan::make(from, to, 50);
-  cr_assert(shown.moves() && shown.invalid.empty() && shown.heldBack.size() == 1 && shown.heldBack[0].instanceId == "b");
+  cr_assert(shown.moves() && shown.invalid.empty() && shown.heldBack.size() == 1 &&
+            shown.heldBack[0].instanceId == "b");
   cr_assert(has(plan::asText(shown), "runner b of plain: held back, model m has weights 2, wanted 1") &&
             has(plan::asText(shown), "service plain: 2 -> 1 runners"));
   cr_assert(has(plan::asJson(shown), R"("heldBack":[{"service":"plain","instanceId":"b")"));
@@ -907,7 +960,8 @@
             seen.push_back(fmt::format("{} {} {}", i, target, r.body()));
             const auto [status, body] = answer(target);
             auto out = http::answer(r, status, body);
-            if (status == 307) out.set("Location", fmt::format("http://127.0.0.1:{}{}", ports[(i + 1) % ports.size()], target));
+            if (status == 307)
+              out.set("Location", fmt::format("http://127.0.0.1:{}{}", ports[(i + 1) % ports.size()], target));
             co_return out;
           }));
       servers.back()->start();
@@ -928,13 +982,16 @@
   std::vector<std::uint16_t> ports;
 };
 std::string described(std::uint64_t number) {
-  return fmt::format(R"({{"rollouts":[{{"service":"plain","number":{},"stage":"before","record":{}}}]}})", number, record(number));
+  return fmt::format(R"({{"rollouts":[{{"service":"plain","number":{},"stage":"before","record":{}}}]}})", number,
+                     record(number));
 }
 }  // namespace
 
 Test(rollout_cli, redirections_are_followed_and_what_settles_nothing_is_sent_again) {
   int refused = 0;
-  Desks desks({[](const auto&) { return std::pair{307, std::string()}; },
+  Desks desks({[](const auto&) {
+                 return std::pair{307, std::string()};
+               },
                [&](const auto& target) {
                  if (target == "/v1/Rollouts.Describe") return std::pair{200, described(4)};
                  return ++refused < 3 ? std::pair{503, std::string("no primary")} : std::pair{200, std::string("{}")};
@@ -944,7 +1001,8 @@
   cr_assert_eq(cli::runRollout(cli::RolloutVerb::Advance, a), 0);
   cr_assert_gt(refused, 2);
   for (const auto& line : desks.seen)
-    if (has(line, "Advance")) cr_assert(has(line, R"(/v1/Rollouts.Advance/plain {"service":"plain","number":5})"), "%s", line.c_str());
+    if (has(line, "Advance"))
+      cr_assert(has(line, R"(/v1/Rollouts.Advance/plain {"service":"plain","number":5})"), "%s", line.c_str());
 }
 
 Test(rollout_cli, exit_statuses_tell_what_happened) {
@@ -952,7 +1010,8 @@
   std::string held = "[]";
   Desks desks({[&](const auto& target) {
     if (target == "/v1/Rollouts.Describe") return std::pair{200, described(1)};
-    if (target == "/v1/Status") return std::pair{200, R"({"rollouts":[{"service":"plain","serving":1,"heldBack":)" + held + "}]}"};
+    if (target == "/v1/Status")
+      return std::pair{200, R"({"rollouts":[{"service":"plain","serving":1,"heldBack":)" + held + "}]}"};
     return std::pair{status, std::string("why")};
   }});
   auto a = desks.arguments();
--- a/tests/test_scale.cpp
+++ b/tests/test_scale.cpp
@@ -29,7 +29,8 @@
       for (std::size_t i = 0; i < fleet.size(); ++i) fleet.start(i);
       const auto half = fleet.until(Millis(1000), [&] { return 2 * fleet.serving() >= routers; });
       cr_assert(half.has_value(), "%zu routers, seed %lu: half cannot serve within a second", routers, seed);
-      cr_assert(fleet.until(Millis(1000), [&] { return fleet.serving() == routers; }), "%zu routers, seed %lu", routers, seed);
+      cr_assert(fleet.until(Millis(1000), [&] { return fleet.serving() == routers; }), "%zu routers, seed %lu", routers,
+                seed);
       cr_assert(fleet.until(Millis(2000), [&] { return fleet.informed() == routers && fleet.viewed(fleet.size()); }),
                 "%zu routers, seed %lu: no common view", routers, seed);
     }
@@ -96,9 +97,8 @@
   void add(std::uint32_t ip, const std::string& voter) {
     const settings::Endpoint at{ip, 1};
     const auto role = voter.empty() ? membership::Role::Router : membership::Role::Controller;
-    groups[at] = std::make_unique<membership::Group>(
-        membership::Group::Self{std::to_string(ip), voter, "z", role, at}, std::vector<settings::Endpoint>{{1, 1}},
-        membership::Times{}, ip);
+    groups[at] = std::make_unique<membership::Group>(membership::Group::Self{std::to_string(ip), voter, "z", role, at},
+                                                     std::vector<settings::Endpoint>{{1, 1}}, membership::Times{}, ip);
     if (!voter.empty()) groups[at]->setVoters(1, {"a"});
   }
   membership::Group& at(std::uint32_t ip) { return *groups[{ip, 1}]; }
@@ -167,8 +167,17 @@
   auto next = base;
   next.number += 3;
   next.members.push_back({"9", "", "z", 1, 9, 1, 9, next.number - 1});
-  schema::Extend changes{base.number, 1, 77, base.members[0].incarnation, false, {{{}, {next.members.back()}}},
-                         next.number, next.epoch, next.lister, next.voters, 2};
+  schema::Extend changes{base.number,
+                         1,
+                         77,
+                         base.members[0].incarnation,
+                         false,
+                         {{{}, {next.members.back()}}},
+                         next.number,
+                         next.epoch,
+                         next.lister,
+                         next.voters,
+                         2};
   net::Outbox out;
   // The digests are others': neither acknowledged nor delivered, but asked for whole.
   m.at(2).receive(changes, {1, 1}, m.now, out);
@@ -178,8 +187,8 @@
   cr_assert(out.size() == 1 && std::get<schema::WantView>(out[0].message).number == next.number);
   cr_assert_eq(m.at(2).view()->number, base.number);
   out.clear();
-  m.at(2).receive(schema::Propose{base.number, 77, base.members[0].incarnation, false, false, changes.steps, next}, {1, 1},
-                  m.now, out);
+  m.at(2).receive(schema::Propose{base.number, 77, base.members[0].incarnation, false, false, changes.steps, next},
+                  {1, 1}, m.now, out);
   cr_assert(out.size() == 1 && std::holds_alternative<schema::Ack>(out[0].message));
   out.clear();
   // Acknowledged, it needs no more than the number; under another digest it would be another view.
@@ -189,8 +198,8 @@
   cr_assert_eq(m.at(2).view()->number, next.number);
 }
 
-// A manager leaves while its successor holds an extension of an older view: the changes are made to the present one, and
-// who joined and failed within the extension does not come back to life.
+// A manager leaves while its successor holds an extension of an older view: the changes are made to the present one,
+// and who joined and failed within the extension does not come back to life.
 Test(group, a_joiner_that_failed_within_an_extension_is_not_revived_by_a_new_manager) {
   base::TimePoint now{std::chrono::hours(1)};
   membership::Group group({"b", "v2", "z", membership::Role::Controller, {1, 1}}, {{9, 9}}, {}, 7);
@@ -198,13 +207,15 @@
   group.tick(now, out);
   auto me = std::get<schema::Join>(out.at(0).message).member;
   me.incarnation = 51;
-  schema::View view{100, 1, 50, {"v1", "v2", "v3"}, {{"a", "v1", "z", 2, 2, 1, 5, 50}, me, {"c", "v3", "z", 2, 3, 1, 6, 52}}};
+  schema::View view{
+      100, 1, 50, {"v1", "v2", "v3"}, {{"a", "v1", "z", 2, 2, 1, 5, 50}, me, {"c", "v3", "z", 2, 3, 1, 6, 52}}};
   group.receive(schema::Commit{view, {}, 0}, {2, 1}, now, out);
   const schema::Member ghost{"8", "", "z", 1, 8, 1, 8, 101}, joiner{"9", "", "z", 1, 9, 1, 9, 102};
   auto result = view;
   result.number = 110;
   result.members.push_back(joiner);
-  group.receive(schema::Propose{100, 5, 50, false, false, {{{}, {ghost, joiner}}, {{101}, {}}}, result}, {2, 1}, now, out);
+  group.receive(schema::Propose{100, 5, 50, false, false, {{{}, {ghost, joiner}}, {{101}, {}}}, result}, {2, 1}, now,
+                out);
   view.number = 105;
   group.receive(schema::Commit{view, {}, 0}, {2, 1}, now, out);
   cr_assert(group.view()->number == 105 && group.pending().has_value());
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -9,12 +9,12 @@
 namespace control = indigohill::control;
 namespace schema = indigohill::schema;
 using indigohill::base::Millis;
-using indigohill::tests::document;
-using indigohill::tests::update;
 using indigohill::tests::bringUp;
+using indigohill::tests::document;
 using indigohill::tests::holds;
 using indigohill::tests::Operator;
 using indigohill::tests::settled;
+using indigohill::tests::update;
 
 Test(world, starts_takes_a_configuration_and_gives_it_back) {
   sim::World world({});
@@ -102,7 +102,8 @@
     world.run(Millis(2000));
     cr_assert_neq(status, 200, "seed %lu: acknowledged on the small side", seed);
     op.change();
-    cr_assert(world.runUntil(Millis(4000), [&] { return op.newest == 2; }), "seed %lu: larger side takes nothing", seed);
+    cr_assert(world.runUntil(Millis(4000), [&] { return op.newest == 2; }), "seed %lu: larger side takes nothing",
+              seed);
     world.cutOff(first, core, false);
     cr_assert(world.runUntil(Millis(15000), [&] { return settled(world); }), "seed %lu: does not heal", seed);
     cr_assert(op.readBack(Millis(8000)), "seed %lu", seed);
@@ -117,7 +118,8 @@
     bringUp(world, op);
     const auto first = *world.active();
     world.freeze(first);
-    cr_assert(world.runUntil(Millis(7000), [&] { return world.active() && *world.active() != first; }), "seed %lu", seed);
+    cr_assert(world.runUntil(Millis(7000), [&] { return world.active() && *world.active() != first; }), "seed %lu",
+              seed);
     op.change();
     cr_assert(world.runUntil(Millis(4000), [&] { return op.newest == 2; }), "seed %lu", seed);
     world.thaw(first);
@@ -136,8 +138,8 @@
       auto& disk = world.node(*world.active());
       (full ? disk.diskFull : disk.diskStalled) = true;
       op.change();
-      cr_assert(world.runUntil(Millis(4000), [&] { return op.newest == 2; }), "seed %lu, full %d: not acknowledged", seed,
-                full);
+      cr_assert(world.runUntil(Millis(4000), [&] { return op.newest == 2; }), "seed %lu, full %d: not acknowledged",
+                seed, full);
       disk.diskFull = disk.diskStalled = false;
       world.run(Millis(5000));
       cr_assert(op.readBack(Millis(8000)), "seed %lu", seed);
@@ -162,7 +164,8 @@
         world.powerOff(i);
     world.run(Millis(800));
     for (std::size_t i = 0; i < world.size(); ++i) world.start(i);
-    cr_assert(world.runUntil(Millis(9000), [&] { return settled(world); }), "seed %lu: not back in time%s", seed, world.describe().c_str());
+    cr_assert(world.runUntil(Millis(9000), [&] { return settled(world); }), "seed %lu: not back in time%s", seed,
+              world.describe().c_str());
     cr_assert(op.readBack(Millis(8000)), "seed %lu: lost", seed);
     holds(world);
   }
@@ -254,8 +257,7 @@
 // A router whose group is itself and a voter "a" of incarnation 50 at address 2:2; its own incarnation is 51.
 struct Pair {
   indigohill::base::TimePoint now{std::chrono::hours(1)};
-  indigohill::membership::Group group{
-      {"b", "", "z", indigohill::membership::Role::Router, {1, 1}}, {{9, 9}}, {}, 7};
+  indigohill::membership::Group group{{"b", "", "z", indigohill::membership::Role::Router, {1, 1}}, {{9, 9}}, {}, 7};
   indigohill::net::Outbox out;
   schema::View view;
 
@@ -413,15 +415,33 @@
       for (int i = 0; i < 4; ++i) world.after(Millis(world.random() % 6000), [&] { op.change(); });
       const auto span = Millis(500 + world.random() % 4500);
       switch (kind) {
-        case 0: world.kill(core); break;
-        case 1: world.wipe(core); break;
-        case 2: world.freeze(core); break;
-        case 3: world.cutOff(core, controllers, true); break;
-        case 4: world.node(core).diskStalled = true; break;
-        case 5: world.node(core).diskFull = true; break;
-        case 6: world.term(core); break;
-        case 7: world.cut(core, (core + 1) % world.controllers(), true, false); break;
-        case 8: world.replace(core); break;
+        case 0:
+          world.kill(core);
+          break;
+        case 1:
+          world.wipe(core);
+          break;
+        case 2:
+          world.freeze(core);
+          break;
+        case 3:
+          world.cutOff(core, controllers, true);
+          break;
+        case 4:
+          world.node(core).diskStalled = true;
+          break;
+        case 5:
+          world.node(core).diskFull = true;
+          break;
+        case 6:
+          world.term(core);
+          break;
+        case 7:
+          world.cut(core, (core + 1) % world.controllers(), true, false);
+          break;
+        case 8:
+          world.replace(core);
+          break;
         default:
           for (std::size_t i = 0; i < world.size(); ++i) world.kill(i);
       }
