--- a/tools/schemagen.cpp
+++ b/tools/schemagen.cpp
@@ -25,8 +25,8 @@
 
 std::string cppType(const std::string& type) {
   static const std::map<std::string, std::string> plain{
-      {"u8", "std::uint8_t"},   {"u16", "std::uint16_t"}, {"u32", "std::uint32_t"}, {"u64", "std::uint64_t"},
-      {"i64", "std::int64_t"},  {"f64", "double"},        {"bool", "bool"},         {"string", "std::string"}};
+      {"u8", "std::uint8_t"},  {"u16", "std::uint16_t"}, {"u32", "std::uint32_t"}, {"u64", "std::uint64_t"},
+      {"i64", "std::int64_t"}, {"f64", "double"},        {"bool", "bool"},         {"string", "std::string"}};
   if (type.rfind("list<", 0) == 0) return "std::vector<" + cppType(type.substr(5, type.size() - 6)) + ">";
   const auto found = plain.find(type);
   return found == plain.end() ? type : found->second;
@@ -85,14 +85,21 @@
 }
 
 int fields(std::istream& in, std::ostream& out, const std::string& schema, const std::string& macro) {
-  static const std::map<std::string, std::string> types{
-      {"text", "std::string"},          {"list", "std::vector<std::string>"}, {"whole", "std::uint64_t"},
-      {"fraction", "double"},           {"flag", "bool"},                     {"millis", "std::chrono::milliseconds"},
-      {"seconds", "std::chrono::milliseconds"}, {"endpoint", "Endpoint"},     {"endpoints", "std::vector<Endpoint>"},
-      {"ports", "Ports"}};
-  out << "// Generated from schema/" << schema << ".schema.\n#pragma once\n\n"
+  static const std::map<std::string, std::string> types{{"text", "std::string"},
+                                                        {"list", "std::vector<std::string>"},
+                                                        {"whole", "std::uint64_t"},
+                                                        {"fraction", "double"},
+                                                        {"flag", "bool"},
+                                                        {"millis", "std::chrono::milliseconds"},
+                                                        {"seconds", "std::chrono::milliseconds"},
+                                                        {"endpoint", "Endpoint"},
+                                                        {"endpoints", "std::vector<Endpoint>"},
+                                                        {"ports", "Ports"}};
+  out << "// Generated from schema/" << schema
+      << ".schema.\n#pragma once\n\n"
          "// One line for each field: type in C++, member, path in the file, reader, whether it must be there,\n"
-         "// default as text, what it is for.\n#define " << macro << "(X)";
+         "// default as text, what it is for.\n#define "
+      << macro << "(X)";
   std::string line;
   for (std::size_t number = 1; std::getline(in, line); ++number) {
     const auto text = trim(line.substr(0, line.find('#')));
