--- a/src/base/fwd.hpp
+++ b/src/base/fwd.hpp
@@ -2,7 +2,7 @@
 
 namespace indigohill::base {
 enum class Verdict;
-struct Fault;
+struct Error;
 template <class Event, class Picture>
 class Journal;
 }  // namespace indigohill::base
--- a/src/base/result.hpp
+++ b/src/base/result.hpp
@@ -9,17 +9,17 @@
 // NotRun lets it be answered with 408, 421, 429 or 503.
 enum class Verdict { NotRun, MayHaveRun, Ran };
 
-struct Fault {
+struct Error {
   Verdict verdict = Verdict::NotRun;
   std::string what;
 };
 
 template <class T>
-using Result = std::variant<T, Fault>;
+using Result = std::variant<T, Error>;
 
 template <class T>
-const Fault* fault(const Result<T>& result) {
-  return std::get_if<Fault>(&result);
+const Error* errorIn(const Result<T>& result) {
+  return std::get_if<Error>(&result);
 }
 
 }  // namespace indigohill::base
--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -66,7 +66,7 @@
     tuning.listPeriod = runners::listPeriod(s, 1);
     tuning.grace = s.gracePeriodS;
     // Each zone may be lost with the copy and the vote that it holds; voters and copies are spread over zones.
-    tuning.losses = std::max<std::size_t>({1, s.machines, s.zones});
+    tuning.faultTolerance = std::max<std::size_t>({1, s.machines, s.zones});
     // What goes wrong with a write must be mended well within the time that an order may take.
     tuning.replica.writeStuck = std::min(tuning.replica.writeStuck, s.ackTimeoutMs * 3 / 10);
     tuning.replica.gather = std::min(tuning.replica.gather, s.ackTimeoutMs * 3 / 8);
@@ -105,9 +105,9 @@
     auto timer = std::make_shared<asio::steady_timer>(executor_, std::chrono::seconds(10));
     const auto id = order.call;
     waiting_[id] = {timer, std::nullopt};
-    control::Effects fx;
-    core_.order(std::move(order), base::Clock::now(), fx);
-    apply(fx);
+    control::Effects effects;
+    core_.order(std::move(order), base::Clock::now(), effects);
+    apply(effects);
     if (!waiting_[id].answer) co_await timer->async_wait(http::kTuple);
     const auto answer = waiting_[id].answer.value_or(control::Answer{id, 503, "not finished in time", {}});
     waiting_.erase(id);
@@ -136,7 +136,7 @@
       out["backups"] = boost::json::value_from(r->backups);
       out["voters"] = boost::json::value_from(r->voters);
     }
-    if (const auto& f = source.frame()) {
+    if (const auto& f = source.state()) {
       out["revision"] = f->revision;
       out["evacuated"] = boost::json::value_from(f->evacuated);
       out["rollouts"] = boost::json::parse(rollout::status(f->rollouts, source.runners()));
@@ -158,9 +158,9 @@
   }
 
   // Carries out what the core wants done.
-  void apply(control::Effects& fx) {
-    for (const auto& note : fx.notes) spdlog::info("{}", note);
-    for (auto& write : fx.writes)
+  void apply(control::Effects& effects) {
+    for (const auto& note : effects.notes) spdlog::info("{}", note);
+    for (auto& write : effects.writes)
       store_->write(std::move(write), [this](std::uint64_t token, bool ok) {
         asio::post(executor_, [this, token, ok] {
           control::Effects after;
@@ -168,24 +168,24 @@
           apply(after);
         });
       });
-    for (auto& answer : fx.answers)
+    for (auto& answer : effects.answers)
       if (const auto found = waiting_.find(answer.call); found != waiting_.end()) {
         found->second.answer = std::move(answer);
         found->second.timer->cancel();
       }
-    link_.send(fx.out);
+    link_.send(effects.out);
   }
 
   void receive(const schema::Message& message, const settings::Endpoint& from) {
-    control::Effects fx;
-    core_.receive(message, from, base::Clock::now(), fx);
-    apply(fx);
+    control::Effects effects;
+    core_.receive(message, from, base::Clock::now(), effects);
+    apply(effects);
   }
 
   bool tick() {
     const auto now = base::Clock::now();
-    control::Effects fx;
-    core_.tick(now, fx);
+    control::Effects effects;
+    core_.tick(now, effects);
     if (!reading_ && core_.readingDue(now)) {
       reading_ = true;
       asio::co_spawn(io_,
@@ -202,7 +202,7 @@
       lookedAt_ = now;
       reread(false);
     }
-    apply(fx);
+    apply(effects);
     if (!core_.left(now)) return true;
     io_.stop();
     return false;
@@ -213,9 +213,9 @@
   }
 
   void leave() {
-    control::Effects fx;
-    core_.leave(base::Clock::now(), fx);
-    apply(fx);
+    control::Effects effects;
+    core_.leave(base::Clock::now(), effects);
+    apply(effects);
   }
 
   SettingsWatch watch_;
@@ -242,7 +242,7 @@
   const auto mapBytes =
       std::max<std::uint64_t>(4u << 20, std::min<std::uint64_t>(32u << 20, settings.diskMb * (1u << 19)));
   auto opened = store::Store::open(settings.dataDirectory, mapBytes);
-  if (const auto* bad = base::fault(opened)) {
+  if (const auto* bad = base::errorIn(opened)) {
     spdlog::critical("store: {}", bad->what);
     return 1;
   }
--- a/src/cli/hollow.cpp
+++ b/src/cli/hollow.cpp
@@ -83,7 +83,7 @@
       return 2;
     }
     // 2f + 1 voters; three controllers bear the loss of one.
-    shape.losses = std::min(losses, (shape.controllers - 1) / 2);
+    shape.faultTolerance = std::min(losses, (shape.controllers - 1) / 2);
     course.say = [&](const std::string& what) { std::cerr << size << " " << what << "\n"; };
     for (auto& f : hollow::measureFleet(shape, course)) figures.push_back(std::move(f));
     for (auto& f : hollow::measureRouter(shape, choices)) figures.push_back(std::move(f));
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,7 +21,7 @@
     return 2;
   }
   auto read = indigohill::settings::read(path);
-  if (const auto* bad = indigohill::base::fault(read)) {
+  if (const auto* bad = indigohill::base::errorIn(read)) {
     std::cerr << "indigohill: settings: " << bad->what << "\n";
     return 2;
   }
--- a/src/cli/process.hpp
+++ b/src/cli/process.hpp
@@ -56,7 +56,7 @@
     if (!told && at == written_) return false;
     written_ = at;
     auto read = settings::read(path_);
-    if (const auto* bad = base::fault(read)) {
+    if (const auto* bad = base::errorIn(read)) {
       spdlog::error("settings kept as they were: {}", bad->what);
       return false;
     }
@@ -92,7 +92,7 @@
   const auto askedAt = base::Clock::now();
   auto result = co_await reader.read(base::Millis(1000));
   reading = false;
-  if (const auto* bad = base::fault(result))
+  if (const auto* bad = base::errorIn(result))
     spdlog::warn("list of runners not read: {}", bad->what);
   else
     take(std::get<0>(std::move(result)), askedAt);
--- a/src/cli/rollout.cpp
+++ b/src/cli/rollout.cpp
@@ -35,7 +35,7 @@
   if (!location.starts_with(scheme)) return std::nullopt;
   location.remove_prefix(scheme.size());
   auto parsed = settings::parseEndpoint(std::string(location.substr(0, location.find('/'))));
-  if (base::fault(parsed)) return std::nullopt;
+  if (base::errorIn(parsed)) return std::nullopt;
   return std::get<settings::Endpoint>(parsed);
 }
 
@@ -84,7 +84,7 @@
       request.body() = body;
       http::Client client(io_.get_executor(), at);
       auto called = co_await client.call(std::move(request), kSilence);
-      if (const auto* bad = base::fault(called)) {
+      if (const auto* bad = base::errorIn(called)) {
         last_ = settings::text(at) + ": " + bad->what;
         co_return std::nullopt;
       }
@@ -142,7 +142,7 @@
   }
   // The same check as the controller's, before anything is sent.
   auto record = rollout::parseRecord(document);
-  if (const auto* bad = base::fault(record)) {
+  if (const auto* bad = base::errorIn(record)) {
     std::cerr << "indigohill: rollout: " << a.file << ": " << bad->what << "\n";
     return 2;
   }
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -9,7 +9,7 @@
 #include "feed/follower.hpp"
 #include "http/server.hpp"
 #include "net/link.hpp"
-#include "pass/executor.hpp"
+#include "proxy/executor.hpp"
 #include "routing/table.hpp"
 
 namespace indigohill::cli {
@@ -57,7 +57,7 @@
 
   int run() {
     if (watch_.now().trafficLog) executor_.setTrafficLog(base::openRecords());
-    table_.setTell([this](const schema::Demand& demand) {
+    table_.setTell([this](const schema::LoadNotice& demand) {
       asio::post(cohort_, [this, demand] {
         net::Outbox out;
         core_.tell(demand, out);
@@ -107,31 +107,31 @@
   }
 
   void receive(const schema::Message& message, const settings::Endpoint& from) {
-    feed::Followed fx;
-    core_.receive(message, from, base::Clock::now(), fx);
-    apply(fx);
+    feed::FollowerEffects effects;
+    core_.receive(message, from, base::Clock::now(), effects);
+    apply(effects);
   }
 
   // Carries out what the core wants done: events to the journal, the lease to the table, messages out.
-  void apply(feed::Followed& fx) {
+  void apply(feed::FollowerEffects& effects) {
     const auto now = base::Clock::now();
-    for (const auto& note : fx.notes) spdlog::info("{}", note);
-    for (const auto& demand : fx.demands) table_.heard(demand, now);
-    for (const auto& suspicions : fx.suspicions) table_.heard(suspicions, now);
-    for (auto& event : fx.events) table_.setPicture(journal_.append(std::move(event)), now);
-    if (!fx.events.empty()) executor_.waitlist().wakeAll();
+    for (const auto& note : effects.notes) spdlog::info("{}", note);
+    for (const auto& demand : effects.demands) table_.heard(demand, now);
+    for (const auto& suspicions : effects.suspicions) table_.heard(suspicions, now);
+    for (auto& event : effects.events) table_.setPicture(journal_.append(std::move(event)), now);
+    if (!effects.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
     isReady_ = core_.informed() && !leaving_;
-    unvouchedMs_ = core_.unvouched(now).value_or(Millis(0)).count();
-    link_.send(fx.out);
+    unvouchedMs_ = core_.staleFor(now).value_or(Millis(0)).count();
+    link_.send(effects.out);
   }
 
   bool tick() {
     const auto now = base::Clock::now();
-    feed::Followed fx;
-    core_.tick(now, fx);
+    feed::FollowerEffects effects;
+    core_.tick(now, effects);
     for (const auto& [to, suspicions] : table_.takeSuspicions(now))
-      to == 0 ? core_.tell(suspicions, fx.out) : core_.tell(to, suspicions, fx.out);
+      to == 0 ? core_.tell(suspicions, effects.out) : core_.tell(to, suspicions, effects.out);
     if (now - lookedAt_ >= kSettingsLook) {
       lookedAt_ = now;
       reread(false);
@@ -144,13 +144,13 @@
       asio::co_spawn(cohort_,
                      readRunners(reader_, reading_,
                                  [this](std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt) {
-                                   feed::Followed after;
+                                   feed::FollowerEffects after;
                                    core_.listed(std::move(runners), askedAt, after);
                                    apply(after);
                                  }),
                      asio::detached);
     }
-    apply(fx);
+    apply(effects);
     return !ended(now);
   }
 
@@ -168,9 +168,9 @@
     leftAt_ = base::Clock::now();
     isReady_ = false;
     executor_.leave();
-    feed::Followed fx;
-    core_.leave(fx);
-    apply(fx);
+    feed::FollowerEffects effects;
+    core_.leave(effects);
+    apply(effects);
   }
 
   bool ended(base::TimePoint now) {
@@ -192,7 +192,7 @@
   feed::Follower core_;
   base::Journal<routing::Event, routing::Picture> journal_;
   routing::Table table_;
-  pass::Executor executor_;
+  proxy::Executor executor_;
   http::tcp::acceptor acceptor_;
   http::Server readiness_;
   net::Link link_;
--- a/src/cli/tools.cpp
+++ b/src/cli/tools.cpp
@@ -46,7 +46,7 @@
     plan::Plan plan;
     if (!document.empty()) {
       auto parsed = control::parseConfiguration(document);
-      if (const auto* bad = base::fault(parsed))
+      if (const auto* bad = base::errorIn(parsed))
         plan.invalid.push_back(bad->what);
       else
         to.configuration = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
--- a/src/cli/tools.hpp
+++ b/src/cli/tools.hpp
@@ -17,7 +17,7 @@
 
 template <class T>
 T need(base::Result<T> result, const std::string& path) {
-  if (const auto* bad = base::fault(result)) throw BadInput{path + ": " + bad->what};
+  if (const auto* bad = base::errorIn(result)) throw BadInput{path + ": " + bad->what};
   return std::get<T>(std::move(result));
 }
 
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "control/replica.hpp"
-#include "feed/feed.hpp"
+#include "feed/publisher.hpp"
 #include "membership/group.hpp"
 
 // All of a controller but its sockets and its disk: the group, the control state and the news, put together. The
@@ -36,44 +36,46 @@
     membership::Times group;
     ReplicaTimes replica;
     feed::Times feed;
-    std::size_t losses = 1;  // machines that may be lost at once with their disks
+    std::size_t faultTolerance = 1;  // machines that may be lost at once with their disks
     base::Millis listPeriod{500}, grace{8000};
   };
 
   Controller(Self self, Identity identity, std::vector<settings::Endpoint> seeds, Tuning tuning, std::uint64_t seed);
 
-  void tick(base::TimePoint now, Effects& fx);
-  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx);
-  void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx);
-  void order(Order order, base::TimePoint now, Effects& fx);
+  void tick(base::TimePoint now, Effects& effects);
+  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& effects);
+  void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects);
+  void order(Order order, base::TimePoint now, Effects& effects);
   void setSeeds(std::vector<settings::Endpoint> seeds);
 
   // The duty of reading the platform's list: whether it is due here, and what came of it.
   bool readingDue(base::TimePoint now);
   void setListPeriod(base::Millis period) { tuning_.listPeriod = period; }
-  void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Effects& fx);
+  void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Effects& effects);
 
   // Leaves in order; `left` says when the process may end.
-  void leave(base::TimePoint now, Effects& fx);
+  void leave(base::TimePoint now, Effects& effects);
   bool left(base::TimePoint now) const;
 
   const membership::Group& group() const { return group_; }
   const Replica& replica() const { return replica_; }
-  const feed::Source& source() const { return source_; }
+  const feed::Publisher& source() const { return publisher_; }
 
  private:
   std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
-  Around around(base::TimePoint now) const;
+  ClusterView around(base::TimePoint now) const;
   void askForNews(base::TimePoint now, net::Outbox& out);
-  void settle(base::TimePoint now, Effects& fx);
-  schema::Stamp frameStamp() const { return source_.frame() ? source_.frame()->stamp : schema::Stamp{}; }
+  void settle(base::TimePoint now, Effects& effects);
+  schema::StateVersion stateVersion() const {
+    return publisher_.state() ? publisher_.state()->version : schema::StateVersion{};
+  }
 
   Self self_;
   Tuning tuning_;
   membership::Group group_;
   Replica replica_;
-  feed::Source source_;
-  feed::Sink frameSink_, runnerSink_;
+  feed::Publisher publisher_;
+  feed::Subscriber stateSubscriber_, runnerSubscriber_;
   std::uint64_t floorKept_ = 0, notedEpoch_ = 0;
   bool leaving_ = false;
   base::TimePoint leftAt_{}, readAt_{};
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -28,10 +28,10 @@
       times_(times),
       random_(seed),
       record_(std::move(loaded.record)),
-      frame_(std::move(loaded.frame)) {
+      state_(std::move(loaded.state)) {
   if (loaded.vote) vote_ = *loaded.vote;
-  // Before the first record is replaced nothing can have been acknowledged, so no frame means an empty one.
-  if (!frame_ && record_ && record_->epoch == 1) frame_ = schema::Frame{};
+  // Before the first record is replaced nothing can have been acknowledged, so no state means an empty one.
+  if (!state_ && record_ && record_->epoch == 1) state_ = schema::ControlState{};
 }
 
 schema::EpochRecord Replica::firstRecord(std::vector<std::string> voters) {
@@ -46,16 +46,17 @@
 
 // Below 2f+1 voters as many losses are borne as there are voters for: of n, (n-1)/2, with a copy more than that.
 bool Replica::complete() const {
-  return record_ && record_->voters.size() >= 2 * self_.losses + 1 && record_->backups.size() >= self_.losses;
+  return record_ && record_->voters.size() >= 2 * self_.faultTolerance + 1 &&
+         record_->backups.size() >= self_.faultTolerance;
 }
 
 bool Replica::copiesWhole(const std::set<std::string>& done) const {
   return std::all_of(record_->backups.begin(), record_->backups.end(), [&](const auto& b) { return done.contains(b); });
 }
 
-std::vector<const schema::Member*> Replica::keepers(bool self) const {
+std::vector<const schema::Member*> Replica::storageNodes(bool self) const {
   std::vector<const schema::Member*> out;
-  for (const auto& m : around_.controllers)
+  for (const auto& m : cluster_.controllers)
     if (!m.voterId.empty() && (self || m.voterId != self_.voterId)) out.push_back(&m);
   return out;
 }
@@ -70,7 +71,7 @@
 }
 
 const schema::Member* Replica::controller(const std::string& voterId) const {
-  for (const auto& m : around_.controllers)
+  for (const auto& m : cluster_.controllers)
     if (m.voterId == voterId) return &m;
   return nullptr;
 }
@@ -81,22 +82,22 @@
   return std::nullopt;
 }
 
-void Replica::send(const std::string& to, schema::Message message, Effects& fx) {
+void Replica::send(const std::string& to, schema::Message message, Effects& effects) {
   if (to == self_.voterId)
     local_.push_back(std::move(message));
   else if (const auto address = addressOf(to))
-    fx.out.push_back({*address, std::move(message)});
+    effects.out.push_back({*address, std::move(message)});
 }
 
-std::uint64_t Replica::write(Slot slot, std::string bytes, Effects& fx) {
+std::uint64_t Replica::write(Slot slot, std::string bytes, Effects& effects) {
   const auto token = nextToken_++;
-  if (!relay()) fx.writes.push_back({token, slot, std::move(bytes)});
+  if (!relay()) effects.writes.push_back({token, slot, std::move(bytes)});
   return token;
 }
 
 // A witness answers only once its word is on disk.
-void Replica::saveVote(std::optional<Reply> reply, Effects& fx) {
-  const auto token = write(Slot::Vote, net::encodeVote(vote_), fx);
+void Replica::saveVote(std::optional<Reply> reply, Effects& effects) {
+  const auto token = write(Slot::Vote, net::encodeVote(vote_), effects);
   if (reply) replies_[token] = std::move(*reply);
 }
 
@@ -110,55 +111,57 @@
   return addressOf(record_->primary);
 }
 
-void Replica::handOver(net::Outbox& out) {
+void Replica::transferLeadership(net::Outbox& out) {
   if (!record_ || record_->primary != self_.voterId) return;
   // One alone is asked, as two that stand at once hold each other up: best one that has the write under way.
-  const std::string* heir = nullptr;
+  const std::string* successor = nullptr;
   for (const auto& backup : record_->backups) {
     if (controller(backup) == nullptr) continue;
-    if (heir == nullptr || (current_ && current_->copied.contains(backup) && !current_->copied.contains(*heir)))
-      heir = &backup;
+    if (successor == nullptr ||
+        (current_ && current_->copied.contains(backup) && !current_->copied.contains(*successor)))
+      successor = &backup;
   }
-  if (heir == nullptr) return;
-  if (const auto address = addressOf(*heir)) out.push_back({*address, schema::HandOver{self_.voterId, record_->epoch}});
+  if (successor == nullptr) return;
+  if (const auto address = addressOf(*successor))
+    out.push_back({*address, schema::TransferLeadership{self_.voterId, record_->epoch}});
 }
 
-void Replica::stepDown(Effects& fx) {
+void Replica::stepDown(Effects& effects) {
   phase_ = Phase::Idle;
   published_.reset();
-  if (current_ && current_->order) fx.answers.push_back({current_->order->call, 503, "the primary changes", {}});
+  if (current_ && current_->order) effects.answers.push_back({current_->order->call, 503, "the primary changes", {}});
   current_.reset();
-  for (const auto& [order, at] : orders_) fx.answers.push_back({order.call, 503, "the primary changes", {}});
+  for (const auto& [order, at] : orders_) effects.answers.push_back({order.call, 503, "the primary changes", {}});
   orders_.clear();
-  for (const auto& reading : readings_) fx.answers.push_back({reading.order.call, 503, "the primary changes", {}});
+  for (const auto& reading : readings_) effects.answers.push_back({reading.order.call, 503, "the primary changes", {}});
   readings_.clear();
 }
 
 // Takes over a record that was decided.
-void Replica::adopt(const schema::EpochRecord& record, base::TimePoint now, Effects& fx) {
+void Replica::adopt(const schema::EpochRecord& record, base::TimePoint now, Effects& effects) {
   if (record.epoch == 0 || (record_ && record.epoch <= record_->epoch)) return;
   record_ = record;
-  write(Slot::Record, net::encodeRecord(record), fx);
+  write(Slot::Record, net::encodeRecord(record), effects);
   candidacy_.reset();
   beatSeen_ = false;
-  handOverAsked_ = false;
+  transferRequested_ = false;
   primaryGone_ = false;
   leaseSince_ = now;
   for (auto& reading : readings_) reading.confirmed.clear();
   if (record.primary != self_.voterId) {
-    if (phase_ != Phase::Idle) stepDown(fx);
+    if (phase_ != Phase::Idle) stepDown(effects);
     return;
   }
-  if (!frame_) return;
+  if (!state_) return;
   // This controller stood for the record (or somebody finished it on its behalf): what it holds is written once more
   // under the new epoch, at the backup too, before anything of it is shown. Only then is the older epoch shut out
   // wherever the state lies.
   if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
   current_.reset();
   phase_ = Phase::Activating;
-  auto next = *frame_;
-  next.stamp.epoch = record.epoch;
-  startWrite(std::move(next), std::nullopt, now, fx);
+  auto next = *state_;
+  next.version.epoch = record.epoch;
+  startWrite(std::move(next), std::nullopt, now, effects);
 }
 
 // Whether all copies lie in one zone although another zone has a controller for one.
@@ -167,7 +170,7 @@
   if (own == nullptr || copies.empty()) return false;
   for (const auto& copy : copies)
     if (const auto* m = controller(copy); m == nullptr || m->zone != own->zone) return false;
-  return std::any_of(around_.controllers.begin(), around_.controllers.end(),
+  return std::any_of(cluster_.controllers.begin(), cluster_.controllers.end(),
                      [&](const auto& m) { return !m.voterId.empty() && m.zone != own->zone; });
 }
 
@@ -176,7 +179,7 @@
 // already, voters, standbys.
 std::vector<std::string> Replica::chooseBackups(std::size_t count, const std::set<std::string>* among,
                                                 base::TimePoint now) const {
-  auto pool = keepers(false);
+  auto pool = storageNodes(false);
   if (among != nullptr) std::erase_if(pool, [&](const auto* m) { return !among->contains(m->voterId); });
   std::map<std::string, std::size_t> copies;
   if (const auto* own = controller(self_.voterId)) ++copies[own->zone];
@@ -210,7 +213,7 @@
 // holds one that accepted it, or has since learned of a later record, and is handed that.
 void Replica::chooseVoters(schema::EpochRecord& target, base::TimePoint now) const {
   auto& voters = target.voters;
-  const auto pool = keepers(true);
+  const auto pool = storageNodes(true);
   std::map<std::string, std::size_t> held;
   const auto zoneOf = [&](const std::string& voter) -> std::string {
     if (const auto* m = controller(voter)) return m->zone;
@@ -219,11 +222,11 @@
   };
   for (const auto& voter : voters) ++held[zoneOf(voter)];
   for (const auto* m : pool) held.try_emplace(m->zone, 0);
-  const auto borne = pool.empty() ? 0 : std::min(self_.losses, (pool.size() - 1) / 2);
+  const auto borne = pool.empty() ? 0 : std::min(self_.faultTolerance, (pool.size() - 1) / 2);
   const auto wanted = std::max(voters.size(), 2 * borne + 1);
   // In fewer zones than it takes, they are at least spread evenly.
-  const auto most = std::max(self_.losses, (wanted + held.size() - 1) / held.size());
-  const auto heir = [&](const std::string& zone) -> const schema::Member* {
+  const auto most = std::max(self_.faultTolerance, (wanted + held.size() - 1) / held.size());
+  const auto successor = [&](const std::string& zone) -> const schema::Member* {
     const schema::Member* best = nullptr;
     const auto rank = [&](const schema::Member& m) {
       return std::tuple(silent(m.voterId, now), m.zone != zone, held[m.zone], m.voterId);
@@ -249,19 +252,19 @@
     const auto zone = wiped ? newcomer->zone : zoneOf(voter);
     if (!wiped && now - missing->second < times_.exchange) continue;
     --held[zoneOf(voter)];
-    const auto* by = heir(zone);
+    const auto* by = successor(zone);
     ++held[zoneOf(voter)];
     if (by != nullptr) exchange(voter, *by);
   }
   while (voters.size() < wanted) {
-    const auto* one = heir({});
+    const auto* one = successor({});
     if (one == nullptr) break;
     auto trial = voters;
     trial.push_back(one->voterId);
     ++held[one->zone];
     if (trial.size() % 2 == 0) {
       std::swap(trial, voters);
-      const auto* two = heir({});
+      const auto* two = successor({});
       std::swap(trial, voters);
       if (two == nullptr) break;  // never an even number: it bears no more losses and needs one more for a majority
       trial.push_back(two->voterId);
@@ -273,18 +276,18 @@
   for (auto& voter : voters) {
     const auto* m = controller(voter);
     if (m == nullptr || voter == self_.voterId || held[m->zone] <= most) continue;
-    if (const auto* by = heir({})) exchange(voter, *by);
+    if (const auto* by = successor({})) exchange(voter, *by);
   }
   std::sort(voters.begin(), voters.end());
 }
 
-bool Replica::chooseTarget(schema::EpochRecord& target, base::TimePoint now) const {
+bool Replica::chooseNextRecord(schema::EpochRecord& target, base::TimePoint now) const {
   target = *record_;
   ++target.epoch;
   target.primary = self_.voterId;
   chooseVoters(target, now);
   // A copy on each of f backups; with fewer voters than 2f+1 on as many as the voters can lose.
-  const auto count = std::min(self_.losses, target.voters.size() / 2);
+  const auto count = std::min(self_.faultTolerance, target.voters.size() / 2);
   target.backups = chooseBackups(count, nullptr, now);
   if (target.backups.size() < count) return false;
   // Those that are backups stay, unless one of them is why there is a choice.
@@ -299,18 +302,18 @@
 // Stands as primary of the next epoch. From here on this controller neither writes nor takes copies in the present
 // one, whatever becomes of it: another may finish what was proposed here, and a backup chosen now holds nothing that
 // is written later.
-void Replica::stand(base::TimePoint now, Effects& fx) {
+void Replica::campaign(base::TimePoint now, Effects& effects) {
   schema::EpochRecord target;
   const bool finishing = record_->primary != self_.voterId && !isBackup();
   if (finishing)
     target = vote_.accepted;
-  else if (!chooseTarget(target, now))
+  else if (!chooseNextRecord(target, now))
     return;
   if (phase_ == Phase::Active || phase_ == Phase::Activating) {
     if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
     current_.reset();
   }
-  if (!finishing) phase_ = Phase::Standing;
+  if (!finishing) phase_ = Phase::Campaigning;
   if (vote_.slot != target.epoch) vote_ = {target.epoch, 0, 0, {}, vote_.sealed};
   vote_.sealed = std::max(vote_.sealed, record_->epoch);
   Candidacy c;
@@ -323,13 +326,13 @@
   c.step = finishing ? Candidacy::Step::Preparing : Candidacy::Step::Installing;
   c.sealToken = nextToken_;  // of the write that comes next
   candidacy_ = c;
-  saveVote(std::nullopt, fx);
-  push(now, fx);
-  considerPreparing(now, fx);
+  saveVote(std::nullopt, effects);
+  push(now, effects);
+  considerPreparing(now, effects);
 }
 
 // Sends what the present step of the candidacy still wants an answer to.
-void Replica::push(base::TimePoint now, Effects& fx) {
+void Replica::push(base::TimePoint now, Effects& effects) {
   auto& c = *candidacy_;
   c.sentAt = now;
   switch (c.step) {
@@ -338,17 +341,17 @@
       // together, and they are not to be found out one after the other.
       std::set<std::string> targets(c.target.backups.begin(), c.target.backups.end());
       if (now != c.startedAt)
-        for (const auto* m : keepers(false)) targets.insert(m->voterId);
+        for (const auto* m : storageNodes(false)) targets.insert(m->voterId);
       for (const auto& to : targets)
         if (!c.installed.contains(to))
-          send(to, schema::Copy{self_.voterId, c.installToken, true, *record_, *frame_}, fx);
+          send(to, schema::ReplicateState{self_.voterId, c.installToken, true, *record_, *state_}, effects);
       break;
     }
     case Candidacy::Step::Preparing:
       for (const auto& voter : record_->voters)
         if (!c.promised.contains(voter)) {
-          if (now != c.startedAt) send(voter, schema::Decided{*record_}, fx);
-          send(voter, schema::Prepare{self_.voterId, c.target.epoch, c.ballot}, fx);
+          if (now != c.startedAt) send(voter, schema::Decided{*record_}, effects);
+          send(voter, schema::Prepare{self_.voterId, c.target.epoch, c.ballot}, effects);
         }
       break;
     case Candidacy::Step::Accepting: {
@@ -356,7 +359,7 @@
       voters.insert(c.value.voters.begin(), c.value.voters.end());
       for (const auto& voter : voters)
         if (!c.accepted.contains(voter))
-          send(voter, schema::Accept{self_.voterId, c.target.epoch, c.ballot, c.value}, fx);
+          send(voter, schema::Accept{self_.voterId, c.target.epoch, c.ballot, c.value}, effects);
       break;
     }
   }
@@ -364,7 +367,7 @@
 
 // The record is put to the voters once its backups hold the whole state on disk, and the seal is on disk here: a
 // candidate that lost it in a crash would take copies again that its new backups lack.
-void Replica::considerPreparing(base::TimePoint now, Effects& fx) {
+void Replica::considerPreparing(base::TimePoint now, Effects& effects) {
   if (!candidacy_ || candidacy_->step != Candidacy::Step::Installing || !candidacy_->sealed) return;
   auto& c = *candidacy_;
   const auto count = c.target.backups.size();
@@ -379,25 +382,25 @@
     c.target.backups = c.value.backups = chosen;
   }
   c.step = Candidacy::Step::Preparing;
-  push(now, fx);
+  push(now, effects);
 }
 
-void Replica::considerStanding(base::TimePoint now, Effects& fx) {
-  if (!record_ || !around_.lease || now < standAt_) return;
+void Replica::considerCampaign(base::TimePoint now, Effects& effects) {
+  if (!record_ || !cluster_.lease || now < campaignAfter_) return;
   if (candidacy_) {
     if (now - candidacy_->startedAt > candidacy_->patience)
-      stand(now, fx);
+      campaign(now, effects);
     else if (now - candidacy_->sentAt >= times_.resend)
-      push(now, fx);
-    considerPreparing(now, fx);
+      push(now, effects);
+    considerPreparing(now, effects);
     return;
   }
   if (record_->primary == self_.voterId) {
-    if (!frame_) return;
+    if (!state_) return;
     schema::EpochRecord target;
     if (phase_ == Phase::Idle) {
-      stand(now, fx);
-    } else if (chooseTarget(target, now) &&
+      campaign(now, effects);
+    } else if (chooseNextRecord(target, now) &&
                (target.backups != record_->backups || (active() && target.voters != record_->voters))) {
       // Without all backups nothing can be acknowledged, and the machine may be the next to be lost: new ones at once.
       // Missing voters are exchanged; and that copies are spread over zones is worth an epoch too, now and then.
@@ -405,11 +408,11 @@
         if (now - spreadAt_ < kSpread) return;
         spreadAt_ = now;
       }
-      stand(now, fx);
+      campaign(now, effects);
     }
     return;
   }
-  if (isBackup() && frame_) {
+  if (isBackup() && state_) {
     const bool gone = controller(record_->primary) == nullptr;
     if (gone && !primaryGone_) primaryGoneAt_ = now;
     primaryGone_ = gone;
@@ -420,13 +423,14 @@
       if (controller(backup) != nullptr) turn += times_.turn;
     }
     const auto heard = beatSeen_ ? std::max(beatAt_, leaseSince_) : leaseSince_;
-    if (handOverAsked_ || (gone && now - primaryGoneAt_ >= turn) || now - heard > times_.quiet + turn) stand(now, fx);
+    if (transferRequested_ || (gone && now - primaryGoneAt_ >= turn) || now - heard > times_.quiet + turn)
+      campaign(now, effects);
     return;
   }
   // A record that some voters accepted and nobody finished: any voter may finish that very value.
   if (vote_.slot == record_->epoch + 1 && vote_.acceptedBallot != 0 && base::contains(record_->voters, self_.voterId)) {
     const bool owner = controller(vote_.accepted.primary) != nullptr;
-    if (!owner && now - leaseSince_ > times_.quiet) stand(now, fx);
+    if (!owner && now - leaseSince_ > times_.quiet) campaign(now, effects);
   }
 }
 
@@ -444,119 +448,121 @@
   std::erase_if(seenIn_, former);
 }
 
-void Replica::tick(base::TimePoint now, const Around& around, Effects& fx) {
-  if (around.lease && !around_.lease) leaseSince_ = now;
-  around_ = around;
+void Replica::tick(base::TimePoint now, const ClusterView& around, Effects& effects) {
+  if (around.lease && !cluster_.lease) leaseSince_ = now;
+  cluster_ = around;
   // The office rests on the view: without a lease there may be another primary by now.
-  if (!around.lease && phase_ != Phase::Idle) stepDown(fx);
+  if (!around.lease && phase_ != Phase::Idle) stepDown(effects);
   if (record_ && !relay()) {
     watchVoters(now);
-    considerStanding(now, fx);
+    considerCampaign(now, effects);
   }
   if (current_) {
     auto& w = *current_;
     if (!w.ownDone && now - w.startedAt > times_.writeStuck && !diskBad_) {
       // The own disk hangs: the backups have what counts, so one of them shall lead.
       diskBad_ = true;
-      standAt_ = now + kDiskRest;
-      handOver(fx.out);
-      stepDown(fx);
+      campaignAfter_ = now + kDiskRest;
+      transferLeadership(effects.out);
+      stepDown(effects);
     } else if (now - w.startedAt > times_.writeStuck) {
       for (const auto& backup : record_->backups)
         if (!w.copied.contains(backup)) silentAt_[backup] = now;
     }
-    if (current_ && now - current_->sentAt >= times_.resend) sendCopies(now, fx);
+    if (current_ && now - current_->sentAt >= times_.resend) sendCopies(now, effects);
   }
-  if (diskBad_ && now >= standAt_) diskBad_ = false;
+  if (diskBad_ && now >= campaignAfter_) diskBad_ = false;
   while (!orders_.empty() && now - orders_.front().second > times_.orderLife) {
-    fx.answers.push_back({orders_.front().first.call, 503, "not finished in time", {}});
+    effects.answers.push_back({orders_.front().first.call, 503, "not finished in time", {}});
     orders_.pop_front();
   }
   for (auto& reading : readings_) {
     if (now - reading.startedAt > times_.orderLife) {
-      fx.answers.push_back({reading.order.call, 503, "the voters do not confirm", {}});
+      effects.answers.push_back({reading.order.call, 503, "the voters do not confirm", {}});
       reading.order.call = 0;
     } else if (record_ && now - reading.sentAt >= times_.resend) {
       reading.sentAt = now;
-      ask(reading, fx);
+      ask(reading, effects);
     }
   }
   std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
-  nextOrder(now, fx);
-  if (active() && now - beatSentAt_ >= times_.beat) beat(now, fx);
-  drainLocal(now, fx);
+  nextOrder(now, effects);
+  if (active() && now - beatSentAt_ >= times_.beat) beat(now, effects);
+  drainLocal(now, effects);
 }
 
 void Replica::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
-                      Effects& fx) {
-  handle(message, from, now, fx);
-  drainLocal(now, fx);
+                      Effects& effects) {
+  handle(message, from, now, effects);
+  drainLocal(now, effects);
 }
 
-void Replica::handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx) {
+void Replica::handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
+                     Effects& effects) {
   std::visit(
       [&](const auto& m) {
-        if constexpr (requires { on(m, now, fx); }) {
+        if constexpr (requires { on(m, now, effects); }) {
           if constexpr (requires { m.from; })
             if (from.port != 0) lastAddress_[m.from] = from;
-          on(m, now, fx);
+          on(m, now, effects);
         }
       },
       message);
 }
 
-void Replica::drainLocal(base::TimePoint now, Effects& fx) {
+void Replica::drainLocal(base::TimePoint now, Effects& effects) {
   while (!local_.empty()) {
     const auto message = std::move(local_.front());
     local_.pop_front();
-    handle(message, {}, now, fx);
+    handle(message, {}, now, effects);
   }
 }
 
-void Replica::synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx) {
+void Replica::synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects) {
   if (const auto found = replies_.find(token); found != replies_.end()) {
     auto reply = std::move(found->second);
     replies_.erase(found);
-    if (ok) send(reply.to, std::move(reply.message), fx);
+    if (ok) send(reply.to, std::move(reply.message), effects);
   }
   if (candidacy_ && candidacy_->sealToken == token && ok) {
     candidacy_->sealed = true;
-    considerPreparing(now, fx);
+    considerPreparing(now, effects);
   }
   if (current_ && current_->token == token) {
     if (ok) {
       current_->ownDone = true;
-      finishWrite(now, fx);
+      finishWrite(now, effects);
     } else {
       diskBad_ = true;
-      standAt_ = now + kDiskRest;
-      handOver(fx.out);
-      stepDown(fx);
+      campaignAfter_ = now + kDiskRest;
+      transferLeadership(effects.out);
+      stepDown(effects);
     }
   }
-  drainLocal(now, fx);
+  drainLocal(now, effects);
 }
 
 // The agreement on the next record: one decree for each slot, ballots, the highest accepted value is carried on.
 
-void Replica::on(const schema::Prepare& m, base::TimePoint, Effects& fx) {
+void Replica::on(const schema::Prepare& m, base::TimePoint, Effects& effects) {
   if (!record_) return;
   if (m.slot <= record_->epoch) {
-    send(m.from, schema::Decided{*record_}, fx);
+    send(m.from, schema::Decided{*record_}, effects);
     return;
   }
   if (m.slot != record_->epoch + 1 || !base::contains(record_->voters, self_.voterId)) return;
   if (vote_.slot != m.slot) vote_ = {m.slot, 0, 0, {}, vote_.sealed};
   if (m.ballot < vote_.promised) {
     // Tells the candidate what it has to pass.
-    send(m.from, schema::Promise{self_.voterId, m.slot, vote_.promised, 0, {}}, fx);
+    send(m.from, schema::Promise{self_.voterId, m.slot, vote_.promised, 0, {}}, effects);
     return;
   }
   vote_.promised = m.ballot;
-  saveVote(Reply{m.from, schema::Promise{self_.voterId, m.slot, m.ballot, vote_.acceptedBallot, vote_.accepted}}, fx);
+  saveVote(Reply{m.from, schema::Promise{self_.voterId, m.slot, m.ballot, vote_.acceptedBallot, vote_.accepted}},
+           effects);
 }
 
-void Replica::on(const schema::Promise& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::Promise& m, base::TimePoint now, Effects& effects) {
   if (!candidacy_ || candidacy_->step != Candidacy::Step::Preparing || m.slot != candidacy_->target.epoch) return;
   auto& c = *candidacy_;
   if (m.ballot > c.ballot) {
@@ -571,13 +577,13 @@
   }
   if (!majority(c.promised, record_->voters)) return;
   c.step = Candidacy::Step::Accepting;
-  push(now, fx);
+  push(now, effects);
 }
 
-void Replica::on(const schema::Accept& m, base::TimePoint, Effects& fx) {
+void Replica::on(const schema::Accept& m, base::TimePoint, Effects& effects) {
   if (relay()) return;
   if (record_ && m.slot <= record_->epoch) {
-    send(m.from, schema::Decided{*record_}, fx);
+    send(m.from, schema::Decided{*record_}, effects);
     return;
   }
   if (vote_.slot > m.slot) return;
@@ -585,10 +591,10 @@
   if (m.ballot < vote_.promised) return;
   vote_.promised = vote_.acceptedBallot = m.ballot;
   vote_.accepted = m.record;
-  saveVote(Reply{m.from, schema::Accepted{self_.voterId, m.slot, m.ballot}}, fx);
+  saveVote(Reply{m.from, schema::Accepted{self_.voterId, m.slot, m.ballot}}, effects);
 }
 
-void Replica::on(const schema::Accepted& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::Accepted& m, base::TimePoint now, Effects& effects) {
   if (!candidacy_ || candidacy_->step != Candidacy::Step::Accepting || m.slot != candidacy_->target.epoch ||
       m.ballot != candidacy_->ballot)
     return;
@@ -597,25 +603,25 @@
   // While voters change, of those that are to come as well: the next record asks them.
   if (!majority(c.accepted, record_->voters) || !majority(c.accepted, c.value.voters)) return;
   const auto decided = c.value;
-  for (const auto& m2 : around_.controllers)
-    if (m2.voterId != self_.voterId) fx.out.push_back({{m2.ip, m2.port}, schema::Decided{decided}});
-  adopt(decided, now, fx);
+  for (const auto& m2 : cluster_.controllers)
+    if (m2.voterId != self_.voterId) effects.out.push_back({{m2.ip, m2.port}, schema::Decided{decided}});
+  adopt(decided, now, effects);
 }
 
-void Replica::on(const schema::Decided& m, base::TimePoint now, Effects& fx) { adopt(m.record, now, fx); }
+void Replica::on(const schema::Decided& m, base::TimePoint now, Effects& effects) { adopt(m.record, now, effects); }
 
 // Copies of the state.
 
-void Replica::on(const schema::Copy& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::ReplicateState& m, base::TimePoint now, Effects& effects) {
   const auto refuse = [&] {
-    send(m.from, schema::Copied{self_.voterId, m.token, record_ ? record_->epoch : 0, false}, fx);
+    send(m.from, schema::ReplicateAck{self_.voterId, m.token, record_ ? record_->epoch : 0, false}, effects);
   };
   if (record_ && m.record.epoch < record_->epoch) {
-    send(m.from, schema::Decided{*record_}, fx);
+    send(m.from, schema::Decided{*record_}, effects);
     refuse();
     return;
   }
-  adopt(m.record, now, fx);
+  adopt(m.record, now, effects);
   if (relay() || m.from == self_.voterId || !record_) return;
   if (record_->primary == self_.voterId && !base::contains(record_->backups, m.from)) return;
   if (!m.install) {
@@ -623,67 +629,68 @@
       refuse();
       return;
     }
-    if (frame_ && m.frame.stamp < frame_->stamp) return;  // overtaken by a later copy
+    if (state_ && m.state.version < state_->version) return;  // overtaken by a later copy
   }
   // A candidate installs what it has; another backup may hold a later write. An older one never takes its place: it may
   // come late, when the later one has been acknowledged. What is held is synced anew before it is said to be.
-  if (!frame_ || !(m.frame.stamp < frame_->stamp)) frame_ = m.frame;
-  const auto token = write(Slot::Frame, net::encodeFrame(*frame_), fx);
-  replies_[token] = {m.from, schema::Copied{self_.voterId, m.token, m.record.epoch, true}};
+  if (!state_ || !(m.state.version < state_->version)) state_ = m.state;
+  const auto token = write(Slot::State, net::encodeControlState(*state_), effects);
+  replies_[token] = {m.from, schema::ReplicateAck{self_.voterId, m.token, m.record.epoch, true}};
 }
 
-void Replica::on(const schema::Copied& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::ReplicateAck& m, base::TimePoint now, Effects& effects) {
   if (!m.ok) return;
   if (candidacy_ && candidacy_->step == Candidacy::Step::Installing && m.token == candidacy_->installToken) {
     candidacy_->installed.insert(m.from);
-    considerPreparing(now, fx);
+    considerPreparing(now, effects);
     return;
   }
   if (current_ && current_->token == m.token && record_ && m.epoch == record_->epoch) {
     current_->copied.insert(m.from);
     silentAt_.erase(m.from);
-    finishWrite(now, fx);
+    finishWrite(now, effects);
   }
 }
 
-void Replica::startWrite(schema::Frame frame, std::optional<Order> order, base::TimePoint now, Effects& fx) {
-  frame_ = std::move(frame);
+void Replica::startWrite(schema::ControlState state, std::optional<Order> order, base::TimePoint now,
+                         Effects& effects) {
+  state_ = std::move(state);
   Write w;
-  w.frame = *frame_;
+  w.state = *state_;
   w.order = std::move(order);
   w.startedAt = now;
-  w.token = write(Slot::Frame, net::encodeFrame(*frame_), fx);
+  w.token = write(Slot::State, net::encodeControlState(*state_), effects);
   current_ = std::move(w);
-  sendCopies(now, fx);
+  sendCopies(now, effects);
 }
 
-void Replica::sendCopies(base::TimePoint now, Effects& fx) {
+void Replica::sendCopies(base::TimePoint now, Effects& effects) {
   current_->sentAt = now;
   for (const auto& backup : record_->backups)
     if (!current_->copied.contains(backup))
-      send(backup, schema::Copy{self_.voterId, current_->token, false, *record_, current_->frame}, fx);
+      send(backup, schema::ReplicateState{self_.voterId, current_->token, false, *record_, current_->state}, effects);
 }
 
-void Replica::beat(base::TimePoint now, Effects& fx) {
+void Replica::beat(base::TimePoint now, Effects& effects) {
   beatSentAt_ = now;
-  for (const auto& m : around_.controllers)
+  for (const auto& m : cluster_.controllers)
     if (m.voterId != self_.voterId)
-      fx.out.push_back({{m.ip, m.port}, schema::Beat{self_.voterId, *record_, published_->stamp}});
+      effects.out.push_back({{m.ip, m.port}, schema::PrimaryHeartbeat{self_.voterId, *record_, published_->version}});
 }
 
 // In force only when it is on the primary's and on every backup's disk: then shown, then acknowledged.
-void Replica::finishWrite(base::TimePoint now, Effects& fx) {
+void Replica::finishWrite(base::TimePoint now, Effects& effects) {
   if (!current_ || !current_->ownDone || !copiesWhole(current_->copied)) return;
-  published_ = current_->frame;
+  published_ = current_->state;
   if (phase_ == Phase::Activating) {
     phase_ = Phase::Active;
     activeSince_ = now;
   }
-  if (current_->order) fx.answers.push_back({current_->order->call, 200, "{}", {}});
+  if (current_->order) effects.answers.push_back({current_->order->call, 200, "{}", {}});
   current_.reset();
   // At once: until they have heard of it, the others send operators away and vouch for nothing.
-  beat(now, fx);
-  nextOrder(now, fx);
+  beat(now, effects);
+  nextOrder(now, effects);
 }
 
 Answer Replica::refusal(std::uint64_t call, base::TimePoint now) const {
@@ -692,22 +699,22 @@
   return {call, 503, "no primary at the moment", {}};
 }
 
-void Replica::order(Order order, base::TimePoint now, Effects& fx) {
+void Replica::order(Order order, base::TimePoint now, Effects& effects) {
   const bool mine = record_ && record_->primary == self_.voterId &&
-                    (phase_ == Phase::Active || phase_ == Phase::Activating || phase_ == Phase::Standing);
+                    (phase_ == Phase::Active || phase_ == Phase::Activating || phase_ == Phase::Campaigning);
   if (!mine || orders_.size() >= kOrdersWaiting) {
-    fx.answers.push_back(refusal(order.call, now));
+    effects.answers.push_back(refusal(order.call, now));
     return;
   }
   orders_.emplace_back(std::move(order), now);
-  nextOrder(now, fx);
-  drainLocal(now, fx);
+  nextOrder(now, effects);
+  drainLocal(now, effects);
 }
 
-// Checks an order against the newest state. An answer when there is nothing to write, else the frame to write.
-std::optional<Answer> Replica::prepare(const Order& order, schema::Frame& next) const {
-  next = *frame_;
-  ++next.stamp.serial;
+// Checks an order against the newest state. An answer when there is nothing to write, else the state to write.
+std::optional<Answer> Replica::prepare(const Order& order, schema::ControlState& next) const {
+  next = *state_;
+  ++next.version.sequence;
   if (order.kind == OrderKind::Evacuate || order.kind == OrderKind::EndEvacuation) {
     const bool there = base::contains(next.evacuated, order.body);
     if (there == (order.kind == OrderKind::Evacuate)) return Answer{order.call, 200, "{}", {}};
@@ -729,11 +736,11 @@
   if (update) {
     if (next.document.empty()) return Answer{order.call, 400, "update: there is no configuration yet", {}};
     auto merged = applyUpdate(next.document, order.body);
-    if (const auto* bad = base::fault(merged)) return Answer{order.call, 400, bad->what, {}};
+    if (const auto* bad = base::errorIn(merged)) return Answer{order.call, 400, bad->what, {}};
     document = std::get<std::string>(std::move(merged));
   }
   auto parsed = parseConfiguration(document);
-  if (const auto* bad = base::fault(parsed)) return Answer{order.call, 400, bad->what, {}};
+  if (const auto* bad = base::errorIn(parsed)) return Answer{order.call, 400, bad->what, {}};
   const auto revision = std::get<Configuration>(parsed).revision;
   if (revision <= next.revision)
     return Answer{order.call, 400, "revision: not above the current one, " + std::to_string(next.revision), {}};
@@ -745,13 +752,14 @@
 }
 
 // Rollouts stand beside the operator's document, which is read back as it was sent.
-std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const {
+std::optional<Answer> Replica::prepareRollout(const Order& order, rollout::Change kind,
+                                              schema::ControlState& next) const {
   const auto digest =
       orderDigest("rollout/" + std::to_string(static_cast<int>(kind)) + "/" + order.service, 0, order.body);
   if (next.document.empty()) return Answer{order.call, 409, "there is no configuration yet", {}};
   auto parsed = parseConfiguration(next.document);
   const auto known = [&](const std::string& service) {
-    return base::fault(parsed) == nullptr && std::get<Configuration>(parsed).service(service) != nullptr;
+    return base::errorIn(parsed) == nullptr && std::get<Configuration>(parsed).service(service) != nullptr;
   };
   auto changed = rollout::change(kind, order.service, order.body, {next.rollouts, order.runners, known, digest});
   if (const auto* refused = std::get_if<rollout::Refusal>(&changed))
@@ -761,85 +769,85 @@
   return std::nullopt;
 }
 
-void Replica::nextOrder(base::TimePoint now, Effects& fx) {
+void Replica::nextOrder(base::TimePoint now, Effects& effects) {
   while (active() && !current_ && !candidacy_ && !orders_.empty()) {
     // Before anything was acknowledged there is time for the machines that are still starting. And as long as the
     // group's view rests on the voters before, it does not bear the loss of as many as this record's voters.
-    const bool untouched = frame_->revision == 0 && frame_->evacuated.empty();
-    const bool wanting = (untouched && !complete()) || around_.voters != record_->voters;
+    const bool untouched = state_->revision == 0 && state_->evacuated.empty();
+    const bool wanting = (untouched && !complete()) || cluster_.voters != record_->voters;
     if (wanting && now - activeSince_ < times_.gather && !isReading(orders_.front().first.kind)) return;
     auto order = std::move(orders_.front().first);
     const auto at = orders_.front().second;
     orders_.pop_front();
     if (isReading(order.kind)) {
       readings_.push_back({order, random_(), at, now, {}});
-      ask(readings_.back(), fx);
-      considerAnswering(now, fx);
+      ask(readings_.back(), effects);
+      considerAnswering(now, effects);
       continue;
     }
-    schema::Frame next;
+    schema::ControlState next;
     if (auto answer = prepare(order, next))
-      fx.answers.push_back(std::move(*answer));
+      effects.answers.push_back(std::move(*answer));
     else
-      startWrite(std::move(next), std::move(order), now, fx);
+      startWrite(std::move(next), std::move(order), now, effects);
   }
 }
 
 // Read only once a majority of the voters has confirmed, after the order came, that it has accepted no later record.
 // Then none had been decided, so nothing was acknowledged elsewhere. The backups' word would do as well, since one of
 // them would have had to stand, but any of them may be the one that is silent.
-void Replica::ask(Reading& reading, Effects& fx) {
+void Replica::ask(Reading& reading, Effects& effects) {
   if (accepts(record_->epoch)) reading.confirmed.insert(self_.voterId);
   for (const auto& voter : record_->voters)
     if (!reading.confirmed.contains(voter) && voter != self_.voterId)
-      send(voter, schema::Confirm{self_.voterId, reading.token, record_->epoch}, fx);
+      send(voter, schema::ConfirmEpoch{self_.voterId, reading.token, record_->epoch}, effects);
 }
 
 bool Replica::accepts(std::uint64_t epoch) const {
   return record_ && record_->epoch == epoch && !(vote_.slot > epoch && vote_.acceptedBallot != 0);
 }
 
-void Replica::on(const schema::Confirm& m, base::TimePoint, Effects& fx) {
-  if (accepts(m.epoch)) send(m.from, schema::Confirmed{self_.voterId, m.token, m.epoch}, fx);
+void Replica::on(const schema::ConfirmEpoch& m, base::TimePoint, Effects& effects) {
+  if (accepts(m.epoch)) send(m.from, schema::EpochConfirmed{self_.voterId, m.token, m.epoch}, effects);
 }
 
-void Replica::on(const schema::Confirmed& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::EpochConfirmed& m, base::TimePoint now, Effects& effects) {
   if (!record_ || m.epoch != record_->epoch) return;
   for (auto& reading : readings_)
     if (reading.token == m.token) reading.confirmed.insert(m.from);
-  considerAnswering(now, fx);
+  considerAnswering(now, effects);
 }
 
-void Replica::considerAnswering(base::TimePoint, Effects& fx) {
+void Replica::considerAnswering(base::TimePoint, Effects& effects) {
   if (!active()) return;
   std::erase_if(readings_, [&](const auto& reading) {
     if (!majority(reading.confirmed, record_->voters)) return false;
     if (reading.order.kind == OrderKind::DescribeRollouts)
-      fx.answers.push_back({reading.order.call, 200, rollout::describe(published_->rollouts), {}});
+      effects.answers.push_back({reading.order.call, 200, rollout::describe(published_->rollouts), {}});
     else if (published_->document.empty())
-      fx.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
+      effects.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
     else
-      fx.answers.push_back({reading.order.call, 200, published_->document, {}});
+      effects.answers.push_back({reading.order.call, 200, published_->document, {}});
     return true;
   });
 }
 
-void Replica::on(const schema::Beat& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::PrimaryHeartbeat& m, base::TimePoint now, Effects& effects) {
   if (record_ && m.record.epoch < record_->epoch) {
-    send(m.from, schema::Decided{*record_}, fx);
+    send(m.from, schema::Decided{*record_}, effects);
     return;
   }
-  adopt(m.record, now, fx);
+  adopt(m.record, now, effects);
   if (m.from != record_->primary) return;
   beatSeen_ = true;
   beatAt_ = now;
-  beatStamp_ = m.stamp;
+  announcedVersion_ = m.version;
 }
 
-void Replica::on(const schema::HandOver& m, base::TimePoint now, Effects& fx) {
+void Replica::on(const schema::TransferLeadership& m, base::TimePoint now, Effects& effects) {
   if (!record_ || m.epoch != record_->epoch || m.from != record_->primary || !isBackup()) return;
-  handOverAsked_ = true;
-  considerStanding(now, fx);
+  transferRequested_ = true;
+  considerCampaign(now, effects);
 }
 
 }  // namespace indigohill::control
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -49,7 +49,7 @@
 };
 
 // Keys of what is kept on disk.
-enum class Slot : std::uint8_t { Record = 1, Vote = 2, Frame = 3, Floor = 4, Identity = 5 };
+enum class Slot : std::uint8_t { Record = 1, Vote = 2, State = 3, Floor = 4, Identity = 5 };
 
 struct DiskWrite {
   std::uint64_t token = 0;
@@ -65,7 +65,7 @@
 };
 
 // What of the view the control state rests on.
-struct Around {
+struct ClusterView {
   std::vector<schema::Member> controllers;
   std::vector<std::string> voters;  // that the view rests on
   bool lease = false;
@@ -88,12 +88,12 @@
   struct Self {
     std::string voterId;  // empty: a relay, which has no disk and takes no part in the agreement
     settings::Endpoint address;
-    std::size_t losses = 1;  // machines that may be lost at once with their disks (faultTolerance)
+    std::size_t faultTolerance = 1;  // machines that may be lost at once with their disks (faultTolerance)
   };
   struct Loaded {
     std::optional<schema::EpochRecord> record;
     std::optional<schema::Vote> vote;
-    std::optional<schema::Frame> frame;
+    std::optional<schema::ControlState> state;
   };
 
   Replica(Self self, Loaded loaded, ReplicaTimes times, std::uint64_t seed);
@@ -103,26 +103,26 @@
   // Whether everything that faultTolerance calls for stands: 2f+1 voters and f backups.
   bool complete() const;
 
-  void tick(base::TimePoint now, const Around& around, Effects& fx);
-  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx);
-  void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& fx);
-  void order(Order order, base::TimePoint now, Effects& fx);
+  void tick(base::TimePoint now, const ClusterView& around, Effects& effects);
+  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& effects);
+  void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects);
+  void order(Order order, base::TimePoint now, Effects& effects);
   // Leaving in order, or a disk in trouble: a backup that answers is asked to take over.
-  void handOver(net::Outbox& out);
+  void transferLeadership(net::Outbox& out);
 
   bool active() const { return phase_ == Phase::Active; }
   const std::optional<schema::EpochRecord>& record() const { return record_; }
   // What is in force, at the active primary alone.
-  const std::optional<schema::Frame>& published() const { return published_; }
-  const std::optional<schema::Frame>& frame() const { return frame_; }
+  const std::optional<schema::ControlState>& published() const { return published_; }
+  const std::optional<schema::ControlState>& state() const { return state_; }
   // Whether the primary has been heard of lately (or is this one).
   bool primaryFresh(base::TimePoint now) const;
   std::optional<settings::Endpoint> primaryAddress() const;
-  schema::Stamp primaryStamp() const { return beatStamp_; }
+  schema::StateVersion primaryVersion() const { return announcedVersion_; }
   const std::string& voterId() const { return self_.voterId; }
 
  private:
-  enum class Phase { Idle, Standing, Activating, Active };
+  enum class Phase { Idle, Campaigning, Activating, Active };
   struct Candidacy {
     schema::EpochRecord target, value;
     std::uint64_t ballot = 0, bestBallot = 0, installToken = 0, sealToken = 0;
@@ -134,7 +134,7 @@
     base::Millis patience{0};
   };
   struct Write {
-    schema::Frame frame;
+    schema::ControlState state;
     std::uint64_t token = 0;
     bool ownDone = false;
     std::set<std::string> copied;
@@ -156,59 +156,59 @@
   bool isBackup() const { return base::contains(record_->backups, self_.voterId); }
   bool copiesWhole(const std::set<std::string>& done) const;
   // Of the view's controllers those with a disk; `self` says whether this one is counted.
-  std::vector<const schema::Member*> keepers(bool self) const;
+  std::vector<const schema::Member*> storageNodes(bool self) const;
   bool silent(const std::string& voterId, base::TimePoint now) const;
   bool anySilent(base::TimePoint now) const;
   bool inOneZone(const std::vector<std::string>& copies) const;
   void chooseVoters(schema::EpochRecord& target, base::TimePoint now) const;
   std::vector<std::string> chooseBackups(std::size_t count, const std::set<std::string>* among,
                                          base::TimePoint now) const;
-  void considerPreparing(base::TimePoint now, Effects& fx);
-  void ask(Reading& reading, Effects& fx);
-  void considerAnswering(base::TimePoint now, Effects& fx);
+  void considerPreparing(base::TimePoint now, Effects& effects);
+  void ask(Reading& reading, Effects& effects);
+  void considerAnswering(base::TimePoint now, Effects& effects);
   bool accepts(std::uint64_t epoch) const;
   const schema::Member* controller(const std::string& voterId) const;
   std::optional<settings::Endpoint> addressOf(const std::string& voterId) const;
-  void send(const std::string& to, schema::Message message, Effects& fx);
-  void handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& fx);
-  void drainLocal(base::TimePoint now, Effects& fx);
-  std::uint64_t write(Slot slot, std::string bytes, Effects& fx);
-  void saveVote(std::optional<Reply> reply, Effects& fx);
-  void adopt(const schema::EpochRecord& record, base::TimePoint now, Effects& fx);
-  void stand(base::TimePoint now, Effects& fx);
-  bool chooseTarget(schema::EpochRecord& target, base::TimePoint now) const;
-  void push(base::TimePoint now, Effects& fx);
-  void considerStanding(base::TimePoint now, Effects& fx);
+  void send(const std::string& to, schema::Message message, Effects& effects);
+  void handle(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& effects);
+  void drainLocal(base::TimePoint now, Effects& effects);
+  std::uint64_t write(Slot slot, std::string bytes, Effects& effects);
+  void saveVote(std::optional<Reply> reply, Effects& effects);
+  void adopt(const schema::EpochRecord& record, base::TimePoint now, Effects& effects);
+  void campaign(base::TimePoint now, Effects& effects);
+  bool chooseNextRecord(schema::EpochRecord& target, base::TimePoint now) const;
+  void push(base::TimePoint now, Effects& effects);
+  void considerCampaign(base::TimePoint now, Effects& effects);
   void watchVoters(base::TimePoint now);
-  void startWrite(schema::Frame frame, std::optional<Order> order, base::TimePoint now, Effects& fx);
-  void sendCopies(base::TimePoint now, Effects& fx);
-  void beat(base::TimePoint now, Effects& fx);
-  void finishWrite(base::TimePoint now, Effects& fx);
-  void nextOrder(base::TimePoint now, Effects& fx);
-  void stepDown(Effects& fx);
+  void startWrite(schema::ControlState state, std::optional<Order> order, base::TimePoint now, Effects& effects);
+  void sendCopies(base::TimePoint now, Effects& effects);
+  void beat(base::TimePoint now, Effects& effects);
+  void finishWrite(base::TimePoint now, Effects& effects);
+  void nextOrder(base::TimePoint now, Effects& effects);
+  void stepDown(Effects& effects);
   Answer refusal(std::uint64_t call, base::TimePoint now) const;
-  std::optional<Answer> prepare(const Order& order, schema::Frame& next) const;
-  std::optional<Answer> prepareRollout(const Order& order, rollout::Change kind, schema::Frame& next) const;
-
-  void on(const schema::Prepare& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Promise& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Accept& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Accepted& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Decided& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Copy& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Copied& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Confirm& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Confirmed& m, base::TimePoint now, Effects& fx);
-  void on(const schema::Beat& m, base::TimePoint now, Effects& fx);
-  void on(const schema::HandOver& m, base::TimePoint now, Effects& fx);
+  std::optional<Answer> prepare(const Order& order, schema::ControlState& next) const;
+  std::optional<Answer> prepareRollout(const Order& order, rollout::Change kind, schema::ControlState& next) const;
+
+  void on(const schema::Prepare& m, base::TimePoint now, Effects& effects);
+  void on(const schema::Promise& m, base::TimePoint now, Effects& effects);
+  void on(const schema::Accept& m, base::TimePoint now, Effects& effects);
+  void on(const schema::Accepted& m, base::TimePoint now, Effects& effects);
+  void on(const schema::Decided& m, base::TimePoint now, Effects& effects);
+  void on(const schema::ReplicateState& m, base::TimePoint now, Effects& effects);
+  void on(const schema::ReplicateAck& m, base::TimePoint now, Effects& effects);
+  void on(const schema::ConfirmEpoch& m, base::TimePoint now, Effects& effects);
+  void on(const schema::EpochConfirmed& m, base::TimePoint now, Effects& effects);
+  void on(const schema::PrimaryHeartbeat& m, base::TimePoint now, Effects& effects);
+  void on(const schema::TransferLeadership& m, base::TimePoint now, Effects& effects);
 
   Self self_;
   ReplicaTimes times_;
   std::mt19937_64 random_;
-  Around around_;
+  ClusterView cluster_;
   std::optional<schema::EpochRecord> record_;
   schema::Vote vote_;
-  std::optional<schema::Frame> frame_, published_;
+  std::optional<schema::ControlState> state_, published_;
   std::map<std::string, settings::Endpoint> lastAddress_;
   std::map<std::string, base::TimePoint> missingSince_;
   std::map<std::string, std::string> seenIn_;        // the zone in which each voter was last seen
@@ -222,9 +222,10 @@
   std::map<std::uint64_t, Reply> replies_;  // said once the write with this token is on disk
   std::deque<schema::Message> local_;
   std::uint64_t nextToken_ = 1;
-  schema::Stamp beatStamp_;
-  base::TimePoint beatAt_{}, beatSentAt_{}, standAt_{}, leaseSince_{}, primaryGoneAt_{}, activeSince_{}, spreadAt_{};
-  bool beatSeen_ = false, handOverAsked_ = false, diskBad_ = false, primaryGone_ = false;
+  schema::StateVersion announcedVersion_;
+  base::TimePoint beatAt_{}, beatSentAt_{}, campaignAfter_{}, leaseSince_{}, primaryGoneAt_{}, activeSince_{},
+      spreadAt_{};
+  bool beatSeen_ = false, transferRequested_ = false, diskBad_ = false, primaryGone_ = false;
 };
 
 }  // namespace indigohill::control
--- a/src/feed/fwd.hpp
+++ b/src/feed/fwd.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 namespace indigohill::feed {
-class Source;
-class Sink;
+class Publisher;
+class Subscriber;
 struct Arrived;
 class Follower;
 }  // namespace indigohill::feed
--- a/src/feed/feed.cpp
+++ b/src/feed/publisher.cpp
@@ -1,4 +1,4 @@
-#include "feed/feed.hpp"
+#include "feed/publisher.hpp"
 
 #include <fmt/format.h>
 
@@ -28,30 +28,31 @@
 }
 
 // Of all but the digests of orders, which the primary keeps to itself.
-std::uint64_t digestOf(schema::Frame frame) {
-  frame.digests.clear();
-  return base::hash(net::encodeFrame(frame));
+std::uint64_t digestOf(schema::ControlState state) {
+  state.digests.clear();
+  return base::hash(net::encodeControlState(state));
 }
 }  // namespace
 
-bool Source::setFrame(const schema::Frame& frame) {
-  if ((frame_ && frame.stamp <= frame_->stamp) || frame.stamp < floor_) return false;
-  frame_ = frame;
+bool Publisher::setState(const schema::ControlState& state) {
+  if ((state_ && state.version <= state_->version) || state.version < floor_) return false;
+  state_ = state;
   contents_.clear();
-  frameDigest_ = digestOf(frame);
-  doubted_ = false;
+  frameDigest_ = digestOf(state);
+  digestMismatch_ = false;
   return true;
 }
 
-void Source::compare(const schema::News& news) {
-  if (news.confirmed && frame_ && news.frameStamp == frame_->stamp && news.frameDigest != frameDigest_) doubted_ = true;
+void Publisher::compare(const schema::Update& news) {
+  if (news.confirmed && state_ && news.stateVersion == state_->version && news.stateDigest != frameDigest_)
+    digestMismatch_ = true;
 }
 
-bool Source::setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners,
-                        base::TimePoint listedAt) {
-  if (hasRunners_ && stamp < runnersStamp_) return false;
+bool Publisher::setRunners(const schema::StateVersion& version, std::vector<schema::RunnerEntry> runners,
+                           base::TimePoint listedAt) {
+  if (hasRunners_ && version < runnersStamp_) return false;
   listedAt_ = std::max(listedAt_, listedAt);
-  if (hasRunners_ && stamp == runnersStamp_) return false;
+  if (hasRunners_ && version == runnersStamp_) return false;
   // In order of the ids, so that everybody who holds a version holds the same.
   const auto byId = [](const auto& a, const auto& b) { return a.instanceId < b.instanceId; };
   std::sort(runners.begin(), runners.end(), byId);
@@ -74,25 +75,26 @@
   }
   runners_ = std::move(runners);
   runnersDigest_ = digestOf(runners_);
-  runnersStamp_ = stamp;
+  runnersStamp_ = version;
   hasRunners_ = true;
   wholeWanted_ = false;
   contents_.clear();
   return true;
 }
 
-bool Source::takeRunners(const schema::News& news, const schema::Content& content, base::TimePoint listedAt) {
+bool Publisher::takeRunners(const schema::Update& news, const schema::UpdateContent& content,
+                            base::TimePoint listedAt) {
   if (!content.hasRunners) {
     // The same version, seen again by the platform's reader.
-    if (hasRunners_ && news.runnersStamp == runnersStamp_) listedAt_ = std::max(listedAt_, listedAt);
+    if (hasRunners_ && news.runnersVersion == runnersStamp_) listedAt_ = std::max(listedAt_, listedAt);
     return false;
   }
-  if (hasRunners_ && news.runnersStamp <= runnersStamp_) {
+  if (hasRunners_ && news.runnersVersion <= runnersStamp_) {
     wholeWanted_ = false;  // nobody has more
     return false;
   }
   auto runners = content.runners;
-  if (content.runnersBase != schema::Stamp{}) {
+  if (content.runnersBase != schema::StateVersion{}) {
     if (!hasRunners_ || content.runnersBase != runnersStamp_) {
       wholeWanted_ = true;
       return false;
@@ -107,11 +109,11 @@
     wholeWanted_ = true;
     return false;
   }
-  return setRunners(news.runnersStamp, std::move(runners), listedAt);
+  return setRunners(news.runnersVersion, std::move(runners), listedAt);
 }
 
 // The changes since the asker's version, if this daemon has held that version and they are fewer than the list.
-void Source::putRunners(const schema::Stamp& base, schema::Content& content) const {
+void Publisher::putRunners(const schema::StateVersion& base, schema::UpdateContent& content) const {
   content.hasRunners = true;
   content.runnersDigest = runnersDigest_;
   std::set<std::string_view> ids;
@@ -128,48 +130,50 @@
   content.gone.assign(ids.begin(), ids.end());
 }
 
-const std::string& Source::content(const schema::Ask& ask) const {
-  const bool frameToo = frame_ && frame_->stamp > ask.frame;
+const std::string& Publisher::content(const schema::Poll& ask) const {
+  const bool stateToo = state_ && state_->version > ask.state;
   const bool runnersToo = hasRunners_ && runnersStamp_ > ask.runners;
-  const auto [kept, isNew] = contents_.try_emplace({frameToo, runnersToo, runnersToo ? ask.runners : schema::Stamp{}});
+  const auto [kept, isNew] =
+      contents_.try_emplace({stateToo, runnersToo, runnersToo ? ask.runners : schema::StateVersion{}});
   if (!isNew) return kept->second;
-  schema::Content content;
-  if (frameToo) {
-    content.frames.push_back(*frame_);
+  schema::UpdateContent content;
+  if (stateToo) {
+    content.states.push_back(*state_);
     // The digests are for the primary alone.
-    content.frames.back().digests.clear();
+    content.states.back().digests.clear();
   }
   if (runnersToo) putRunners(ask.runners, content);
-  if (frameToo || runnersToo) kept->second = net::encodeContent(content);
+  if (stateToo || runnersToo) kept->second = net::encodeUpdateContent(content);
   return kept->second;
 }
 
-schema::Content contentOf(const schema::News& news) {
+schema::UpdateContent contentOf(const schema::Update& news) {
   if (news.content.empty()) return {};
-  auto content = net::decodeContent(news.content);
-  return base::fault(content) != nullptr ? schema::Content{} : std::get<0>(std::move(content));
+  auto content = net::decodeUpdateContent(news.content);
+  return base::errorIn(content) != nullptr ? schema::UpdateContent{} : std::get<0>(std::move(content));
 }
 
-bool Source::hasNews(const schema::Ask& ask) const {
-  return (frame_ && frame_->stamp > ask.frame) || (hasRunners_ && runnersStamp_ > ask.runners);
+bool Publisher::hasNews(const schema::Poll& ask) const {
+  return (state_ && state_->version > ask.state) || (hasRunners_ && runnersStamp_ > ask.runners);
 }
 
-void Source::answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now, net::Outbox& out) const {
-  schema::News news;
+void Publisher::answer(const settings::Endpoint& to, const schema::Poll& ask, base::TimePoint now,
+                       net::Outbox& out) const {
+  schema::Update news;
   news.token = ask.token;
   news.confirmed = confirmed_;
-  if (frame_) {
-    news.frameStamp = frame_->stamp;
-    news.frameDigest = frameDigest_;
+  if (state_) {
+    news.stateVersion = state_->version;
+    news.stateDigest = frameDigest_;
   }
-  news.runnersStamp = runnersStamp_;
+  news.runnersVersion = runnersStamp_;
   const auto age = hasRunners_ ? std::chrono::duration_cast<base::Millis>(now - listedAt_).count() : 1'000'000;
   news.runnersAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, 1'000'000));
   news.content = content(ask);
   out.push_back({to, std::move(news)});
 }
 
-void Source::setConfirmed(bool confirmed) {
+void Publisher::setConfirmed(bool confirmed) {
   // Those that were told of something unconfirmed, or that wait, learn at once that it is.
   if (confirmed && !confirmed_)
     for (auto& [key, asker] : askers_)
@@ -178,16 +182,16 @@
 }
 
 // Tells an asker what it lacks: at once what it was not sent yet, after a while what it does not show to have.
-void Source::consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const {
+void Publisher::consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const {
   if (hasNews(asker.ask)) {
-    const bool newer = (frame_ && frame_->stamp > asker.frame && frame_->stamp > asker.ask.frame) ||
+    const bool newer = (state_ && state_->version > asker.state && state_->version > asker.ask.state) ||
                        (hasRunners_ && runnersStamp_ > asker.runners && runnersStamp_ > asker.ask.runners);
     if (newer) asker.tries = 0;
     if (asker.tries >= kTellTries || (asker.tries > 0 && now - asker.sentAt < times_.repeat * (1 << (asker.tries - 1))))
       return;
     ++asker.tries;
     asker.sentAt = now;
-    if (frame_) asker.frame = frame_->stamp;
+    if (state_) asker.state = state_->version;
     if (hasRunners_) asker.runners = runnersStamp_;
   } else if (!asker.open || now - asker.at < times_.hold) {
     return;
@@ -196,32 +200,33 @@
   answer(key.from, asker.ask, now, out);
 }
 
-void Source::receive(const schema::Ask& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
-  constexpr schema::Stamp nothing{~0ULL, ~0ULL};
-  const Key key{from, static_cast<std::uint8_t>((ask.frame == nothing ? 1 : 0) | (ask.runners == nothing ? 2 : 0) |
+void Publisher::receive(const schema::Poll& ask, const settings::Endpoint& from, base::TimePoint now,
+                        net::Outbox& out) {
+  constexpr schema::StateVersion nothing{~0ULL, ~0ULL};
+  const Key key{from, static_cast<std::uint8_t>((ask.state == nothing ? 1 : 0) | (ask.runners == nothing ? 2 : 0) |
                                                 (ask.token == 0 ? 4 : 0))};
   auto& asker = askers_[key] = Asker{ask, now, {}, true, 0, {}, {}};
   consider(key, asker, now, out);
 }
 
-void Source::tick(base::TimePoint now, net::Outbox& out) {
-  // At a pace: what comes again may be doubted again.
-  if (doubted_ && frame_ && now - givenUpAt_ >= times_.again) {
+void Publisher::tick(base::TimePoint now, net::Outbox& out) {
+  // At a pace: what comes again may be digestMismatch again.
+  if (digestMismatch_ && state_ && now - givenUpAt_ >= times_.again) {
     givenUpAt_ = now;
-    floor_ = frame_->stamp;
-    frame_.reset();
+    floor_ = state_->version;
+    state_.reset();
     contents_.clear();
   }
   publish(now, out);
   std::erase_if(askers_, [&](const auto& entry) { return now - entry.second.at > 3 * times_.hold; });
 }
 
-void Source::publish(base::TimePoint now, net::Outbox& out) {
+void Publisher::publish(base::TimePoint now, net::Outbox& out) {
   for (auto& [key, asker] : askers_) consider(key, asker, now, out);
 }
 
-void Sink::tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::Stamp& frame,
-                const schema::Stamp& runners, net::Outbox& out) {
+void Subscriber::tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets,
+                      const schema::StateVersion& state, const schema::StateVersion& runners, net::Outbox& out) {
   if (targets.empty()) return;
   const bool never = answeredAt_ == base::TimePoint{};
   if (waiting_ && now - askedAt_ < (never ? times_.first : times_.again)) return;
@@ -231,10 +236,10 @@
   waiting_ = true;
   askedAt_ = now;
   recent_.emplace_back(token_ + 1, now);
-  out.push_back({targets[target_ % targets.size()], schema::Ask{++token_, frame, runners}});
+  out.push_back({targets[target_ % targets.size()], schema::Poll{++token_, state, runners}});
 }
 
-bool Sink::receive(const schema::News& news, const settings::Endpoint&, base::TimePoint now) {
+bool Subscriber::receive(const schema::Update& news, const settings::Endpoint&, base::TimePoint now) {
   while (!recent_.empty() && now - recent_.front().second > 2 * times_.again) recent_.pop_front();
   const auto asked = [&](const auto& ask) { return ask.first == news.token; };
   if (std::none_of(recent_.begin(), recent_.end(), asked)) return false;
--- a/src/feed/feed.hpp
+++ b/src/feed/publisher.hpp
@@ -24,43 +24,44 @@
 };
 
 // Holds the newest of everything and the asks that wait for newer.
-class Source {
+class Publisher {
  public:
-  explicit Source(Times times) : times_(times) {}
+  explicit Publisher(Times times) : times_(times) {}
 
   // Versions only rise within one life: what is older than what is held is not taken.
-  bool setFrame(const schema::Frame& frame);
-  // Looks whether what is held under a stamp is what the answering daemon holds under it. What is doubted is given up
-  // before long and so fetched whole again; until then, and until it has come, the daemon is not ready.
-  void compare(const schema::News& news);
-  void doubt() { doubted_ = true; }
-  bool doubted() const { return doubted_; }
-  bool setRunners(const schema::Stamp& stamp, std::vector<schema::RunnerEntry> runners, base::TimePoint listedAt);
+  bool setState(const schema::ControlState& state);
+  // Looks whether what is held under a version is what the answering daemon holds under it. What is digestMismatch is
+  // given up before long and so fetched whole again; until then, and until it has come, the daemon is not ready.
+  void compare(const schema::Update& news);
+  void doubt() { digestMismatch_ = true; }
+  bool digestMismatch() const { return digestMismatch_; }
+  bool setRunners(const schema::StateVersion& version, std::vector<schema::RunnerEntry> runners,
+                  base::TimePoint listedAt);
   // The same from another's news, whole or as changes. Changes of a version that is not held here, or that don't give
   // the list they should, are not taken; the whole is asked for next.
-  bool takeRunners(const schema::News& news, const schema::Content& content, base::TimePoint listedAt);
+  bool takeRunners(const schema::Update& news, const schema::UpdateContent& content, base::TimePoint listedAt);
   void setConfirmed(bool confirmed);
 
-  void receive(const schema::Ask& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void receive(const schema::Poll& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void tick(base::TimePoint now, net::Outbox& out);
   // Answers the asks for which there is news.
   void publish(base::TimePoint now, net::Outbox& out);
 
-  const std::optional<schema::Frame>& frame() const { return frame_; }
+  const std::optional<schema::ControlState>& state() const { return state_; }
   const std::vector<schema::RunnerEntry>& runners() const { return runners_; }
-  const schema::Stamp& runnersStamp() const { return runnersStamp_; }
+  const schema::StateVersion& runnersVersion() const { return runnersStamp_; }
   // The version to ask with: none when the changes would be of no use here.
-  schema::Stamp askRunners() const { return wholeWanted_ ? schema::Stamp{} : runnersStamp_; }
+  schema::StateVersion askRunners() const { return wholeWanted_ ? schema::StateVersion{} : runnersStamp_; }
   base::TimePoint listedAt() const { return listedAt_; }
   bool hasRunners() const { return hasRunners_; }
 
  private:
   struct Asker {
-    schema::Ask ask;
+    schema::Poll ask;
     base::TimePoint at, sentAt{};
-    bool open = true;              // not answered yet
-    std::uint32_t tries = 0;       // how often the newest was sent
-    schema::Stamp frame, runners;  // what was sent
+    bool open = true;                     // not answered yet
+    std::uint32_t tries = 0;              // how often the newest was sent
+    schema::StateVersion state, runners;  // what was sent
   };
   // One daemon may follow the configuration and the runners by asks of their own, and fetch for a flush besides.
   struct Key {
@@ -70,42 +71,42 @@
   };
   // The runners that differ between a version held earlier and the one after it.
   struct Change {
-    schema::Stamp from;
+    schema::StateVersion from;
     std::vector<std::string> ids;
   };
-  bool hasNews(const schema::Ask& ask) const;
+  bool hasNews(const schema::Poll& ask) const;
   void consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const;
-  void answer(const settings::Endpoint& to, const schema::Ask& ask, base::TimePoint now, net::Outbox& out) const;
-  const std::string& content(const schema::Ask& ask) const;
-  void putRunners(const schema::Stamp& base, schema::Content& content) const;
+  void answer(const settings::Endpoint& to, const schema::Poll& ask, base::TimePoint now, net::Outbox& out) const;
+  const std::string& content(const schema::Poll& ask) const;
+  void putRunners(const schema::StateVersion& base, schema::UpdateContent& content) const;
 
   Times times_;
-  std::optional<schema::Frame> frame_;
-  schema::Stamp runnersStamp_;
+  std::optional<schema::ControlState> state_;
+  schema::StateVersion runnersStamp_;
   std::vector<schema::RunnerEntry> runners_;
   base::TimePoint listedAt_{};
-  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false, doubted_ = false;
+  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false, digestMismatch_ = false;
   std::uint64_t frameDigest_ = 0, runnersDigest_ = 0;
-  schema::Stamp floor_;  // of what was given up: nothing older is taken
+  schema::StateVersion floor_;  // of what was given up: nothing older is taken
   base::TimePoint givenUpAt_{};
   std::deque<Change> changes_;
   std::map<Key, Asker> askers_;
   // What is new, encoded, by what the asker lacks: the configuration, the runners, and the version it has of these.
-  mutable std::map<std::tuple<bool, bool, schema::Stamp>, std::string> contents_;
+  mutable std::map<std::tuple<bool, bool, schema::StateVersion>, std::string> contents_;
 };
 
 // What the news hold that is new; empty if nothing is, or if it cannot be read.
-schema::Content contentOf(const schema::News& news);
+schema::UpdateContent contentOf(const schema::Update& news);
 
 // Asks one daemon after the other.
-class Sink {
+class Subscriber {
  public:
-  explicit Sink(Times times, std::uint64_t seed) : times_(times), token_(seed) {}
+  explicit Subscriber(Times times, std::uint64_t seed) : times_(times), token_(seed) {}
 
-  void tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::Stamp& frame,
-            const schema::Stamp& runners, net::Outbox& out);
+  void tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::StateVersion& state,
+            const schema::StateVersion& runners, net::Outbox& out);
   // True when the news answers one of the last asks, and is as young as that says; the next may then be sent.
-  bool receive(const schema::News& news, const settings::Endpoint& from, base::TimePoint now);
+  bool receive(const schema::Update& news, const settings::Endpoint& from, base::TimePoint now);
 
   // Within this life, a configuration was once confirmed as the newest; and when last.
   bool everConfirmed() const { return confirmedAt_ != base::TimePoint{}; }
--- a/src/hollow/daemon.cpp
+++ b/src/hollow/daemon.cpp
@@ -22,13 +22,13 @@
 // Machines that may be lost at once with their disks, where the state of the code asks for them.
 template <class Tuning>
 void setLosses(Tuning& tuning, std::size_t losses) {
-  if constexpr (requires { tuning.losses; }) tuning.losses = losses;
+  if constexpr (requires { tuning.faultTolerance; }) tuning.faultTolerance = losses;
 }
 
 }  // namespace
 
 Daemon::Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::size_t losses,
-               std::uint64_t seed, base::TimePoint now, Output& fx) {
+               std::uint64_t seed, base::TimePoint now, Output& effects) {
   std::vector<settings::Endpoint> cohorts, controls;
   for (const auto& s : seeds) {
     cohorts.push_back(s.cohort);
@@ -40,7 +40,7 @@
           const auto found = disk.find(slot);
           return found == disk.end() ? std::nullopt : std::optional(found->second);
         },
-        first, controls, place.control, seed, fx.writes);
+        first, controls, place.control, seed, effects.writes);
     control::Controller::Tuning tuning;
     setLosses(tuning, losses);
     controller_ = std::make_unique<control::Controller>(control::Controller::Self{place.name, place.zone, place.cohort},
@@ -56,48 +56,49 @@
 // As the daemons have them (src/cli).
 base::Millis Daemon::tickPeriod(bool isController) { return base::Millis(isController ? 100 : 200); }
 
-void Daemon::tick(base::TimePoint now, Output& fx) {
+void Daemon::tick(base::TimePoint now, Output& effects) {
   if (controller_) {
-    control::Effects effects;
-    controller_->tick(now, effects);
-    perform(effects, fx);
+    control::Effects output;
+    controller_->tick(now, output);
+    perform(output, effects);
   } else {
-    feed::Followed followed;
+    feed::FollowerEffects followed;
     follower_->tick(now, followed);
-    perform(followed, now, fx);
+    perform(followed, now, effects);
   }
 }
 
-void Daemon::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Output& fx) {
+void Daemon::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
+                     Output& effects) {
   if (controller_) {
-    control::Effects effects;
-    controller_->receive(message, from, now, effects);
-    perform(effects, fx);
+    control::Effects output;
+    controller_->receive(message, from, now, output);
+    perform(output, effects);
   } else {
-    feed::Followed followed;
+    feed::FollowerEffects followed;
     follower_->receive(message, from, now, followed);
-    perform(followed, now, fx);
+    perform(followed, now, effects);
   }
 }
 
-void Daemon::synced(std::uint64_t token, bool ok, base::TimePoint now, Output& fx) {
-  control::Effects effects;
-  controller_->synced(token, ok, now, effects);
-  perform(effects, fx);
+void Daemon::synced(std::uint64_t token, bool ok, base::TimePoint now, Output& effects) {
+  control::Effects output;
+  controller_->synced(token, ok, now, output);
+  perform(output, effects);
 }
 
 void Daemon::replace(std::uint64_t call, std::uint64_t baseVersion, std::string document, base::TimePoint now,
-                     Output& fx) {
-  control::Effects effects;
-  controller_->order({call, control::OrderKind::Replace, baseVersion, std::move(document)}, now, effects);
-  perform(effects, fx);
+                     Output& effects) {
+  control::Effects output;
+  controller_->order({call, control::OrderKind::Replace, baseVersion, std::move(document)}, now, output);
+  perform(output, effects);
 }
 
 void Daemon::update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now,
-                    Output& fx) {
-  control::Effects effects;
-  controller_->order({call, control::OrderKind::Update, baseVersion, std::move(change)}, now, effects);
-  perform(effects, fx);
+                    Output& effects) {
+  control::Effects output;
+  controller_->order({call, control::OrderKind::Update, baseVersion, std::move(change)}, now, output);
+  perform(output, effects);
 }
 
 bool Daemon::readingDue(base::TimePoint now) {
@@ -105,20 +106,20 @@
 }
 
 void Daemon::listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now,
-                    Output& fx) {
+                    Output& effects) {
   if (controller_) {
-    control::Effects effects;
-    controller_->listed(std::move(runners), askedAt, now, effects);
-    perform(effects, fx);
+    control::Effects output;
+    controller_->listed(std::move(runners), askedAt, now, output);
+    perform(output, effects);
   } else {
-    feed::Followed followed;
+    feed::FollowerEffects followed;
     follower_->listed(std::move(runners), askedAt, followed);
-    perform(followed, now, fx);
+    perform(followed, now, effects);
   }
 }
 
-void Daemon::tell(const schema::Demand& demand, Output& fx) const {
-  if (follower_) follower_->tell(demand, fx.out);
+void Daemon::tell(const schema::LoadNotice& demand, Output& effects) const {
+  if (follower_) follower_->tell(demand, effects.out);
 }
 
 Role Daemon::role() const {
@@ -130,19 +131,19 @@
   return isBackup(*record, self) ? Role::Backup : Role::Witness;
 }
 
-std::uint64_t Daemon::revision() const { return source().frame() ? source().frame()->revision : 0; }
+std::uint64_t Daemon::revision() const { return source().state() ? source().state()->revision : 0; }
 
-void Daemon::perform(control::Effects& effects, Output& fx) {
-  std::move(effects.out.begin(), effects.out.end(), std::back_inserter(fx.out));
-  std::move(effects.writes.begin(), effects.writes.end(), std::back_inserter(fx.writes));
-  std::move(effects.answers.begin(), effects.answers.end(), std::back_inserter(fx.answers));
+void Daemon::perform(control::Effects& output, Output& effects) {
+  std::move(output.out.begin(), output.out.end(), std::back_inserter(effects.out));
+  std::move(output.writes.begin(), output.writes.end(), std::back_inserter(effects.writes));
+  std::move(output.answers.begin(), output.answers.end(), std::back_inserter(effects.answers));
 }
 
-void Daemon::perform(feed::Followed& followed, base::TimePoint now, Output& fx) {
+void Daemon::perform(feed::FollowerEffects& followed, base::TimePoint now, Output& effects) {
   for (const auto& demand : followed.demands) table_->heard(demand, now);
   for (auto& event : followed.events) table_->setPicture(journal_->append(std::move(event)), now);
   table_->setLease(follower_->group().leaseUntil());
-  std::move(followed.out.begin(), followed.out.end(), std::back_inserter(fx.out));
+  std::move(followed.out.begin(), followed.out.end(), std::back_inserter(effects.out));
 }
 
 }  // namespace indigohill::hollow
--- a/src/hollow/daemon.hpp
+++ b/src/hollow/daemon.hpp
@@ -63,33 +63,34 @@
  public:
   using Disk = std::map<control::Slot, std::string>;
 
-  // `first`: the very first start of the whole system. What is new on the disk is among the writes of `fx`.
+  // `first`: the very first start of the whole system. What is new on the disk is among the writes of `effects`.
   // `losses`: machines with a disk that may be lost at once.
   Daemon(const Place& place, const std::vector<Place>& seeds, const Disk& disk, bool first, std::size_t losses,
-         std::uint64_t seed, base::TimePoint now, Output& fx);
+         std::uint64_t seed, base::TimePoint now, Output& effects);
 
   static base::Millis tickPeriod(bool isController);
-  void tick(base::TimePoint now, Output& fx);
-  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Output& fx);
-  void synced(std::uint64_t token, bool ok, base::TimePoint now, Output& fx);
-  void replace(std::uint64_t call, std::uint64_t baseVersion, std::string document, base::TimePoint now, Output& fx);
-  void update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now, Output& fx);
+  void tick(base::TimePoint now, Output& effects);
+  void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Output& effects);
+  void synced(std::uint64_t token, bool ok, base::TimePoint now, Output& effects);
+  void replace(std::uint64_t call, std::uint64_t baseVersion, std::string document, base::TimePoint now,
+               Output& effects);
+  void update(std::uint64_t call, std::uint64_t baseVersion, std::string change, base::TimePoint now, Output& effects);
   bool readingDue(base::TimePoint now);
-  void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Output& fx);
+  void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Output& effects);
   // Tells the other routers of a long prompt, as the executor does.
-  void tell(const schema::Demand& demand, Output& fx) const;
+  void tell(const schema::LoadNotice& demand, Output& effects) const;
 
   Role role() const;
   bool isLister() const { return group().isLister(); }
   bool holdsOffice() const { return controller_ && controller_->replica().active(); }
   const membership::Group& group() const { return controller_ ? controller_->group() : follower_->group(); }
   std::uint64_t revision() const;
-  schema::Stamp runnersStamp() const { return source().runnersStamp(); }
+  schema::StateVersion runnersVersion() const { return source().runnersVersion(); }
 
  private:
-  const feed::Source& source() const { return controller_ ? controller_->source() : follower_->source(); }
-  void perform(control::Effects& effects, Output& fx);
-  void perform(feed::Followed& followed, base::TimePoint now, Output& fx);
+  const feed::Publisher& source() const { return controller_ ? controller_->source() : follower_->source(); }
+  void perform(control::Effects& output, Output& effects);
+  void perform(feed::FollowerEffects& followed, base::TimePoint now, Output& effects);
 
   std::unique_ptr<control::Controller> controller_;
   std::unique_ptr<feed::Follower> follower_;
--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -147,13 +147,13 @@
 void Fleet::start(std::size_t i) {
   auto& n = nodes_[i];
   ++n.life;
-  Output fx;
+  Output effects;
   {
     const HeapScope scope(account(i));
-    n.daemon =
-        std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, shape_.losses, random_(), now_, fx);
+    n.daemon = std::make_unique<Daemon>(n.place, seeds_, n.disk, first_ && n.life == 1, shape_.faultTolerance,
+                                        random_(), now_, effects);
   }
-  for (auto& write : fx.writes) n.disk[write.slot] = write.bytes;
+  for (auto& write : effects.writes) n.disk[write.slot] = write.bytes;
   at(now_ + Millis(random_() % 200), [this, i, life = n.life] { tickLoop(i, life); });
 }
 
@@ -167,12 +167,12 @@
 void Fleet::tickLoop(std::size_t i, std::uint64_t life) {
   auto& n = nodes_[i];
   if (!n.daemon || n.life != life) return;
-  step(i, [this](Daemon& d, Output& fx) { d.tick(now_, fx); });
+  step(i, [this](Daemon& d, Output& effects) { d.tick(now_, effects); });
   if (n.daemon->readingDue(now_)) {
     ++n.totals.platformReads;
     at(now_ + kPlatformAnswer, [this, i, life, askedAt = now_] {
       if (nodes_[i].daemon && nodes_[i].life == life)
-        step(i, [&](Daemon& d, Output& fx) { d.listed(platform_, askedAt, now_, fx); });
+        step(i, [&](Daemon& d, Output& effects) { d.listed(platform_, askedAt, now_, effects); });
     });
   }
   at(now_ + Daemon::tickPeriod(n.place.isController), [this, i, life] { tickLoop(i, life); });
@@ -182,20 +182,20 @@
 void Fleet::step(std::size_t i, const std::function<void(Daemon&, Output&)>& call) {
   auto& n = nodes_[i];
   std::vector<Parcel> parcels;
-  Output fx;
+  Output effects;
   {
     const HeapScope scope(account(i));
     const auto from = threadCpuNs();
-    call(*n.daemon, fx);
-    pack(fx.out, parcels);
+    call(*n.daemon, effects);
+    pack(effects.out, parcels);
     n.totals.cpuNs += threadCpuNs() - from;
-    fx.out = {};
+    effects.out = {};
   }
-  for (auto& write : fx.writes) {
+  for (auto& write : effects.writes) {
     n.unsynced.push_back(std::move(write));
     at(now_ + kDiskSync + Millis(random_() % 4), [this, i, life = n.life] { sync(i, life); });
   }
-  for (const auto& answer : fx.answers)
+  for (const auto& answer : effects.answers)
     if (answer.status == 200) inForce_ = std::max(inForce_, wanted_);
   dispatch(i, parcels);
 }
@@ -294,9 +294,9 @@
   if (!n.daemon) return;
   n.totals.receivedMessages[parcel.kind] += 1;
   n.totals.receivedBytes[parcel.kind] += parcel.bytes->size();
-  step(to, [&](Daemon& d, Output& fx) {
+  step(to, [&](Daemon& d, Output& effects) {
     auto message = net::decode(*parcel.bytes);
-    if (!base::fault(message)) d.receive(std::get<0>(message), nodes_[from].place.cohort, now_, fx);
+    if (!base::errorIn(message)) d.receive(std::get<0>(message), nodes_[from].place.cohort, now_, effects);
   });
 }
 
@@ -306,7 +306,7 @@
   const auto write = std::move(n.unsynced.front());
   n.unsynced.erase(n.unsynced.begin());
   n.disk[write.slot] = write.bytes;
-  step(i, [&](Daemon& d, Output& fx) { d.synced(write.token, true, now_, fx); });
+  step(i, [&](Daemon& d, Output& effects) { d.synced(write.token, true, now_, effects); });
 }
 
 void Fleet::change(std::uint64_t revision) {
@@ -319,14 +319,14 @@
     return;
   }
   if (holder)
-    step(*holder, [&](Daemon& d, Output& fx) {
+    step(*holder, [&](Daemon& d, Output& effects) {
       if (d.revision() == 0)
-        d.replace(++calls_, 0, configuration(revision, shape_.tenants, shape_.models), now_, fx);
+        d.replace(++calls_, 0, configuration(revision, shape_.tenants, shape_.models), now_, effects);
       else
         d.update(++calls_, d.revision(),
                  fmt::format(R"({{"revision":{},"upsert":{{"routes":[{}]}}}})", revision,
                              route(revision % shape_.tenants, shape_.models, 10000 + revision)),
-                 now_, fx);
+                 now_, effects);
     });
   at(now_ + kOrderAgain, [this, revision] {
     if (inForce_ < revision && wanted_ == revision) change(revision);
@@ -335,8 +335,8 @@
 
 void Fleet::drainRunner(std::size_t runner, bool is) { platform_[runner % platform_.size()].draining = is; }
 
-void Fleet::tell(std::size_t i, const schema::Demand& demand) {
-  step(i, [&](Daemon& d, Output& fx) { d.tell(demand, fx); });
+void Fleet::tell(std::size_t i, const schema::LoadNotice& demand) {
+  step(i, [&](Daemon& d, Output& effects) { d.tell(demand, effects); });
 }
 
 std::optional<std::size_t> Fleet::primary() const {
@@ -381,9 +381,9 @@
                      [&](const Node& n) { return !n.daemon || n.daemon->revision() >= revision; });
 }
 
-bool Fleet::listEverywhere(const schema::Stamp& least) const {
+bool Fleet::listEverywhere(const schema::StateVersion& least) const {
   return std::all_of(nodes_.begin(), nodes_.end(),
-                     [&](const Node& n) { return !n.daemon || n.daemon->runnersStamp() >= least; });
+                     [&](const Node& n) { return !n.daemon || n.daemon->runnersVersion() >= least; });
 }
 
 }  // namespace indigohill::hollow
--- a/src/hollow/fleet.hpp
+++ b/src/hollow/fleet.hpp
@@ -21,7 +21,7 @@
   std::size_t tenants = 24;  // one route each
   std::size_t models = 16;   // one service each
   std::size_t zones = 5, regions = 2;
-  std::size_t losses = 1;  // machines with a disk that may be lost at once
+  std::size_t faultTolerance = 1;  // machines with a disk that may be lost at once
   std::uint64_t seed = 1;
   double loss = 0.001;    // of packets
   double linkMbps = 100;  // of each daemon's machine, outgoing
@@ -67,13 +67,13 @@
   void partRegions(bool is) { parted_ = is; }
   void change(std::uint64_t revision);  // one route of the configuration, at the primary; again until it is taken
   void drainRunner(std::size_t runner, bool is);
-  void tell(std::size_t i, const schema::Demand& demand);
+  void tell(std::size_t i, const schema::LoadNotice& demand);
 
   std::optional<std::size_t> primary() const;
   std::optional<std::size_t> lister() const;
   bool viewEverywhere() const;  // every running daemon holds the same view, of exactly the running daemons
   bool inForceEverywhere(std::uint64_t revision) const;
-  bool listEverywhere(const schema::Stamp& least) const;
+  bool listEverywhere(const schema::StateVersion& least) const;
 
  private:
   struct Parcel {
--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -175,12 +175,12 @@
     repeated("list", "listEverywhere", [this, &next]() -> double {
       const auto lister = fleet_.lister();
       if (!lister) return kNever;
-      const auto before = fleet_.daemon(*lister).runnersStamp();
+      const auto before = fleet_.daemon(*lister).runnersVersion();
       fleet_.drainRunner(next / 2, next % 2 == 0);
       ++next;
       return until([&] {
-        const auto stamp = fleet_.daemon(*lister).runnersStamp();
-        return before < stamp && fleet_.listEverywhere(stamp);
+        const auto version = fleet_.daemon(*lister).runnersVersion();
+        return before < version && fleet_.listEverywhere(version);
       });
     });
   }
@@ -321,7 +321,7 @@
   control::parseConfiguration(document);  // what the libraries keep from their first use is no part of it
   const double beforeConfiguration = live();
   auto parsed = control::parseConfiguration(document);
-  if (base::fault(parsed)) return out;
+  if (base::errorIn(parsed)) return out;
   const auto configured = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
   put("parts", "configurationDocument", static_cast<double>(document.size()), "bytes", true);
   put("parts", "configurationParsed", live() - beforeConfiguration, "bytes", true);
@@ -331,9 +331,9 @@
   routing::Table table("zone-0", routing::Bounds{}, shape.seed, now);
   table.setLease(now + std::chrono::hours(1));
   const auto runners = runnerList(shape.runners, 1, shape.zones);
-  table.setPicture(journal.append(routing::FrameCame{{1, 1}, configured, {}}), now);
-  table.setPicture(journal.append(routing::RunnersCame{{1, 1}, runners, now}), now);
-  table.setPicture(journal.append(routing::ViewCame{viewOf(shape)}), now);
+  table.setPicture(journal.append(routing::StateReceived{{1, 1}, configured, {}}), now);
+  table.setPicture(journal.append(routing::RunnersReceived{{1, 1}, runners, now}), now);
+  table.setPicture(journal.append(routing::ViewReceived{viewOf(shape)}), now);
   put("parts", "tableAndPicture", live() - beforeTable, "bytes", true);
 
   // Prompts with shared parts, drawn from a seed; each place is given back at once.
@@ -358,9 +358,9 @@
 
   const double beforeViews = live();
   constexpr std::size_t kEvents = 300;  // more than a journal keeps
-  for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::ViewCame{viewOf(shape)});
+  for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::ViewReceived{viewOf(shape)});
   put("journal", "fullOfViews", live() - beforeViews, "bytes", true);
-  for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::RunnersCame{{1, 2 + i}, runners, now});
+  for (std::size_t i = 0; i < kEvents; ++i) journal.append(routing::RunnersReceived{{1, 2 + i}, runners, now});
   put("journal", "fullOfLists", live() - beforeViews, "bytes", true);
   return out;
 }
--- a/src/kvindex/logit.hpp
+++ b/src/kvindex/logit.hpp
@@ -30,8 +30,8 @@
   double sharedBeyond = 0;      // blocks in the shared pool beyond those that the runner keeps
 };
 
-// The lower, the better. Source: "HiCache: Hierarchical KV caching with tier-aware router integration", NVIDIA Dynamo,
-// section "Scoring".
+// The lower, the better. Publisher: "HiCache: Hierarchical KV caching with tier-aware router integration", NVIDIA
+// Dynamo, section "Scoring".
 inline double logit(const Score& s) {
   const double reduction = s.sharedMultiplier * s.sharedBeyond * s.blockTokens;
   const double prefillTokens = std::max(0.0, s.prefillTokens - reduction);
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -26,7 +26,7 @@
 }
 
 // The view that the changes make of `base`. Both sides make it so, and the digest tells when they differ.
-schema::View extended(const schema::View& base, const schema::Extend& changes) {
+schema::View extended(const schema::View& base, const schema::ProposeChanges& changes) {
   auto result = base;
   for (const auto& step : changes.steps) {
     std::erase_if(result.members, [&](const auto& m) { return base::contains(step.faults, m.incarnation); });
@@ -169,7 +169,7 @@
 }
 
 void Group::sendHello(const schema::Member& to, bool wanted, base::TimePoint now, net::Outbox& out) {
-  schema::Hello hello;
+  schema::Heartbeat hello;
   hello.incarnation = incarnation_;
   hello.view = view_->number;
   hello.stampMs = base::toMs(now);
@@ -286,7 +286,7 @@
 
 // The changes that are known and not yet in `result`; true when there are some. Joins make an extension only if
 // `joinsAlone`: they come along with any other change, but a round that is under way is not begun again for them.
-bool Group::extend(schema::View& result, schema::Step& step, bool joinsAlone, base::TimePoint now) const {
+bool Group::extend(schema::View& result, schema::ViewChange& step, bool joinsAlone, base::TimePoint now) const {
   bool changed = false;
   std::vector<std::uint64_t> gone;
   for (const auto& m : result.members) {
@@ -343,7 +343,7 @@
     faults.insert(s.faults.begin(), s.faults.end());
     for (const auto& join : s.joins) joined.insert(join.incarnation);
   }
-  schema::Step step;
+  schema::ViewChange step;
   for (const auto f : faults)
     if (!joined.contains(f) && in(result, f)) step.faults.push_back(f);
   std::erase_if(result.members, [&](const auto& m) { return base::contains(step.faults, m.incarnation); });
@@ -372,7 +372,7 @@
     proposal = round_->proposal;
   } else {
     proposal.result = *view_;
-    // Taking over from a failed manager: an uncommitted extension may have been committed elsewhere, so it is kept
+    // Admission over from a failed manager: an uncommitted extension may have been committed elsewhere, so it is kept
     // and the failure appended (paper, 4.2, rule 4). Without one, the last committed view is extended (rule 5).
     if (pending_ && pending_->result.number > view_->number && in(pending_->result, incarnation_)) {
       if (pending_->base == view_->number) {
@@ -383,7 +383,7 @@
       }
     }
   }
-  schema::Step step;
+  schema::ViewChange step;
   auto result = proposal.result;
   if (!extend(result, step, !round_, now)) {
     if (round_ || result.number == view_->number) return;
@@ -437,19 +437,19 @@
 }
 
 // A proposal as changes of the present view; nothing if it is none (a founding).
-std::optional<schema::Extend> Group::changesOf(const schema::Propose& proposal) const {
+std::optional<schema::ProposeChanges> Group::changesOf(const schema::Propose& proposal) const {
   if (!view_ || proposal.founding || proposal.base != view_->number) return std::nullopt;
   const auto& result = proposal.result;
-  schema::Extend changes{proposal.base,   viewDigest_,    proposal.round,  proposal.proposer,
-                         proposal.insist, proposal.steps, result.number,   result.epoch,
-                         result.lister,   result.voters,  digestOf(result)};
+  schema::ProposeChanges changes{proposal.base,   viewDigest_,    proposal.round,  proposal.proposer,
+                                 proposal.insist, proposal.steps, result.number,   result.epoch,
+                                 result.lister,   result.voters,  digestOf(result)};
   if (digestOf(extended(*view_, changes)) != changes.digest) return std::nullopt;
   return changes;
 }
 
 // Tells of the view: one that acknowledged it needs no more, any other asks for the whole.
 void Group::sendView(const settings::Endpoint& to, net::Outbox& out) const {
-  out.push_back({to, schema::Deliver{view_->number, viewDigest_, {}, 0}});
+  out.push_back({to, schema::CommitChanges{view_->number, viewDigest_, {}, 0}});
 }
 
 void Group::considerCommit(base::TimePoint now, net::Outbox& out) {
@@ -461,7 +461,7 @@
   commit.result = result;
   commit.flushed = round_->flushed;
   commit.flushHolder = round_->holder;
-  const schema::Deliver deliverMessage{result.number, digestOf(result), commit.flushed, commit.flushHolder};
+  const schema::CommitChanges deliverMessage{result.number, digestOf(result), commit.flushed, commit.flushHolder};
   for (const auto& m : result.members)
     if (m.incarnation != round_->proposal.proposer) out.push_back({addressOf(m), deliverMessage});
   if (round_->proposal.founding) incarnation_ = round_->proposal.proposer;
@@ -577,11 +577,11 @@
       message);
 }
 
-void Group::on(const schema::Hello& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+void Group::on(const schema::Heartbeat& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if (!view_) {
     // The view that this daemon has acknowledged is in place at others: its own commit was lost.
     if (pending_ && in(pending_->result, m.incarnation) && m.view >= pending_->result.number)
-      out.push_back({from, schema::WantView{0, m.view}});
+      out.push_back({from, schema::ViewRequest{0, m.view}});
     return;
   }
   const auto* sender = find(*view_, m.incarnation);
@@ -591,7 +591,7 @@
     // sender is a failed incarnation and is told so, by those alone that hold the lease: without it this daemon may
     // itself be the one that was left out.
     if (m.view > view_->number)
-      out.push_back({from, schema::Hello{incarnation_, view_->number, base::toMs(now), 0, false, 0, {}}});
+      out.push_back({from, schema::Heartbeat{incarnation_, view_->number, base::toMs(now), 0, false, 0, {}}});
     else if (leaseHeld(now))
       out.push_back({from, schema::YouAreDead{m.incarnation, view_->number}});
     return;
@@ -675,25 +675,25 @@
   return false;
 }
 
-void Group::on(const schema::Extend& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+void Group::on(const schema::ProposeChanges& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if (view_ && stale(m.base, m.number, m.proposer, from, now, out)) return;
   schema::Propose whole{m.base, m.round, m.proposer, m.insist, false, m.steps, {}};
   if (view_ && view_->number == m.base && viewDigest_ == m.baseDigest) whole.result = extended(*view_, m);
   if (whole.result.number != m.number || digestOf(whole.result) != m.digest)
-    out.push_back({from, schema::WantView{m.round, m.number}});
+    out.push_back({from, schema::ViewRequest{m.round, m.number}});
   else
     on(whole, from, now, out);
 }
 
-void Group::on(const schema::Deliver& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
+void Group::on(const schema::CommitChanges& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if ((view_ && m.number <= view_->number) || (waiting_ && m.number <= waiting_->result.number)) return;
   if (pending_ && pending_->result.number == m.number && digestOf(pending_->result) == m.digest)
     on(schema::Commit{pending_->result, m.flushed, m.flushHolder}, from, now, out);
   else
-    out.push_back({from, schema::WantView{0, m.number}});
+    out.push_back({from, schema::ViewRequest{0, m.number}});
 }
 
-void Group::on(const schema::WantView& m, const settings::Endpoint& from, base::TimePoint, net::Outbox& out) {
+void Group::on(const schema::ViewRequest& m, const settings::Endpoint& from, base::TimePoint, net::Outbox& out) {
   if (m.round != 0) {
     if (round_ && round_->proposal.round == m.round) out.push_back({from, round_->proposal});
   } else if (view_ && view_->number >= m.number) {
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -50,7 +50,7 @@
   // Voters as the control state knows them; the view takes them over by an extension of its own.
   void setVoters(std::uint64_t epoch, const std::vector<std::string>& voters);
   // The newest news this daemon holds, for the flush before a failure view.
-  void setHeld(const schema::Stamp& held) { held_ = held; }
+  void setHeld(const schema::StateVersion& held) { held_ = held; }
   void setSeeds(std::vector<settings::Endpoint> seeds) { seeds_ = std::move(seeds); }
   // View numbers and incarnations below this were used before; kept on disk by voters.
   void setFloor(std::uint64_t floor) { floor_ = std::max(floor_, floor); }
@@ -77,7 +77,7 @@
     schema::Propose proposal;
     std::set<std::uint64_t> acked;
     base::TimePoint startedAt, sentAt;
-    schema::Stamp flushed;
+    schema::StateVersion flushed;
     std::uint64_t holder = 0;
     base::TimePoint wholeAt{};  // when the whole was last sent to those that lack the base
     base::TimePoint ackedAt{};
@@ -104,10 +104,10 @@
   void considerFounding(base::TimePoint now, net::Outbox& out);
   void considerExtension(base::TimePoint now, net::Outbox& out);
   void rebase(const schema::Propose& old, schema::Propose& proposal) const;
-  bool extend(schema::View& result, schema::Step& step, bool joinsAlone, base::TimePoint now) const;
+  bool extend(schema::View& result, schema::ViewChange& step, bool joinsAlone, base::TimePoint now) const;
   void dropSilentJoiners(base::TimePoint now);
   void remind(base::TimePoint now, net::Outbox& out);
-  std::optional<schema::Extend> changesOf(const schema::Propose& proposal) const;
+  std::optional<schema::ProposeChanges> changesOf(const schema::Propose& proposal) const;
   bool stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
              base::TimePoint now, net::Outbox& out);
   void sendView(const settings::Endpoint& to, net::Outbox& out) const;
@@ -119,12 +119,12 @@
   void die(const char* why, base::TimePoint now);
   void renewLease(base::TimePoint now);
 
-  void on(const schema::Hello& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::Heartbeat& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Join& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Propose& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
-  void on(const schema::Extend& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
-  void on(const schema::Deliver& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
-  void on(const schema::WantView& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::ProposeChanges& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::CommitChanges& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::ViewRequest& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Ack& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Nack& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Commit& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
@@ -140,7 +140,7 @@
   std::uint64_t floor_ = 0;
   std::uint64_t knownEpoch_ = 0;
   std::vector<std::string> knownVoters_;
-  schema::Stamp held_;
+  schema::StateVersion held_;
 
   std::optional<schema::View> view_;
   std::uint64_t viewDigest_ = 0;
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -34,7 +34,7 @@
     archive >> value;
     return value;
   } catch (const std::exception& error) {
-    return base::Fault{base::Verdict::NotRun, error.what()};
+    return base::Error{base::Verdict::NotRun, error.what()};
   }
 }
 
@@ -100,7 +100,7 @@
   std::string_view body;
 };
 base::Result<Opened> unsealed(std::string_view bytes) {
-  const auto wrong = [](const char* what) { return base::Fault{base::Verdict::NotRun, what}; };
+  const auto wrong = [](const char* what) { return base::Error{base::Verdict::NotRun, what}; };
   if (bytes.size() < 6) return wrong("cut short");
   if (bytes.size() > kMaxMessageBytes) return wrong("too large");
   std::uint32_t sum = 0;
@@ -113,14 +113,14 @@
 // The same of a message; a deflated body is inflated into `plain`, which must outlive the result.
 base::Result<Opened> unsealedMessage(std::string_view bytes, std::string& plain) {
   auto opened = unsealed(bytes);
-  if (const auto* bad = base::fault(opened)) return *bad;
+  if (const auto* bad = base::errorIn(opened)) return *bad;
   auto& message = std::get<0>(opened);
   if (message.version == kDeflatedVersion) {
     auto whole = inflated(message.body);
-    if (!whole) return base::Fault{base::Verdict::NotRun, "cannot be inflated"};
+    if (!whole) return base::Error{base::Verdict::NotRun, "cannot be inflated"};
     message.body = plain = std::move(*whole);
   } else if (message.version != kWireVersion) {
-    return base::Fault{base::Verdict::NotRun, "of another version"};
+    return base::Error{base::Verdict::NotRun, "of another version"};
   }
   return opened;
 }
@@ -132,10 +132,10 @@
 template <class T>
 base::Result<T> unpackKind(std::uint8_t kind, std::string_view bytes) {
   auto opened = unsealed(bytes);
-  if (const auto* bad = base::fault(opened)) return *bad;
+  if (const auto* bad = base::errorIn(opened)) return *bad;
   const auto& found = std::get<0>(opened);
-  if (found.version != kDiskVersion) return base::Fault{base::Verdict::NotRun, "of another version"};
-  if (found.kind != kind) return base::Fault{base::Verdict::NotRun, "of another kind"};
+  if (found.version != kDiskVersion) return base::Error{base::Verdict::NotRun, "of another version"};
+  if (found.kind != kind) return base::Error{base::Verdict::NotRun, "of another kind"};
   return unpack<T>(found.body);
 }
 
@@ -150,7 +150,7 @@
 std::string encode(const schema::Message& message) {
 #define INDIGOHILL_ENCODE(number, name)                    \
   if (const auto* m = std::get_if<schema::name>(&message)) \
-    return sealedMessage(number, pack(*m), !std::is_same_v<schema::name, schema::News>);
+    return sealedMessage(number, pack(*m), !std::is_same_v<schema::name, schema::Update>);
   INDIGOHILL_MESSAGES(INDIGOHILL_ENCODE)
 #undef INDIGOHILL_ENCODE
   return {};
@@ -159,37 +159,39 @@
 base::Result<schema::Message> decode(std::string_view bytes) {
   std::string plain;
   auto opened = unsealedMessage(bytes, plain);
-  if (const auto* bad = base::fault(opened)) return *bad;
+  if (const auto* bad = base::errorIn(opened)) return *bad;
   const auto& [version, kind, body] = std::get<0>(opened);
   switch (kind) {
-#define INDIGOHILL_DECODE(number, name)                   \
-  case number: {                                          \
-    auto read = unpack<schema::name>(body);               \
-    if (const auto* bad = base::fault(read)) return *bad; \
-    return schema::Message(std::move(std::get<0>(read))); \
+#define INDIGOHILL_DECODE(number, name)                     \
+  case number: {                                            \
+    auto read = unpack<schema::name>(body);                 \
+    if (const auto* bad = base::errorIn(read)) return *bad; \
+    return schema::Message(std::move(std::get<0>(read)));   \
   }
     INDIGOHILL_MESSAGES(INDIGOHILL_DECODE)
 #undef INDIGOHILL_DECODE
     default:
-      return base::Fault{base::Verdict::NotRun, "of an unknown kind"};
+      return base::Error{base::Verdict::NotRun, "of an unknown kind"};
   }
 }
 
-std::string encodeContent(const schema::Content& content) { return sealedMessage(kContent, pack(content)); }
-base::Result<schema::Content> decodeContent(std::string_view bytes) {
+std::string encodeUpdateContent(const schema::UpdateContent& content) { return sealedMessage(kContent, pack(content)); }
+base::Result<schema::UpdateContent> decodeUpdateContent(std::string_view bytes) {
   std::string plain;
   auto opened = unsealedMessage(bytes, plain);
-  if (const auto* bad = base::fault(opened)) return *bad;
-  if (std::get<0>(opened).kind != kContent) return base::Fault{base::Verdict::NotRun, "of another kind"};
-  return unpack<schema::Content>(std::get<0>(opened).body);
+  if (const auto* bad = base::errorIn(opened)) return *bad;
+  if (std::get<0>(opened).kind != kContent) return base::Error{base::Verdict::NotRun, "of another kind"};
+  return unpack<schema::UpdateContent>(std::get<0>(opened).body);
 }
 std::string encodeRecord(const schema::EpochRecord& record) { return sealed(kDiskVersion, kRecord, pack(record)); }
-std::string encodeFrame(const schema::Frame& frame) { return sealed(kDiskVersion, kFrame, pack(frame)); }
+std::string encodeControlState(const schema::ControlState& state) { return sealed(kDiskVersion, kFrame, pack(state)); }
 std::string encodeVote(const schema::Vote& vote) { return sealed(kDiskVersion, kVote, pack(vote)); }
 base::Result<schema::EpochRecord> decodeRecord(std::string_view bytes) {
   return unpackKind<schema::EpochRecord>(kRecord, bytes);
 }
 base::Result<schema::Vote> decodeVote(std::string_view bytes) { return unpackKind<schema::Vote>(kVote, bytes); }
-base::Result<schema::Frame> decodeFrame(std::string_view bytes) { return unpackKind<schema::Frame>(kFrame, bytes); }
+base::Result<schema::ControlState> decodeControlState(std::string_view bytes) {
+  return unpackKind<schema::ControlState>(kFrame, bytes);
+}
 
 }  // namespace indigohill::net
--- a/src/net/codec.hpp
+++ b/src/net/codec.hpp
@@ -29,15 +29,15 @@
 
 // Parts of messages are kept on disk in the same encoding.
 std::string encodeRecord(const schema::EpochRecord& record);
-std::string encodeFrame(const schema::Frame& frame);
+std::string encodeControlState(const schema::ControlState& state);
 std::string encodeVote(const schema::Vote& vote);
 base::Result<schema::EpochRecord> decodeRecord(std::string_view bytes);
-base::Result<schema::Frame> decodeFrame(std::string_view bytes);
+base::Result<schema::ControlState> decodeControlState(std::string_view bytes);
 base::Result<schema::Vote> decodeVote(std::string_view bytes);
 
 // What is new is the same for many askers, so it is encoded and deflated once and travels within their messages.
-std::string encodeContent(const schema::Content& content);
-base::Result<schema::Content> decodeContent(std::string_view bytes);
+std::string encodeUpdateContent(const schema::UpdateContent& content);
+base::Result<schema::UpdateContent> decodeUpdateContent(std::string_view bytes);
 
 std::uint32_t checksum(std::string_view bytes);
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -42,7 +42,7 @@
 
 void Link::take(std::string_view bytes, const settings::Endpoint& from) {
   auto message = decode(bytes);
-  if (const auto* bad = base::fault(message)) {
+  if (const auto* bad = base::errorIn(message)) {
     ++dropped_;
     spdlog::warn("message from {} dropped: {}", settings::text(from), bad->what);
     return;
@@ -92,7 +92,7 @@
     request.body() = std::move(channel->waiting.front());
     channel->waiting.pop_front();
     auto result = co_await channel->client.call(std::move(request), kCallLimit);
-    if (const auto* bad = base::fault(result)) {
+    if (const auto* bad = base::errorIn(result)) {
       spdlog::debug("message to {} lost: {}", settings::text(to), bad->what);
       channel->waiting.clear();
     }
--- a/src/pass/fwd.hpp
+++ /dev/null
@@ -1,7 +0,0 @@
-#pragma once
-
-namespace indigohill::pass {
-class EventCutter;
-class Executor;
-class Pool;
-}  // namespace indigohill::pass
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -46,8 +46,8 @@
 std::unique_ptr<routing::Table> table(const Side& side) {
   const base::TimePoint now{std::chrono::hours(1)};
   auto picture = std::make_shared<routing::Picture>();
-  routing::fold(*picture, routing::FrameCame{{1, 1}, side.configuration, side.evacuated, side.rollouts});
-  routing::fold(*picture, routing::RunnersCame{{1, 1}, side.runners, now});
+  routing::fold(*picture, routing::StateReceived{{1, 1}, side.configuration, side.evacuated, side.rollouts});
+  routing::fold(*picture, routing::RunnersReceived{{1, 1}, side.runners, now});
   auto out = std::make_unique<routing::Table>("", side.daemons.bounds, 1, now);
   out->setPicture(std::move(picture), now);
   return out;
@@ -141,7 +141,7 @@
                                        from.configuration->revision));
   // The voters follow the losses that are stated, as far as there are controllers for them. A change that leaves fewer
   // than a majority of them stops orders.
-  const auto voters = std::min(2 * from.daemons.losses + 1, from.daemons.controllers);
+  const auto voters = std::min(2 * from.daemons.faultTolerance + 1, from.daemons.controllers);
   if (from.daemons.controllers > 0 && 2 * to.daemons.controllers <= voters)
     plan.invalid.push_back("daemons: fewer than a majority of the voters would be left");
   compareRoutes(from, to, std::max<std::size_t>(1, samples), plan);
@@ -204,7 +204,7 @@
 }
 
 base::Result<Daemons> parseDaemons(const std::string& text) {
-  const auto wrong = [](const std::string& what) { return base::Fault{base::Verdict::NotRun, what}; };
+  const auto wrong = [](const std::string& what) { return base::Error{base::Verdict::NotRun, what}; };
   json::error_code error;
   const auto value = json::parse(text, error);
   if (error) return wrong("not readable as JSON: " + error.message());
@@ -238,7 +238,7 @@
        {bound("retryBudgetSlack", out.bounds.retrySlack), bound("warmupOvershoot", out.bounds.warmupOvershoot),
         bound("warmupSlack", out.bounds.warmupSlack), bound("faultTolerance", losses)})
     if (!problem.empty()) return wrong(problem);
-  out.losses = std::max<std::size_t>(1, static_cast<std::size_t>(losses));
+  out.faultTolerance = std::max<std::size_t>(1, static_cast<std::size_t>(losses));
   return out;
 }
 
--- a/src/plan/plan.hpp
+++ b/src/plan/plan.hpp
@@ -14,7 +14,7 @@
 // The daemons of the fleet and the bounds of the deployment that are split among them.
 struct Daemons {
   std::size_t routers = 0, controllers = 0;
-  std::size_t losses = 1;  // faultTolerance: controllers that may be lost at once
+  std::size_t faultTolerance = 1;  // faultTolerance: controllers that may be lost at once
   routing::Bounds bounds;
 };
 
--- a/src/pass/events.cpp
+++ b/src/proxy/events.cpp
@@ -1,8 +1,8 @@
-#include "pass/events.hpp"
+#include "proxy/events.hpp"
 
 #include <algorithm>
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 namespace {
 // The end of the last whole event: behind its blank line.
@@ -42,4 +42,4 @@
   }
 }
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/events.hpp
+++ b/src/proxy/events.hpp
@@ -3,7 +3,7 @@
 #include <string_view>
 
 // The events of a stream (text/event-stream), cut at their ends.
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 class EventCutter {
  public:
@@ -25,4 +25,4 @@
   std::string rest_, lastId_;
 };
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -1,4 +1,4 @@
-#include "pass/executor.hpp"
+#include "proxy/executor.hpp"
 
 #include <array>
 #include <boost/algorithm/string.hpp>
@@ -12,7 +12,7 @@
 #include "base/log.hpp"
 #include "rollout/versions.hpp"
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 namespace asio = http::asio;
 namespace beast = http::beast;
@@ -215,7 +215,7 @@
   std::string resumeFrom;                 // Last-Event-Id for the next runner
   base::TimePoint firstAt{};              // when the first event left
   base::TimePoint sentAt{};               // when it went to the runner that has it now
-  routing::Taking* taking = nullptr;      // the place at the runner that has it now
+  routing::Admission* taking = nullptr;   // the place at the runner that has it now
   std::optional<http::Response> failure;  // a runner's own 5xx, passed on if no other runner does better
   // Weights of the runner that the stream's events come from, as its answers tell; and what is expected of this try.
   std::optional<std::uint64_t> version, expected;
@@ -419,7 +419,7 @@
   x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
   x.resumeFrom = std::string(request[kLastEventId]);
 
-  routing::Conduct conduct(table_, *route, x.attemptId, arrivedAt, x.deadline);
+  routing::RoutingPolicy conduct(table_, *route, x.attemptId, arrivedAt, x.deadline);
   conduct.asked().prompt = parsePrompt(view(request[kPrompt]));
   conduct.asked().model = base::hash(view(request[kModel]));
   const auto usage = view(request[kUsage]);
@@ -516,7 +516,7 @@
 asio::awaitable<Executor::Outcome> Executor::attempt(Exchange& x, routing::PassTo& to) {
   using End = Outcome::End;
   auto taken = co_await pool_.take(x.service, to.instanceId, to.address, x.route.repeatable(), x.deadline);
-  if (const auto* bad = base::fault(taken)) {
+  if (const auto* bad = base::errorIn(taken)) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
     co_return Outcome{End::Unreached, Verdict::NotRun, bad->what};
   }
@@ -763,4 +763,4 @@
   co_return Outcome{End::Answered, Verdict::Ran, {}};
 }
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/executor.hpp
+++ b/src/proxy/executor.hpp
@@ -5,13 +5,13 @@
 
 #include "base/log.hpp"
 #include "http/types.hpp"
-#include "pass/events.hpp"
-#include "pass/pool.hpp"
-#include "pass/prompt.hpp"
-#include "pass/waitlist.hpp"
-#include "routing/conduct.hpp"
+#include "proxy/events.hpp"
+#include "proxy/pool.hpp"
+#include "proxy/prompt.hpp"
+#include "proxy/request_queue.hpp"
+#include "routing/routing_policy.hpp"
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 // Takes clients' connections and does what the routing table's decisions say: passes, waits, or sheds.
 class Executor {
@@ -31,7 +31,7 @@
   void leave() { leaving_ = true; }
   const Counters& counters() const { return counters_; }
   Pool& pool() { return pool_; }
-  Waitlist& waitlist() { return waitlist_; }
+  RequestQueue& waitlist() { return waitlist_; }
 
  private:
   struct Exchange;
@@ -55,7 +55,7 @@
   http::asio::any_io_executor executor_;
   routing::Table& table_;
   Pool pool_;
-  Waitlist waitlist_;
+  RequestQueue waitlist_;
   Counters counters_;
   std::shared_ptr<spdlog::logger> trafficLog_;
   std::atomic<bool> leaving_{false};
@@ -69,4 +69,4 @@
 // The headers of a runner's answer that a client gets: those on the allow list.
 void copyAnswerHead(const http::wire::fields& from, http::wire::fields& to);
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/pool.cpp
+++ b/src/proxy/pool.cpp
@@ -1,6 +1,6 @@
-#include "pass/pool.hpp"
+#include "proxy/pool.hpp"
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 namespace asio = http::asio;
 
@@ -84,7 +84,7 @@
   ++opened_;
   connection->stream.expires_at(std::min(deadline, base::Clock::now() + kConnect));
   auto [error] = co_await connection->stream.async_connect(http::tcpEndpoint(address), http::kTuple);
-  if (error) co_return base::Fault{base::Verdict::NotRun, "connecting: " + error.message()};
+  if (error) co_return base::Error{base::Verdict::NotRun, "connecting: " + error.message()};
   http::tune(connection->stream.socket(), kSilent);
   co_return connection;
 }
@@ -106,4 +106,4 @@
   for (auto& [id, list] : idle_) std::erase_if(list, [&](const auto& c) { return now >= c->idleUntil; });
 }
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/pool.hpp
+++ b/src/proxy/pool.hpp
@@ -11,7 +11,7 @@
 #include "base/result.hpp"
 #include "http/types.hpp"
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 // A connection to a runner. It goes back to the pool only when the last answer on it was whole and nothing follows.
 struct Connection {
@@ -68,4 +68,4 @@
   std::atomic<std::uint64_t> opened_ = 0;
 };
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/prompt.cpp
+++ b/src/proxy/prompt.cpp
@@ -1,8 +1,8 @@
-#include "pass/prompt.hpp"
+#include "proxy/prompt.hpp"
 
 #include <charconv>
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 std::vector<std::pair<std::uint64_t, std::uint32_t>> parsePrompt(std::string_view text) {
   std::vector<std::pair<std::uint64_t, std::uint32_t>> out;
@@ -24,4 +24,4 @@
   return out;
 }
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/pass/waitlist.hpp
+++ b/src/proxy/request_queue.hpp
@@ -6,13 +6,13 @@
 
 #include "http/types.hpp"
 
-namespace indigohill::pass {
+namespace indigohill::proxy {
 
 // Requests that wait for a place at a runner: the most urgent first, among equals the oldest. Bounded, so that what
 // waits can still be served within its aim.
-class Waitlist {
+class RequestQueue {
  public:
-  explicit Waitlist(std::size_t most) : most_(most) {}
+  explicit RequestQueue(std::size_t most) : most_(most) {}
 
   // Waits until woken or until `until`; false at once when the list is full.
   http::asio::awaitable<bool> wait(std::uint32_t priority, base::TimePoint until) {
@@ -62,4 +62,4 @@
   std::multimap<std::uint32_t, std::shared_ptr<http::asio::steady_timer>> waiting_;
 };
 
-}  // namespace indigohill::pass
+}  // namespace indigohill::proxy
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -7,7 +7,7 @@
 
 #include "base/hash.hpp"
 #include "membership/group.hpp"
-#include "pass/prompt.hpp"
+#include "proxy/prompt.hpp"
 
 namespace indigohill::replay {
 
@@ -26,8 +26,8 @@
   std::uint64_t routerLife = 0;
   base::TimePoint arrivedAt, deadline, sentAt;
   const control::Route* route = nullptr;
-  std::unique_ptr<routing::Conduct> conduct;
-  std::optional<routing::Taking> taking;
+  std::unique_ptr<routing::RoutingPolicy> conduct;
+  std::optional<routing::Admission> taking;
   std::string runner;         // the one that has it
   std::uint64_t sending = 0;  // counts the sends, so that what belongs to an earlier one is told apart
   std::uint32_t workMs = 0, outTokens = 0, eventsSent = 0;
@@ -37,7 +37,7 @@
 Fleet::Fleet(const Model& model, std::shared_ptr<const control::Configuration> configuration,
              std::shared_ptr<const control::Configuration> judge, const settings::Policy& policy, std::uint64_t seed)
     : model_(model), configuration_(std::move(configuration)), now_(kStart) {
-  routing::fold(judge_, routing::FrameCame{{1, 1}, std::move(judge), {}});
+  routing::fold(judge_, routing::StateReceived{{1, 1}, std::move(judge), {}});
   for (const auto& g : model_.groups)
     for (std::uint32_t n = 0; n < g.count; ++n) {
       auto r = std::make_unique<Runner>();
@@ -65,10 +65,10 @@
     Router router;
     router.table = std::make_unique<routing::Table>(model_.zones[i % model_.zones.size()], bounds, seed + i, past);
     router.picture = std::make_shared<routing::Picture>();
-    routing::fold(*router.picture, routing::FrameCame{{1, 1}, configuration_, {}});
-    routing::fold(*router.picture, routing::ViewCame{view, i + 1});
+    routing::fold(*router.picture, routing::StateReceived{{1, 1}, configuration_, {}});
+    routing::fold(*router.picture, routing::ViewReceived{view, i + 1});
     router.table->setPicture(std::make_shared<const routing::Picture>(*router.picture), past);
-    router.table->setTell([this, i](const schema::Demand& demand) {
+    router.table->setTell([this, i](const schema::LoadNotice& demand) {
       after(kHop, [this, i, demand] {
         for (std::uint32_t other = 0; other < routers_.size(); ++other)
           if (other != i && routers_[other].up) routers_[other].table->heard(demand, now_);
@@ -88,7 +88,7 @@
   for (const auto& r : runners_)
     if (r->up) list.push_back(r->entry);
   for (auto& router : routers_) {
-    routing::fold(*router.picture, routing::RunnersCame{{1, version_}, list, now_});
+    routing::fold(*router.picture, routing::RunnersReceived{{1, version_}, list, now_});
     router.table->setPicture(std::make_shared<const routing::Picture>(*router.picture), now_);
     router.table->setLease(now_ + std::chrono::hours(100));
   }
@@ -145,8 +145,8 @@
   if (comma != std::string::npos)
     std::from_chars(r.tokens.data() + comma + 1, r.tokens.data() + r.tokens.size(), job->outTokens);
   job->workMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, r.total.count()));
-  job->conduct = std::make_unique<routing::Conduct>(*router.table, *job->route, r.id, now_, job->deadline);
-  job->conduct->asked().prompt = pass::parsePrompt(r.prompt);
+  job->conduct = std::make_unique<routing::RoutingPolicy>(*router.table, *job->route, r.id, now_, job->deadline);
+  job->conduct->asked().prompt = proxy::parsePrompt(r.prompt);
   job->conduct->asked().promptTokens = promptTokens;
   job->conduct->arrived(now_);
   const auto* judged = judge_.route(r.host, r.path);
@@ -301,7 +301,7 @@
   outcome.late = job->route->targetLatency.count() > 0 && outcome.took > job->route->targetLatency;
 }
 
-void Fleet::broken(std::shared_ptr<Job> job, base::Fault fault) {
+void Fleet::broken(std::shared_ptr<Job> job, base::Error fault) {
   if (job->done) return;
   ++job->sending;
   job->taking.reset();
--- a/src/replay/fleet.hpp
+++ b/src/replay/fleet.hpp
@@ -12,7 +12,7 @@
 
 #include "control/configuration.hpp"
 #include "replay/recording.hpp"
-#include "routing/conduct.hpp"
+#include "routing/routing_policy.hpp"
 #include "routing/table.hpp"
 
 // Recorded traffic played against modelled runners by the very code that decides in a router: each router of the
@@ -77,7 +77,7 @@
   void send(std::shared_ptr<Job> job, routing::PassTo to);
   void accept(std::shared_ptr<Job> job, Runner& runner);
   void run(std::shared_ptr<Job> job, Runner& runner);
-  void broken(std::shared_ptr<Job> job, base::Fault fault);
+  void broken(std::shared_ptr<Job> job, base::Error fault);
   void answered(std::shared_ptr<Job> job);
   void ended(std::shared_ptr<Job> job, const routing::Ending& ending);
   void leaveSlot(Runner& runner);
--- a/src/rollout/record.cpp
+++ b/src/rollout/record.cpp
@@ -166,7 +166,7 @@
     out.evenWithoutRunners = top.flag("evenWithoutRunners");
     return out;
   } catch (const Wrong& e) {
-    return base::Fault{base::Verdict::NotRun, e.what};
+    return base::Error{base::Verdict::NotRun, e.what};
   }
 }
 
@@ -174,7 +174,7 @@
   if (rollout.document.empty()) return std::nullopt;
   InForce out{rollout.service, rollout.number, rollout.stage, std::nullopt, {}};
   auto parsed = parseRecord(rollout.document);
-  if (const auto* bad = base::fault(parsed))
+  if (const auto* bad = base::errorIn(parsed))
     out.problem = bad->what;
   else if (rollout.stage >= std::get<Record>(parsed).stages.size())
     out.problem = "stage: there is none with this number";
--- a/src/routing/fwd.hpp
+++ b/src/routing/fwd.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 namespace indigohill::routing {
-class Conduct;
+class RoutingPolicy;
 class Evidence;
 class Suspension;
 class Table;
-class Taking;
-class WarmShares;
+class Admission;
+class SlowStartShares;
 struct Asked;
 struct Ending;
 struct PassTo;
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.hpp"
-#include "routing/warm.hpp"
+#include "routing/slow_start.hpp"
 
 // What routers tell each other of ill runners. At 88 routers each sends a runner a request in ten seconds: alone it
 // finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health
--- a/src/routing/heat.hpp
+++ b/src/routing/popularity.hpp
@@ -9,7 +9,7 @@
 
 // How many tokens a second come for the same shared parts, here. Clients spread over routers by chance, so what comes
 // to one is a fair sample of what comes to all.
-class Heat {
+class Popularity {
  public:
   // Tokens a second that had come for the key before these.
   double add(std::uint64_t key, double tokens, base::TimePoint now) {
--- a/src/routing/conduct.cpp
+++ b/src/routing/routing_policy.cpp
@@ -1,4 +1,4 @@
-#include "routing/conduct.hpp"
+#include "routing/routing_policy.hpp"
 
 namespace indigohill::routing {
 
@@ -6,8 +6,8 @@
 constexpr std::uint32_t kUnreachedMost = 3;
 }
 
-Conduct::Conduct(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
-                 base::TimePoint deadline)
+RoutingPolicy::RoutingPolicy(Table& table, const control::Route& route, std::string_view attemptId,
+                             base::TimePoint arrivedAt, base::TimePoint deadline)
     : table_(table), route_(route) {
   asked_.route = &route_;
   asked_.service = Table::pick(route_, attemptId);
@@ -15,7 +15,7 @@
   asked_.deadline = deadline;
 }
 
-std::variant<PassTo, Wait, Ending> Conduct::next(base::TimePoint now) {
+std::variant<PassTo, Wait, Ending> RoutingPolicy::next(base::TimePoint now) {
   if (now >= asked_.deadline) return ending(now);
   auto decision = table_.decide(asked_, now);
   if (auto* shed = std::get_if<Shed>(&decision)) {
@@ -30,7 +30,7 @@
   return std::move(to);
 }
 
-bool Conduct::again(const base::Fault& fault, bool started, bool resumable, base::TimePoint now) {
+bool RoutingPolicy::again(const base::Error& fault, bool started, bool resumable, base::TimePoint now) {
   last_ = fault.what;
   started_ = started;
   if (fault.verdict != base::Verdict::NotRun) {
@@ -42,13 +42,13 @@
   return asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
 }
 
-bool Conduct::unreached(const base::Fault& fault, base::TimePoint now) {
+bool RoutingPolicy::unreached(const base::Error& fault, base::TimePoint now) {
   last_ = fault.what;
   --asked_.tries;
   return ++unreached_ < kUnreachedMost && now < asked_.deadline;
 }
 
-Ending Conduct::ending(base::TimePoint now) const {
+Ending RoutingPolicy::ending(base::TimePoint now) const {
   if (started_) return {true, 0, 0, last_};
   // Not run, and it never will be: said so, with when to come back. Otherwise nothing is promised.
   if (!mayHaveRun_) return {false, 503, 0.2, last_};
--- a/src/routing/conduct.hpp
+++ b/src/routing/routing_policy.hpp
@@ -16,10 +16,10 @@
   std::string why;
 };
 
-class Conduct {
+class RoutingPolicy {
  public:
-  Conduct(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
-          base::TimePoint deadline);
+  RoutingPolicy(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
+                base::TimePoint deadline);
 
   Asked& asked() { return asked_; }
   // Counts the request towards the budget of its service.
@@ -30,10 +30,10 @@
 
   // A try at a runner has ended without a whole answer: whether another may follow. `started`: the client has bytes of
   // the answer; `resumable`: and a whole event behind which another runner could go on.
-  bool again(const base::Fault& fault, bool started, bool resumable, base::TimePoint now);
+  bool again(const base::Error& fault, bool started, bool resumable, base::TimePoint now);
   // No connection to the runner came about: nothing was sent, so this was no try and draws on no budget. Whether
   // another runner may be taken; how often is bounded, as each one costs time.
-  bool unreached(const base::Fault& fault, base::TimePoint now);
+  bool unreached(const base::Error& fault, base::TimePoint now);
   Ending ending(base::TimePoint now) const;
 
  private:
--- a/src/routing/warm.cpp
+++ b/src/routing/slow_start.cpp
@@ -1,4 +1,4 @@
-#include "routing/warm.hpp"
+#include "routing/slow_start.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -42,14 +42,14 @@
   return std::max(0.0, std::min(service.warmupPerS, mostPerS(service, bounds) - n) / n);
 }
 
-void WarmShares::add(const Routers& routers) {
+void SlowStartShares::add(const Routers& routers) {
   for (const auto& group : groups_)
     if (group.overSince == base::TimePoint::max() && group.routers == routers) return;
   groups_.push_back({routers, base::TimePoint::max()});
   ++generation_;
 }
 
-void WarmShares::delivered(const Routers& routers, std::uint64_t self, base::TimePoint now) {
+void SlowStartShares::delivered(const Routers& routers, std::uint64_t self, base::TimePoint now) {
   for (auto& group : groups_) group.overSince = std::min(group.overSince, now);
   if (self != self_) ++generation_;
   self_ = self;
@@ -58,9 +58,9 @@
 
 // An extension counts from the moment it is acknowledged: it may be committed elsewhere. It goes on counting when
 // another takes its place, until a view tells which of them it was.
-void WarmShares::proposed(const Routers& routers) { add(routers); }
+void SlowStartShares::proposed(const Routers& routers) { add(routers); }
 
-std::size_t WarmShares::placeOf(const std::string& instanceId, std::string_view zone) {
+std::size_t SlowStartShares::placeOf(const std::string& instanceId, std::string_view zone) {
   if (places_.size() > kPlacesMost) places_.clear();
   auto& place = places_[instanceId];
   if (place.generation == generation_) return place.before;
@@ -82,8 +82,8 @@
   return place.before;
 }
 
-double WarmShares::rate(const std::string& instanceId, std::string_view zone, const control::Service& service,
-                        const Bounds& bounds, base::Millis memory, base::TimePoint now) {
+double SlowStartShares::rate(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                             const Bounds& bounds, base::Millis memory, base::TimePoint now) {
   if (std::erase_if(groups_, [&](const auto& g) {
         return g.overSince != base::TimePoint::max() && now - g.overSince >= memory;
       }) > 0)
--- a/src/routing/warm.hpp
+++ b/src/routing/slow_start.hpp
@@ -36,7 +36,7 @@
 // The holders of a runner are the first in rendezvous order, of its own zone before the others. A router is one only if
 // it is one in every group that counts; since those who hold a lease always have one such group in common, there are
 // never more than that group names.
-class WarmShares {
+class SlowStartShares {
  public:
   void delivered(const Routers& routers, std::uint64_t self, base::TimePoint now);
   void proposed(const Routers& routers);
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -38,40 +38,40 @@
 }
 
 void fold(Picture& picture, const Event& event) {
-  if (const auto* frame = std::get_if<FrameCame>(&event)) {
-    if (frame->stamp < picture.frameStamp) return;
-    picture.frameStamp = frame->stamp;
-    picture.configuration = frame->configuration;
-    picture.evacuated = {frame->evacuated.begin(), frame->evacuated.end()};
+  if (const auto* state = std::get_if<StateReceived>(&event)) {
+    if (state->version < picture.stateVersion) return;
+    picture.stateVersion = state->version;
+    picture.configuration = state->configuration;
+    picture.evacuated = {state->evacuated.begin(), state->evacuated.end()};
     picture.rollouts.clear();
-    for (const auto& rollout : frame->rollouts) picture.rollouts.emplace(rollout.service, rollout);
+    for (const auto& rollout : state->rollouts) picture.rollouts.emplace(rollout.service, rollout);
     picture.byHost.clear();
     if (!picture.configuration) return;
     for (const auto& route : picture.configuration->routes) picture.byHost[route.host].push_back(&route);
     for (auto& [host, routes] : picture.byHost)
       std::stable_sort(routes.begin(), routes.end(),
                        [](const auto* a, const auto* b) { return a->prefix.size() > b->prefix.size(); });
-  } else if (const auto* runners = std::get_if<RunnersCame>(&event)) {
-    if (picture.hasRunners && runners->stamp < picture.runnersStamp) return;
-    picture.runnersStamp = runners->stamp;
+  } else if (const auto* runners = std::get_if<RunnersReceived>(&event)) {
+    if (picture.hasRunners && runners->version < picture.runnersVersion) return;
+    picture.runnersVersion = runners->version;
     picture.runners = runners->runners;
     picture.listedAt = runners->listedAt;
     picture.hasRunners = true;
-  } else if (const auto* view = std::get_if<ViewCame>(&event)) {
+  } else if (const auto* view = std::get_if<ViewReceived>(&event)) {
     picture.view = view->view;
     picture.self = view->self;
-  } else if (const auto* proposal = std::get_if<ProposalCame>(&event)) {
+  } else if (const auto* proposal = std::get_if<ProposalReceived>(&event)) {
     picture.proposed = proposal->routers;
   }
 }
 
-void Taking::begun(base::Clock::duration after) {
+void Admission::begun(base::Clock::duration after) {
   if (table_ == nullptr) return;
   table_->promptRead(instanceId_, std::exchange(prompt_, 0), std::exchange(told_, 0), after);
   if (!parts_.empty()) table_->answered(instanceId_, model_, std::exchange(parts_, {}));
 }
 
-void Taking::release() {
+void Admission::release() {
   if (auto* table = std::exchange(table_, nullptr)) table->giveBack(instanceId_, prompt_, told_);
 }
 
@@ -132,7 +132,7 @@
       number(runner);
     }
     runner.listed = true;
-    const bool newsOfIt = picture_->runnersStamp != before->runnersStamp;
+    const bool newsOfIt = picture_->runnersVersion != before->runnersVersion;
     runner.entry = entry;
     judge(runner, *before);
     // The list was read before it came here and lags by itself; what is left is counted from now, on the safe side.
@@ -243,7 +243,7 @@
                     index_->overlap(found->second.number, model, shared).tokens < tokens;
   store(found->second, model, prompt);
   if (!news || !mayTell()) return;
-  schema::Demand record{instanceId, 0, 0, model, {}};
+  schema::LoadNotice record{instanceId, 0, 0, model, {}};
   for (const auto& [id, count] : shared) record.parts.push_back({id, count});
   tell_(record);
 }
@@ -264,7 +264,7 @@
   try {
     if (!index_) throw std::runtime_error("the index is being built anew");
     auto found = index_->match(asked.model, asked.prompt, kOverlaps);
-    if (const auto* bad = base::fault(found)) throw std::runtime_error(bad->what);
+    if (const auto* bad = base::errorIn(found)) throw std::runtime_error(bad->what);
     return std::get<0>(std::move(found));
   } catch (const std::exception& error) {
     lookUpFailed(error.what());
@@ -277,7 +277,7 @@
   if (!shared_) return 0;
   try {
     const auto held = shared_->held(asked.model, asked.prompt);
-    if (const auto* bad = base::fault(held)) throw std::runtime_error(bad->what);
+    if (const auto* bad = base::errorIn(held)) throw std::runtime_error(bad->what);
     return static_cast<double>(std::get<0>(held));
   } catch (const std::exception& error) {
     if (failedPool_++ == 0) spdlog::warn("shared pool not asked, scoring by the index alone: {}", error.what());
@@ -639,8 +639,8 @@
                   {runner.entry.ip, runner.entry.port},
                   runner.entry.zone,
                   connections,
-                  Taking(this, runner.entry.instanceId, toRead, told, asked.model,
-                         engine ? asked.prompt : decltype(asked.prompt){}),
+                  Admission(this, runner.entry.instanceId, toRead, told, asked.model,
+                            engine ? asked.prompt : decltype(asked.prompt){}),
                   runner.snapshot,
                   asked.version                         ? asked.version
                   : rolloutOf(asked.service) != nullptr ? runner.snapshot.version(asked.modelName)
@@ -649,12 +649,12 @@
   return none("every runner is full");
 }
 
-void Table::setTell(std::function<void(const schema::Demand&)> tell) {
+void Table::setTell(std::function<void(const schema::LoadNotice&)> tell) {
   const std::lock_guard lock(mutex_);
   tell_ = std::move(tell);
 }
 
-void Table::heard(const schema::Demand& demand, base::TimePoint now) {
+void Table::heard(const schema::LoadNotice& demand, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(demand.instanceId);
   if (found == runners_.end()) return;
@@ -802,9 +802,9 @@
   return true;
 }
 
-std::vector<std::pair<std::uint64_t, schema::Suspicions>> Table::takeSuspicions(base::TimePoint) {
+std::vector<std::pair<std::uint64_t, schema::HealthReport>> Table::takeSuspicions(base::TimePoint) {
   const std::lock_guard lock(mutex_);
-  std::vector<std::pair<std::uint64_t, schema::Suspicions>> out;
+  std::vector<std::pair<std::uint64_t, schema::HealthReport>> out;
   for (auto& [to, ids] : std::exchange(suspicions_, {}))
     out.push_back({to, {picture_->self, false, kEveryZone, {ids.begin(), ids.end()}}});
   for (auto& [zone, ids] : std::exchange(agreed_, {}))
@@ -812,7 +812,7 @@
   return out;
 }
 
-void Table::heard(const schema::Suspicions& suspicions, base::TimePoint now) {
+void Table::heard(const schema::HealthReport& suspicions, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   if (!picture_->view) return;
   const auto routers = routersOf(*picture_->view);
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -17,8 +17,8 @@
 #include "kvindex/index.hpp"
 #include "rollout/record.hpp"
 #include "routing/health.hpp"
-#include "routing/heat.hpp"
-#include "routing/warm.hpp"
+#include "routing/popularity.hpp"
+#include "routing/slow_start.hpp"
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
 
@@ -27,7 +27,7 @@
 
 // What traffic reads of the control side: one immutable value, folded from the journal of news and views.
 struct Picture {
-  schema::Stamp frameStamp, runnersStamp;
+  schema::StateVersion stateVersion, runnersVersion;
   std::shared_ptr<const control::Configuration> configuration;
   std::unordered_map<std::string, std::vector<const control::Route*>> byHost;  // longest prefix first
   std::set<std::string> evacuated;
@@ -43,25 +43,25 @@
 };
 
 // The events the picture is folded from.
-struct FrameCame {
-  schema::Stamp stamp;
+struct StateReceived {
+  schema::StateVersion version;
   std::shared_ptr<const control::Configuration> configuration;
   std::vector<std::string> evacuated;
   std::vector<rollout::InForce> rollouts{};
 };
-struct RunnersCame {
-  schema::Stamp stamp;
+struct RunnersReceived {
+  schema::StateVersion version;
   std::vector<schema::RunnerEntry> runners;
   base::TimePoint listedAt;
 };
-struct ViewCame {
+struct ViewReceived {
   std::optional<schema::View> view;
   std::uint64_t self = 0;
 };
-struct ProposalCame {
+struct ProposalReceived {
   Routers routers;  // empty: none is pending
 };
-using Event = std::variant<FrameCame, RunnersCame, ViewCame, ProposalCame>;
+using Event = std::variant<StateReceived, RunnersReceived, ViewReceived, ProposalReceived>;
 void fold(Picture& picture, const Event& event);
 
 // The runners that a request may go to, as they were scored when it came: computed once, the lower the better.
@@ -96,25 +96,25 @@
 class Table;
 
 // A place taken at a runner; given back when this goes.
-class Taking {
+class Admission {
  public:
-  Taking() = default;
-  Taking(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told, std::uint64_t model = 0,
-         std::vector<std::pair<std::uint64_t, std::uint32_t>> parts = {}) noexcept
+  Admission() = default;
+  Admission(Table* table, std::string instanceId, std::uint32_t prompt, std::uint64_t told, std::uint64_t model = 0,
+            std::vector<std::pair<std::uint64_t, std::uint32_t>> parts = {}) noexcept
       : table_(table),
         instanceId_(std::move(instanceId)),
         prompt_(prompt),
         told_(told),
         model_(model),
         parts_(std::move(parts)) {}
-  Taking(Taking&& other) noexcept
+  Admission(Admission&& other) noexcept
       : table_(std::exchange(other.table_, nullptr)),
         instanceId_(std::move(other.instanceId_)),
         prompt_(other.prompt_),
         told_(other.told_),
         model_(other.model_),
         parts_(std::move(other.parts_)) {}
-  Taking& operator=(Taking&& other) noexcept {
+  Admission& operator=(Admission&& other) noexcept {
     if (this != &other) {
       release();
       table_ = std::exchange(other.table_, nullptr);
@@ -126,7 +126,7 @@
     }
     return *this;
   }
-  ~Taking() { release(); }
+  ~Admission() { release(); }
   void release();
   // The first token is there after this long: the prompt has been read, holds nobody up any more, and is kept there.
   void begun(base::Clock::duration after);
@@ -145,7 +145,7 @@
   settings::Endpoint address;
   std::string zone;
   std::uint32_t connections = 1;  // how many this daemon may hold to it
-  Taking taking;
+  Admission taking;
   rollout::Snapshot snapshot{};                    // as listed
   std::optional<std::uint64_t> expectedVersion{};  // of the weights; asked for while a rollout or a stream wants one
 };
@@ -199,8 +199,8 @@
   // Whether the routers together hold it to be ill.
   bool suspended(const std::string& instanceId, base::TimePoint now) const;
   // What is to be told of ill runners: to one router of the view by its incarnation, or to all (0). Asked at each tick.
-  std::vector<std::pair<std::uint64_t, schema::Suspicions>> takeSuspicions(base::TimePoint now);
-  void heard(const schema::Suspicions& suspicions, base::TimePoint now);
+  std::vector<std::pair<std::uint64_t, schema::HealthReport>> takeSuspicions(base::TimePoint now);
+  void heard(const schema::HealthReport& suspicions, base::TimePoint now);
   void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
             base::TimePoint now);
   // While a rollout is declared, a runner whose answer told another version than its list entry (none: a mixture) is
@@ -235,11 +235,11 @@
 
   // Long prompts are told to the other routers as they go out and when they have been read. `tell` is called with the
   // table locked: it only hands on.
-  void setTell(std::function<void(const schema::Demand&)> tell);
-  void heard(const schema::Demand& demand, base::TimePoint now);
+  void setTell(std::function<void(const schema::LoadNotice&)> tell);
+  void heard(const schema::LoadNotice& demand, base::TimePoint now);
 
  private:
-  friend class Taking;
+  friend class Admission;
   struct Runner {
     schema::RunnerEntry entry;
     kvindex::RunnerId number = 0;
@@ -320,19 +320,19 @@
   std::map<std::string, Pool> pools_;
   std::unique_ptr<kvindex::Index> index_;  // none while it is built anew
   std::shared_ptr<kvindex::SharedPool> shared_;
-  Heat heat_;
+  Popularity heat_;
   bool remake_ = false;  // the index is spoilt
   std::uint64_t failedLookUps_ = 0, failedPool_ = 0, rankings_ = 0;
   std::vector<std::uint64_t> seenIn_;  // by number: the ranking that has the runner
   std::map<std::string, Budget> budgets_;
   std::deque<std::pair<base::TimePoint, std::size_t>> routerCounts_;
-  WarmShares warm_;
+  SlowStartShares warm_;
   std::map<std::string, Lateness> lateness_;                   // by service
   std::map<std::uint64_t, std::set<std::string>> suspicions_;  // to be told: assessor, runners
   std::map<std::uint64_t, std::set<std::string>> agreed_;      // to be told to all: for which zone, runners
   base::TimePoint leaseUntil_{}, startedAt_, viewSince_{};
   std::mt19937_64 random_;
-  std::function<void(const schema::Demand&)> tell_;
+  std::function<void(const schema::LoadNotice&)> tell_;
   double tellings_ = 1;  // messages that may be told now
   base::TimePoint tellingsAt_{};
   double tokensPerMs_ = 0;  // how fast engines read, as seen here; 0: not seen yet
--- a/src/runners/list.cpp
+++ b/src/runners/list.cpp
@@ -51,7 +51,7 @@
 base::Result<Page> parsePage(std::string_view body) {
   json::error_code error;
   const auto value = json::parse(json::string_view(body.data(), body.size()), error);
-  const auto wrong = [](const std::string& what) { return base::Fault{base::Verdict::NotRun, what}; };
+  const auto wrong = [](const std::string& what) { return base::Error{base::Verdict::NotRun, what}; };
   if (error) return wrong("list of runners: " + error.message());
   if (!value.is_object()) return wrong("list of runners: an object is wanted");
   const auto* instances = value.as_object().if_contains("instances");
@@ -66,7 +66,8 @@
     e.service = textOr(o, "targetService");
     e.zone = textOr(o, "zone");
     auto address = settings::parseEndpoint(textOr(o, "address"));
-    if (e.instanceId.empty() || e.service.empty() || base::fault(address)) return wrong("instances: incomplete entry");
+    if (e.instanceId.empty() || e.service.empty() || base::errorIn(address))
+      return wrong("instances: incomplete entry");
     e.ip = std::get<settings::Endpoint>(address).ip;
     e.port = std::get<settings::Endpoint>(address).port;
     e.slots = std::max<std::uint32_t>(1, wholeOr<std::uint32_t>(o, "capacitySlots", 1));
--- a/src/runners/reader.hpp
+++ b/src/runners/reader.hpp
@@ -16,19 +16,19 @@
     for (std::size_t page = 0; page < 200; ++page) {
       http::Request request(http::wire::verb::get, token.empty() ? "/instances" : "/instances?pageToken=" + token, 11);
       auto called = co_await client_.call(std::move(request), limit);
-      if (const auto* bad = base::fault(called)) co_return *bad;
+      if (const auto* bad = base::errorIn(called)) co_return *bad;
       const auto& response = std::get<0>(called);
       if (response.result_int() != 200)
-        co_return base::Fault{base::Verdict::NotRun, "the platform answers " + std::to_string(response.result_int())};
+        co_return base::Error{base::Verdict::NotRun, "the platform answers " + std::to_string(response.result_int())};
       auto parsed = parsePage(response.body());
-      if (const auto* bad = base::fault(parsed)) co_return *bad;
+      if (const auto* bad = base::errorIn(parsed)) co_return *bad;
       auto& part = std::get<Page>(parsed);
       std::move(part.runners.begin(), part.runners.end(), std::back_inserter(all));
       token = part.nextPageToken;
       pages_ = page + 1;
       if (token.empty()) co_return all;
     }
-    co_return base::Fault{base::Verdict::NotRun, "the list of runners does not end"};
+    co_return base::Error{base::Verdict::NotRun, "the list of runners does not end"};
   }
 
   // How many calls the last reading took.
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -108,12 +108,12 @@
     if (!n.isRelay)
       identity = control::identify(read, bootstrap_ && n.life == 1, controls, n.control, random_(), writes);
     control::Controller::Tuning tuning;
-    tuning.losses = shape_.losses;
+    tuning.faultTolerance = shape_.faultTolerance;
     n.controller = std::make_unique<control::Controller>(control::Controller::Self{n.name, n.zone, n.cohort},
                                                          std::move(identity), seeds, tuning, random_());
-    control::Effects fx;
-    fx.writes = std::move(writes);
-    perform(i, fx);
+    control::Effects effects;
+    effects.writes = std::move(writes);
+    perform(i, effects);
   } else {
     n.follower = std::make_unique<feed::Follower>(feed::Follower::Self{n.name, n.zone, n.cohort}, seeds,
                                                   membership::Times{}, feed::Times{}, Millis(3000), random_(), now_);
@@ -130,9 +130,9 @@
   onNode(i, life, [this, i, life] {
     auto& n = *nodes_[i];
     if (n.isController) {
-      control::Effects fx;
-      n.controller->tick(now_, fx);
-      perform(i, fx);
+      control::Effects effects;
+      n.controller->tick(now_, effects);
+      perform(i, effects);
       if (n.controller->readingDue(now_)) {
         const auto askedAt = now_;
         after(Millis(2), [this, i, life, askedAt] {
@@ -148,9 +148,9 @@
         return;
       }
     } else {
-      feed::Followed fx;
-      n.follower->tick(now_, fx);
-      perform(i, fx);
+      feed::FollowerEffects effects;
+      n.follower->tick(now_, effects);
+      perform(i, effects);
     }
     after(n.isRelay        ? kRelayTick
           : n.isController ? kControllerTick
@@ -159,14 +159,14 @@
   });
 }
 
-void World::perform(std::size_t i, control::Effects& fx) {
+void World::perform(std::size_t i, control::Effects& effects) {
   auto& n = *nodes_[i];
-  if (n.isRelay && !fx.writes.empty()) breakRule(n.name + " has no disk and wants to write");
-  for (auto& write : fx.writes) {
+  if (n.isRelay && !effects.writes.empty()) breakRule(n.name + " has no disk and wants to write");
+  for (auto& write : effects.writes) {
     n.unsynced.push_back(std::move(write));
     after(kDiskSync + Millis(random_() % 4), [this, i, life = n.life] { syncDisk(i, life); });
   }
-  for (const auto& answer : fx.answers) {
+  for (const auto& answer : effects.answers) {
     const auto found = waiting_.find(answer.call);
     if (found == waiting_.end()) continue;
     const auto kind = found->second.first;
@@ -176,16 +176,16 @@
     if (answer.status == 200 && kind != control::OrderKind::Describe) checkAck(i, answer);
     after(Millis(1), [done, answer] { done(answer); });
   }
-  trace(i, fx.notes);
-  deliver(i, std::move(fx.out));
+  trace(i, effects.notes);
+  deliver(i, std::move(effects.out));
 }
 
-void World::perform(std::size_t i, feed::Followed& fx) {
+void World::perform(std::size_t i, feed::FollowerEffects& effects) {
   auto& n = *nodes_[i];
-  trace(i, fx.notes);
-  for (auto& event : fx.events) n.table->setPicture(n.journal->append(std::move(event)), now_);
+  trace(i, effects.notes);
+  for (auto& event : effects.events) n.table->setPicture(n.journal->append(std::move(event)), now_);
   n.table->setLease(n.follower->group().leaseUntil());
-  deliver(i, std::move(fx.out));
+  deliver(i, std::move(effects.out));
 }
 
 void World::trace(std::size_t i, const std::vector<std::string>& notes) const {
@@ -208,9 +208,9 @@
   const bool ok = !n.diskFull;
   if (ok) n.disk[write.slot] = write.bytes;
   onNode(i, life, [this, i, token = write.token, ok] {
-    control::Effects fx;
-    nodes_[i]->controller->synced(token, ok, now_, fx);
-    perform(i, fx);
+    control::Effects effects;
+    nodes_[i]->controller->synced(token, ok, now_, effects);
+    perform(i, effects);
   });
 }
 
@@ -226,18 +226,18 @@
     after(delay, [this, to = *to, life = nodes_[*to]->life, sender, bytes = std::move(bytes)] {
       onNode(to, life, [this, to, sender, bytes] {
         auto message = net::decode(bytes);
-        if (const auto* bad = base::fault(message)) {
+        if (const auto* bad = base::errorIn(message)) {
           breakRule("a message of the project's own cannot be read: " + bad->what);
           return;
         }
         if (nodes_[to]->isController) {
-          control::Effects fx;
-          nodes_[to]->controller->receive(std::get<0>(message), sender, now_, fx);
-          perform(to, fx);
+          control::Effects effects;
+          nodes_[to]->controller->receive(std::get<0>(message), sender, now_, effects);
+          perform(to, effects);
         } else {
-          feed::Followed fx;
-          nodes_[to]->follower->receive(std::get<0>(message), sender, now_, fx);
-          perform(to, fx);
+          feed::FollowerEffects effects;
+          nodes_[to]->follower->receive(std::get<0>(message), sender, now_, effects);
+          perform(to, effects);
         }
       });
     });
@@ -282,13 +282,13 @@
   auto& n = *nodes_[i];
   if (!n.alive) return;
   if (n.isController) {
-    control::Effects fx;
-    n.controller->leave(now_, fx);
-    perform(i, fx);
+    control::Effects effects;
+    n.controller->leave(now_, effects);
+    perform(i, effects);
   } else {
-    feed::Followed fx;
-    n.follower->leave(fx);
-    perform(i, fx);
+    feed::FollowerEffects effects;
+    n.follower->leave(effects);
+    perform(i, effects);
     after(Millis(3000), [this, i, life = n.life] {
       if (nodes_[i]->life == life) kill(i);
     });
@@ -334,9 +334,9 @@
       return;
     }
     onNode(i, n.life, [this, i, call, kind, baseVersion, body] {
-      control::Effects fx;
-      nodes_[i]->controller->order({call, kind, baseVersion, body}, now_, fx);
-      perform(i, fx);
+      control::Effects effects;
+      nodes_[i]->controller->order({call, kind, baseVersion, body}, now_, effects);
+      perform(i, effects);
     });
   });
   // The operator does not wait for ever.
@@ -399,17 +399,17 @@
 
 // An acknowledgement means: on one disk more than may be lost, under the newest record.
 void World::checkAck(std::size_t i, const control::Answer&) {
-  const auto& frame = nodes_[i]->controller->replica().published();
-  if (!frame) {
+  const auto& state = nodes_[i]->controller->replica().published();
+  if (!state) {
     breakRule("acknowledged by a controller that shows no state");
     return;
   }
   std::size_t copies = 0;
   for (const auto& n : nodes_) {
-    const auto found = n->disk.find(control::Slot::Frame);
+    const auto found = n->disk.find(control::Slot::State);
     if (found == n->disk.end()) continue;
-    auto kept = net::decodeFrame(found->second);
-    if (!base::fault(kept) && std::get<0>(kept).stamp >= frame->stamp) ++copies;
+    auto kept = net::decodeControlState(found->second);
+    if (!base::errorIn(kept) && std::get<0>(kept).version >= state->version) ++copies;
   }
   if (copies < losses() + 1) breakRule(fmt::format("{} acknowledged with {} copies on disk", nodes_[i]->name, copies));
 }
@@ -445,11 +445,11 @@
     } else {
       n.lastView = 0;
     }
-    if (source.frame()) {
-      if (source.frame()->stamp < n.lastStamp || source.frame()->revision < n.lastRevision)
+    if (source.state()) {
+      if (source.state()->version < n.lastStamp || source.state()->revision < n.lastRevision)
         breakRule(n.name + " goes back to an older configuration");
-      n.lastStamp = source.frame()->stamp;
-      n.lastRevision = source.frame()->revision;
+      n.lastStamp = source.state()->version;
+      n.lastRevision = source.state()->revision;
     }
     if (!n.isController && !n.frozen && group.leaseHeld(now_)) {
       const auto routers = n.table->routers(now_, membership::Times{}.lease + Millis(1000));
@@ -465,11 +465,11 @@
     const auto& n = *nodes_[i];
     if (!n.alive || !n.controller->replica().active() || !n.controller->replica().complete()) continue;
     const auto& voters = n.controller->replica().record()->voters;
-    if (voters.size() != 2 * shape_.losses + 1) breakRule(fmt::format("{} voters", voters.size()));
+    if (voters.size() != 2 * shape_.faultTolerance + 1) breakRule(fmt::format("{} voters", voters.size()));
     if (!n.controller->group().view()) continue;
     std::map<std::string, std::size_t> held;
     for (const auto& m : n.controller->group().view()->members)
-      if (base::contains(voters, m.voterId) && ++held[m.zone] > shape_.losses && shape_.zones != 1)
+      if (base::contains(voters, m.voterId) && ++held[m.zone] > shape_.faultTolerance && shape_.zones != 1)
         breakRule(fmt::format("{} voters in {}", held[m.zone], m.zone));
   }
   const double most = service.warmupPerS * shape_.warmupOvershoot + shape_.warmupSlack;
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -23,9 +23,9 @@
   std::size_t controllers = 3, routers = 5;
   std::uint64_t seed = 1;
   double loss = 0.01;
-  std::size_t losses = 1;  // faultTolerance: core machines that may be lost at once
-  std::size_t zones = 0;   // 0: one for each controller
-  std::size_t relays = 0;  // controllers without a disk
+  std::size_t faultTolerance = 1;  // faultTolerance: core machines that may be lost at once
+  std::size_t zones = 0;           // 0: one for each controller
+  std::size_t relays = 0;          // controllers without a disk
   // Bounds of cold runners; so small that even a few routers cannot all hold a part.
   double warmupOvershoot = 1.5, warmupSlack = 2;
 };
@@ -46,7 +46,7 @@
   std::unique_ptr<routing::Table> table;
   std::uint64_t lastView = 0;
   std::uint64_t lastRevision = 0;
-  schema::Stamp lastStamp;
+  schema::StateVersion lastStamp;
 };
 
 class World {
@@ -67,7 +67,7 @@
   // The core machines that the record of the active primary names, the primary first.
   std::vector<std::size_t> copies() const;
   // How many of the core may be lost at once: as many as are stated, as far as there are machines for it.
-  std::size_t losses() const { return std::min(shape_.losses, (shape_.controllers - 1) / 2); }
+  std::size_t losses() const { return std::min(shape_.faultTolerance, (shape_.controllers - 1) / 2); }
 
   void start(std::size_t i);
   void kill(std::size_t i);      // the process ends; the disk keeps what had reached it
@@ -107,8 +107,8 @@
   };
 
   void deliver(std::size_t from, net::Outbox out);
-  void perform(std::size_t i, control::Effects& fx);
-  void perform(std::size_t i, feed::Followed& fx);
+  void perform(std::size_t i, control::Effects& effects);
+  void perform(std::size_t i, feed::FollowerEffects& effects);
   void syncDisk(std::size_t i, std::uint64_t life);
   void onNode(std::size_t i, std::uint64_t life, std::function<void()> what);
   void tickLoop(std::size_t i, std::uint64_t life);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -84,7 +84,7 @@
     std::filesystem::remove(file + ".bad", ignored);
     std::filesystem::rename(file, file + ".bad", ignored);
   }
-  return base::Fault{base::Verdict::NotRun, file + ": " + last};
+  return base::Error{base::Verdict::NotRun, file + ": " + last};
 }
 
 std::optional<std::string> Store::read(control::Slot slot) const {
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -64,7 +64,7 @@
     const auto& m = machines_[i];
     return m.isController ? m.controller->group() : m.follower->group();
   }
-  const feed::Source& source(std::size_t i) const {
+  const feed::Publisher& source(std::size_t i) const {
     const auto& m = machines_[i];
     return m.isController ? m.controller->source() : m.follower->source();
   }
@@ -143,7 +143,7 @@
   std::size_t serving() const {
     std::size_t count = 0;
     for (std::size_t i = shape_.controllers; i < machines_.size(); ++i)
-      count += machines_[i].alive && source(i).frame() && source(i).frame()->revision > 0 && source(i).hasRunners();
+      count += machines_[i].alive && source(i).state() && source(i).state()->revision > 0 && source(i).hasRunners();
     return count;
   }
   std::size_t informed() const {
@@ -156,9 +156,9 @@
   bool bringUp() {
     if (!until(base::Millis(30'000), [&] { return active() < shape_.controllers && viewed(size()); })) return false;
     const auto primary = active();
-    control::Effects fx;
-    machines_[primary].controller->order({1, control::OrderKind::Replace, 0, configuration}, now_, fx);
-    perform(primary, fx);
+    control::Effects effects;
+    machines_[primary].controller->order({1, control::OrderKind::Replace, 0, configuration}, now_, effects);
+    perform(primary, effects);
     return until(base::Millis(30'000), [&] { return informed() == shape_.routers; }).has_value();
   }
   std::size_t active() const {
@@ -186,9 +186,9 @@
     auto& m = machines_[i];
     if (!m.alive || m.life != life) return;
     if (m.isController) {
-      control::Effects fx;
-      m.controller->tick(now_, fx);
-      perform(i, fx);
+      control::Effects effects;
+      m.controller->tick(now_, effects);
+      perform(i, effects);
       if (m.controller->readingDue(now_)) {
         // Two calls for each hundred runners, some milliseconds each.
         const auto askedAt = now_;
@@ -201,15 +201,15 @@
         });
       }
     } else {
-      feed::Followed fx;
-      m.follower->tick(now_, fx);
-      send(i, fx.out);
+      feed::FollowerEffects effects;
+      m.follower->tick(now_, effects);
+      send(i, effects.out);
     }
     after(base::Millis(m.isController ? 100 : 200), [this, i, life] { tick(i, life); });
   }
 
-  void perform(std::size_t i, control::Effects& fx) {
-    for (auto& write : fx.writes)
+  void perform(std::size_t i, control::Effects& effects) {
+    for (auto& write : effects.writes)
       after(Micros(4000), [this, i, life = machines_[i].life, write] {
         auto& m = machines_[i];
         if (!m.alive || m.life != life) return;
@@ -218,7 +218,7 @@
         m.controller->synced(write.token, true, now_, done);
         perform(i, done);
       });
-    send(i, fx.out);
+    send(i, effects.out);
   }
 
   static std::string nameOf(const schema::Message& message) {
@@ -237,7 +237,7 @@
       if (!message || !(*message == item.message)) {
         auto encoded = net::encode(item.message);
         auto decoded = net::decode(encoded);
-        if (const auto* bad = base::fault(decoded)) throw std::logic_error(nameOf(item.message) + ": " + bad->what);
+        if (const auto* bad = base::errorIn(decoded)) throw std::logic_error(nameOf(item.message) + ": " + bad->what);
         bytes = encoded.size() + 28;
         message = std::make_shared<const schema::Message>(std::get<0>(std::move(decoded)));
       }
@@ -263,13 +263,13 @@
                       auto& m = machines_[i];
                       if (!m.alive || m.life != life) return;
                       if (m.isController) {
-                        control::Effects fx;
-                        m.controller->receive(*message, self, now_, fx);
-                        perform(i, fx);
+                        control::Effects effects;
+                        m.controller->receive(*message, self, now_, effects);
+                        perform(i, effects);
                       } else {
-                        feed::Followed fx;
-                        m.follower->receive(*message, self, now_, fx);
-                        send(i, fx.out);
+                        feed::FollowerEffects effects;
+                        m.follower->receive(*message, self, now_, effects);
+                        send(i, effects.out);
                       }
                     }});
     }
--- a/tests/operator.hpp
+++ b/tests/operator.hpp
@@ -46,7 +46,7 @@
       answered = true;
       if (std::getenv("INDIGOHILL_TRACE")) fmt::print("readBack: {} {}\n", answer.status, answer.body.substr(0, 40));
       auto parsed = control::parseConfiguration(answer.body);
-      if (answer.status != 200 || indigohill::base::fault(parsed)) return;
+      if (answer.status != 200 || indigohill::base::errorIn(parsed)) return;
       const auto revision = std::get<0>(parsed).revision;
       good = revision >= newest && answer.body == document(revision, 1000 + revision);
     });
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -9,7 +9,7 @@
 #include "documents.hpp"
 #include "http/server.hpp"
 #include "membership/group.hpp"
-#include "pass/executor.hpp"
+#include "proxy/executor.hpp"
 #include "routing/table.hpp"
 
 // Stand-ins over loopback sockets for tests of rollouts: runners that hold weights, and a router's traffic side.
@@ -93,18 +93,18 @@
                        {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
                        1,
                        base::Clock::now() - Millis(60000)};
-  pass::Executor executor{io.get_executor(), table};
+  proxy::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
   routing::Picture picture;
-  std::uint64_t serial = 0;
+  std::uint64_t sequence = 0;
 
   explicit Traffic(const std::vector<Weighted*>& runners) {
     schema::View view;
     schema::Member m;
     m.role = static_cast<std::uint8_t>(membership::Role::Router);
     view.members = {m};
-    routing::fold(picture, routing::ViewCame{view});
+    routing::fold(picture, routing::ViewReceived{view});
     declare({});
     list(runners);
     table.setLease(base::Clock::now() + std::chrono::hours(1));
@@ -124,13 +124,13 @@
         control::parseConfiguration(replaced(document(1, 60000), "\"timeoutMs\":1500", "\"timeoutMs\":60000"))));
   }
   void declare(std::vector<rollout::InForce> rollouts) {
-    routing::fold(picture, routing::FrameCame{{1, ++serial}, configuration(), {}, std::move(rollouts)});
+    routing::fold(picture, routing::StateReceived{{1, ++sequence}, configuration(), {}, std::move(rollouts)});
     set();
   }
   void list(const std::vector<Weighted*>& runners) {
     std::vector<schema::RunnerEntry> entries;
     for (const auto* r : runners) entries.push_back(r->entry);
-    routing::fold(picture, routing::RunnersCame{{1, ++serial}, entries, past()});
+    routing::fold(picture, routing::RunnersReceived{{1, ++sequence}, entries, past()});
     set();
   }
   static base::TimePoint past() { return base::Clock::now() - Millis(30000); }
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -24,7 +24,7 @@
   std::vector<routing::Picture> pictures;
   std::vector<schema::RunnerEntry> runners;
   schema::View view;
-  std::uint64_t serial = 0;
+  std::uint64_t sequence = 0;
   routing::Bounds bounds;
 
   explicit Fleet(std::size_t routers = kRouters) {
@@ -46,23 +46,23 @@
     view.members.push_back(m);
     tables.push_back(std::make_unique<routing::Table>(m.zone, bounds, tables.size(), now - std::chrono::hours(1)));
     pictures.emplace_back();
-    routing::fold(pictures.back(), routing::FrameCame{{1, 1},
-                                                      std::make_shared<const control::Configuration>(
-                                                          std::get<0>(control::parseConfiguration(tests::document(1)))),
-                                                      {}});
+    routing::fold(pictures.back(), routing::StateReceived{{1, 1},
+                                                          std::make_shared<const control::Configuration>(std::get<0>(
+                                                              control::parseConfiguration(tests::document(1)))),
+                                                          {}});
   }
   void apply(std::size_t i) { tables[i]->setPicture(std::make_shared<const routing::Picture>(pictures[i]), now); }
   void deliver() {
     ++view.number;
     for (const auto& m : view.members) {
-      routing::fold(pictures[m.incarnation - 1], routing::ViewCame{view, m.incarnation});
+      routing::fold(pictures[m.incarnation - 1], routing::ViewReceived{view, m.incarnation});
       apply(m.incarnation - 1);
     }
   }
   void show() {
-    ++serial;
+    ++sequence;
     for (std::size_t i = 0; i < tables.size(); ++i) {
-      routing::fold(pictures[i], routing::RunnersCame{{1, serial}, runners, now});
+      routing::fold(pictures[i], routing::RunnersReceived{{1, sequence}, runners, now});
       apply(i);
     }
   }
@@ -102,7 +102,7 @@
   for (std::size_t i = 0; i < 40; ++i) fleet.runners[i].warmupLeftMs = 60000;
   fleet.show();
   std::map<std::string, Second> sent;
-  std::vector<std::pair<base::TimePoint, routing::Taking>> running;
+  std::vector<std::pair<base::TimePoint, routing::Admission>> running;
   for (int ms = 0; ms < 4000; ms += 1) {
     fleet.now += Millis(1);
     fleet.lease();
@@ -157,7 +157,7 @@
                                    static_cast<std::ptrdiff_t>(random() % fleet.view.members.size()));
         for (auto joins = random() % 20; joins > 0 && fleet.tables.size() < 400; --joins) {
           fleet.join();
-          routing::fold(fleet.pictures.back(), routing::RunnersCame{{1, fleet.serial}, fleet.runners, fleet.now});
+          routing::fold(fleet.pictures.back(), routing::RunnersReceived{{1, fleet.sequence}, fleet.runners, fleet.now});
           leaseUntil.push_back({});
         }
         ++fleet.view.number;
@@ -171,11 +171,11 @@
       for (const auto& l : late)
         if (l.at <= fleet.now) {
           if (l.commit) {
-            routing::fold(fleet.pictures[l.router], routing::ViewCame{l.view, l.router + 1});
+            routing::fold(fleet.pictures[l.router], routing::ViewReceived{l.view, l.router + 1});
             if (const auto& p = fleet.pictures[l.router]; p.proposed == routing::routersOf(l.view))
-              routing::fold(fleet.pictures[l.router], routing::ProposalCame{});
+              routing::fold(fleet.pictures[l.router], routing::ProposalReceived{});
           } else {
-            routing::fold(fleet.pictures[l.router], routing::ProposalCame{routing::routersOf(l.view)});
+            routing::fold(fleet.pictures[l.router], routing::ProposalReceived{routing::routersOf(l.view)});
           }
           fleet.apply(l.router);
         }
@@ -256,7 +256,7 @@
 Played play(Fleet& fleet, std::mt19937_64& random, int ms,
             const std::function<bool(std::size_t router, const std::string&)>& trouble) {
   Played out;
-  std::vector<std::pair<base::TimePoint, routing::Taking>> running;
+  std::vector<std::pair<base::TimePoint, routing::Admission>> running;
   for (int i = 0; i < ms; ++i) {
     fleet.now += Millis(1);
     fleet.lease();
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -26,7 +26,7 @@
 std::vector<kvindex::Overlap> found(const Index& index, const Prompt& prompt, std::size_t most = 16,
                                     std::uint64_t model = kModel) {
   auto result = index.match(model, prompt, most);
-  cr_assert(base::fault(result) == nullptr);
+  cr_assert(base::errorIn(result) == nullptr);
   return std::get<0>(std::move(result));
 }
 
@@ -257,7 +257,7 @@
   cr_assert_eq(index.match(kModel, prompt, 4).index(), 0u);
   index.store(0, kModel, prompt);
   const auto result = index.match(kModel, prompt, 4);
-  cr_assert(base::fault(result) != nullptr);
+  cr_assert(base::errorIn(result) != nullptr);
   cr_assert_eq(index.blocks(), 0u);
 }
 
@@ -293,7 +293,7 @@
 struct Chooser {
   explicit Chooser(std::size_t engines, settings::Policy policy = settings::defaultPolicy())
       : table("z0", bounds(policy), 7, now) {
-    routing::fold(picture, routing::FrameCame{{1, 1}, configuration(), {}});
+    routing::fold(picture, routing::StateReceived{{1, 1}, configuration(), {}});
     for (std::uint32_t i = 0; i < engines; ++i)
       list.push_back({"e" + std::to_string(i), "engine", "z0", 100 + i, 80, 128, false, 0});
     show();
@@ -309,7 +309,7 @@
         std::get<0>(control::parseConfiguration(tests::document(1, 3000))));
   }
   void show() {
-    routing::fold(picture, routing::RunnersCame{{1, ++version}, list, now});
+    routing::fold(picture, routing::RunnersReceived{{1, ++version}, list, now});
     table.setPicture(std::make_shared<const routing::Picture>(picture), now);
   }
   routing::Asked ask(std::uint64_t thing, std::uint64_t own = 1) {
@@ -341,7 +341,7 @@
 struct BadPool : kvindex::SharedPool {
   base::Result<std::uint64_t> held(std::uint64_t, Chain) override {
     if (++asked % 2 == 0) throw std::runtime_error("pool: connection refused");
-    return base::Fault{base::Verdict::NotRun, "pool: no answer"};
+    return base::Error{base::Verdict::NotRun, "pool: no answer"};
   }
   int asked = 0;
 };
@@ -386,8 +386,8 @@
 // Two routers: what one of them has stored somewhere, the other knows.
 Test(choice, long_shared_parts_are_told_once_and_within_the_bound) {
   Chooser one(40), two(40);
-  std::vector<schema::Demand> told;
-  one.table.setTell([&](const schema::Demand& d) { told.push_back(d); });
+  std::vector<schema::LoadNotice> told;
+  one.table.setTell([&](const schema::LoadNotice& d) { told.push_back(d); });
   const auto where = one.serve(one.ask(5));
   one.now += Millis(1000);
   one.serve(one.ask(5, 2));
@@ -494,11 +494,11 @@
   for (const auto* name :
        {"policy.overlapWeight", "policy.blockTokens", "policy.candidates", "policy.sharedMultiplier"}) {
     auto bad = settings::parsePolicy(std::string(name) + "=-1\n");
-    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(name), "%s", name);
+    cr_assert(base::errorIn(bad) != nullptr && base::errorIn(bad)->what.starts_with(name), "%s", name);
   }
   for (const auto* line : {"policy.blockTokens=0", "policy.candidates=0", "policy.sharedMultiplier=1.5"}) {
     auto bad = settings::parsePolicy(std::string(line) + "\n");
-    cr_assert(base::fault(bad) != nullptr && base::fault(bad)->what.starts_with(std::string(line).substr(0, 12)), "%s",
-              line);
+    cr_assert(base::errorIn(bad) != nullptr && base::errorIn(bad)->what.starts_with(std::string(line).substr(0, 12)),
+              "%s", line);
   }
 }
