--- a/tests/test_losses.cpp
+++ b/tests/test_losses.cpp
@@ -30,14 +30,14 @@
 // vote, relays, three losses, and fewer machines than the losses that are stated call for.
 sim::Shape shape(std::uint64_t seed) {
   static const sim::Shape shapes[] = {
-      {.controllers = 3, .routers = 3, .losses = 1},
-      {.controllers = 6, .routers = 3, .losses = 2, .zones = 3},
-      {.controllers = 5, .routers = 3, .losses = 2, .relays = 5},
-      {.controllers = 4, .routers = 3, .losses = 1, .relays = 4},
-      {.controllers = 6, .routers = 3, .losses = 1, .zones = 3},
-      {.controllers = 8, .routers = 3, .losses = 2, .zones = 4},
-      {.controllers = 8, .routers = 3, .losses = 3, .zones = 4},
-      {.controllers = 4, .routers = 3, .losses = 2},
+      {.controllers = 3, .routers = 3, .faultTolerance = 1},
+      {.controllers = 6, .routers = 3, .faultTolerance = 2, .zones = 3},
+      {.controllers = 5, .routers = 3, .faultTolerance = 2, .relays = 5},
+      {.controllers = 4, .routers = 3, .faultTolerance = 1, .relays = 4},
+      {.controllers = 6, .routers = 3, .faultTolerance = 1, .zones = 3},
+      {.controllers = 8, .routers = 3, .faultTolerance = 2, .zones = 4},
+      {.controllers = 8, .routers = 3, .faultTolerance = 3, .zones = 4},
+      {.controllers = 4, .routers = 3, .faultTolerance = 2},
   };
   auto out = shapes[seed % std::size(shapes)];
   out.seed = seed;
@@ -116,7 +116,7 @@
   const auto [first, last] = seeds(10);
   for (auto seed = first; seed <= last; ++seed) {
     const std::size_t machines = 3 + seed % 2;
-    sim::World world({.controllers = machines, .routers = 2, .seed = seed, .losses = 2});
+    sim::World world({.controllers = machines, .routers = 2, .seed = seed, .faultTolerance = 2});
     Operator op{world};
     bringUp(world, op);
     for (int i = 0; i < 3; ++i) {
@@ -156,7 +156,7 @@
     cr_assert(world.runUntil(Millis(2000), [&] { return status != 0; }));
     cr_assert_eq(status, 307);
     cr_assert(world.node(i).disk.empty());
-    cr_assert_eq(world.node(i).controller->source().frame()->revision, 1u);
+    cr_assert_eq(world.node(i).controller->source().state()->revision, 1u);
   }
   // One voter gone for good: no relay takes its place.
   world.kill(0);
@@ -364,8 +364,8 @@
       for (std::size_t i = 0; i < world.size(); ++i) {
         auto& n = world.node(i);
         if (!n.alive) continue;
-        const auto& frame = (n.isController ? n.controller->source() : n.follower->source()).frame();
-        if (frame && op.refused.contains(frame->revision)) world.breakRule(n.name + " has a refused configuration");
+        const auto& state = (n.isController ? n.controller->source() : n.follower->source()).state();
+        if (state && op.refused.contains(state->revision)) world.breakRule(n.name + " has a refused configuration");
       }
     });
     bringUp(world, op);
@@ -435,34 +435,35 @@
 // One backup of epoch 2, "b", by itself; whatever it wants written stays unsynced until the test says otherwise.
 struct Alone {
   indigohill::base::TimePoint now{std::chrono::hours(1)};
-  control::Effects fx;
+  control::Effects effects;
   control::Replica replica;
-  control::Around around;
+  control::ClusterView around;
 
-  static indigohill::schema::Frame frame(std::uint64_t serial) {
-    indigohill::schema::Frame out;
-    out.stamp = {2, serial};
-    out.revision = serial;
+  static indigohill::schema::ControlState state(std::uint64_t sequence) {
+    indigohill::schema::ControlState out;
+    out.version = {2, sequence};
+    out.revision = sequence;
     return out;
   }
   static indigohill::schema::EpochRecord record() { return {2, "a", {"b", "c"}, {"a", "b", "c", "d", "e"}}; }
-  Alone() : replica({"b", {2, 1}, 2}, {record(), std::nullopt, frame(5)}, {}, 1) {
+  Alone() : replica({"b", {2, 1}, 2}, {record(), std::nullopt, state(5)}, {}, 1) {
     around.lease = true;
     around.voters = record().voters;
     for (std::uint32_t i = 1; i <= 5; ++i) {
       const std::string name(1, static_cast<char>('a' + i - 1));
       around.controllers.push_back({name, name, "zone-" + std::to_string(i % 3), 2, i, 1, i, i});
     }
-    replica.tick(now, around, fx);
+    replica.tick(now, around, effects);
   }
   template <class M>
   std::size_t count() const {
-    return static_cast<std::size_t>(std::count_if(
-        fx.out.begin(), fx.out.end(), [](const auto& item) { return std::holds_alternative<M>(item.message); }));
+    return static_cast<std::size_t>(std::count_if(effects.out.begin(), effects.out.end(), [](const auto& item) {
+      return std::holds_alternative<M>(item.message);
+    }));
   }
   template <class M>
   const M& only() const {
-    for (const auto& item : fx.out)
+    for (const auto& item : effects.out)
       if (const auto* m = std::get_if<M>(&item.message)) return *m;
     cr_assert_fail("nothing sent");
   }
@@ -473,41 +474,43 @@
 // A candidate that dies may have installs under way that are older than what is acknowledged after it.
 Test(replica, an_install_that_comes_late_takes_nothing_back) {
   Alone b;
-  b.replica.receive(indigohill::schema::Copy{"c", 7, true, Alone::record(), Alone::frame(4)}, {3, 1}, b.now, b.fx);
-  cr_assert_eq(b.replica.frame()->stamp.serial, 5u);
-  const auto token = b.fx.writes.back().token;
-  cr_assert_eq(b.count<indigohill::schema::Copied>(), 0u, "said before it is on disk");
-  b.replica.synced(token, true, b.now, b.fx);
-  cr_assert(b.only<indigohill::schema::Copied>().ok);
-  b.replica.receive(indigohill::schema::Copy{"c", 8, true, Alone::record(), Alone::frame(6)}, {3, 1}, b.now, b.fx);
-  cr_assert_eq(b.replica.frame()->stamp.serial, 6u);
+  b.replica.receive(indigohill::schema::ReplicateState{"c", 7, true, Alone::record(), Alone::state(4)}, {3, 1}, b.now,
+                    b.effects);
+  cr_assert_eq(b.replica.state()->version.sequence, 5u);
+  const auto token = b.effects.writes.back().token;
+  cr_assert_eq(b.count<indigohill::schema::ReplicateAck>(), 0u, "said before it is on disk");
+  b.replica.synced(token, true, b.now, b.effects);
+  cr_assert(b.only<indigohill::schema::ReplicateAck>().ok);
+  b.replica.receive(indigohill::schema::ReplicateState{"c", 8, true, Alone::record(), Alone::state(6)}, {3, 1}, b.now,
+                    b.effects);
+  cr_assert_eq(b.replica.state()->version.sequence, 6u);
 }
 
 // It could take copies again after a crash, while others finish a record whose backups lack them.
 Test(replica, a_candidate_asks_for_votes_once_its_seal_and_all_backups_are_on_disk) {
   Alone b;
   std::erase_if(b.around.controllers, [](const auto& m) { return m.voterId == "a"; });
-  b.fx.out.clear();
-  b.replica.tick(b.now, b.around, b.fx);
-  const auto token = b.only<indigohill::schema::Copy>().token;
-  const auto seal = b.fx.writes.back().token;
-  cr_assert_eq(b.count<indigohill::schema::Copy>(), 2u, "to each backup that it wants");
+  b.effects.out.clear();
+  b.replica.tick(b.now, b.around, b.effects);
+  const auto token = b.only<indigohill::schema::ReplicateState>().token;
+  const auto seal = b.effects.writes.back().token;
+  cr_assert_eq(b.count<indigohill::schema::ReplicateState>(), 2u, "to each backup that it wants");
   std::vector<std::string> wanted;
-  for (const auto& item : b.fx.out) wanted.emplace_back(1, static_cast<char>('a' + item.to.ip - 1));
-  b.fx.out.clear();
-  b.replica.receive(indigohill::schema::Copied{wanted[0], token, 2, true}, {}, b.now, b.fx);
-  b.replica.synced(seal, true, b.now, b.fx);
+  for (const auto& item : b.effects.out) wanted.emplace_back(1, static_cast<char>('a' + item.to.ip - 1));
+  b.effects.out.clear();
+  b.replica.receive(indigohill::schema::ReplicateAck{wanted[0], token, 2, true}, {}, b.now, b.effects);
+  b.replica.synced(seal, true, b.now, b.effects);
   cr_assert_eq(b.count<indigohill::schema::Prepare>(), 0u, "one backup lacks the state");
-  b.replica.receive(indigohill::schema::Copied{wanted[1], token, 2, true}, {}, b.now, b.fx);
+  b.replica.receive(indigohill::schema::ReplicateAck{wanted[1], token, 2, true}, {}, b.now, b.effects);
   cr_assert_gt(b.count<indigohill::schema::Prepare>(), 0u);
   // The other way round: all copies, no seal.
   Alone c;
   std::erase_if(c.around.controllers, [](const auto& m) { return m.voterId == "a"; });
-  c.fx.out.clear();
-  c.replica.tick(c.now, c.around, c.fx);
-  const auto other = c.only<indigohill::schema::Copy>().token;
+  c.effects.out.clear();
+  c.replica.tick(c.now, c.around, c.effects);
+  const auto other = c.only<indigohill::schema::ReplicateState>().token;
   for (const auto* name : {"c", "d", "e"})
-    c.replica.receive(indigohill::schema::Copied{name, other, 2, true}, {}, c.now, c.fx);
+    c.replica.receive(indigohill::schema::ReplicateAck{name, other, 2, true}, {}, c.now, c.effects);
   cr_assert_eq(c.count<indigohill::schema::Prepare>(), 0u, "the seal is not on disk");
 }
 
@@ -515,7 +518,7 @@
 // rested on the three seeds; two of them froze, and no view could follow.
 Test(losses, no_order_is_acknowledged_before_the_view_rests_on_the_records_voters) {
   for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-    sim::World world({.controllers = 5, .routers = 2, .seed = seed, .losses = 2});
+    sim::World world({.controllers = 5, .routers = 2, .seed = seed, .faultTolerance = 2});
     cr_assert(world.runUntil(Millis(5000), [&] { return world.active().has_value(); }));
     const auto leader = *world.active();
     int status = 0;
@@ -538,7 +541,7 @@
 // the seeds, back again, asked nobody but each other.
 Test(losses, seeds_that_were_lost_together_find_the_others) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    sim::World world({.controllers = 8, .routers = 2, .seed = seed, .losses = 3, .zones = 4});
+    sim::World world({.controllers = 8, .routers = 2, .seed = seed, .faultTolerance = 3, .zones = 4});
     Operator op{world};
     bringUp(world, op);
     for (std::size_t i = 0; i < 3; ++i) world.kill(i);
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -10,11 +10,11 @@
 #include "control/calls.hpp"
 #include "control/configuration.hpp"
 #include "documents.hpp"
-#include "feed/feed.hpp"
+#include "feed/publisher.hpp"
 #include "membership/group.hpp"
 #include "net/codec.hpp"
-#include "pass/events.hpp"
-#include "pass/executor.hpp"
+#include "proxy/events.hpp"
+#include "proxy/executor.hpp"
 #include "routing/table.hpp"
 #include "runners/list.hpp"
 #include "settings/settings.hpp"
@@ -55,11 +55,11 @@
 }
 
 std::string faultOf(const base::Result<settings::Settings>& r) {
-  const auto* bad = base::fault(r);
+  const auto* bad = base::errorIn(r);
   return bad == nullptr ? "" : bad->what;
 }
 std::string faultOf(const base::Result<control::Configuration>& r) {
-  const auto* bad = base::fault(r);
+  const auto* bad = base::errorIn(r);
   return bad == nullptr ? "" : bad->what;
 }
 }  // namespace
@@ -97,7 +97,7 @@
   auto noFront = settings::parse(settingsText({{"bindAddresses.frontend", "-"}}));
   cr_assert(settings::missingFor(std::get<0>(noFront), "router").starts_with("bindAddresses.frontend:"));
   cr_assert_eq(settings::missingFor(std::get<0>(noFront), "controller"), "");
-  cr_assert(base::fault(settings::read("/nonexistent/file")) != nullptr);
+  cr_assert(base::errorIn(settings::read("/nonexistent/file")) != nullptr);
 }
 
 Test(configuration, what_is_invalid_is_refused_with_the_field) {
@@ -132,7 +132,7 @@
 
 Test(configuration, an_update_changes_named_items_alone) {
   auto merged = control::applyUpdate(document(3), tests::update(5, 777));
-  cr_assert(base::fault(merged) == nullptr);
+  cr_assert(base::errorIn(merged) == nullptr);
   auto parsed = control::parseConfiguration(std::get<std::string>(merged));
   cr_assert_eq(faultOf(parsed), "");
   const auto& c = std::get<0>(parsed);
@@ -145,7 +145,7 @@
   cr_assert_eq(std::get<0>(control::parseConfiguration(std::get<std::string>(removed))).routes.size(), 1u);
   for (const auto* bad : {R"({"revision":7,"upsert":{"routes":[{}]}})", R"({"revision":7,"remove":{"routes":"r"}})",
                           R"({"upsert":{}})", "{", R"({"revision":7,"upsert":{"houses":[]}})"})
-    cr_assert(base::fault(control::applyUpdate(document(3), bad)) != nullptr, "%s", bad);
+    cr_assert(base::errorIn(control::applyUpdate(document(3), bad)) != nullptr, "%s", bad);
 }
 
 Test(configuration, types_are_read_back_as_they_were_sent) {
@@ -170,24 +170,24 @@
 }
 
 Test(codec, what_is_spoilt_is_dropped) {
-  schema::Hello hello{7, 8, 9, 10, true, 11, {"a", "b"}};
+  schema::Heartbeat hello{7, 8, 9, 10, true, 11, {"a", "b"}};
   const auto bytes = net::encode(hello);
   auto back = net::decode(bytes);
-  cr_assert(base::fault(back) == nullptr);
-  cr_assert(std::get<schema::Hello>(std::get<0>(back)) == hello);
+  cr_assert(base::errorIn(back) == nullptr);
+  cr_assert(std::get<schema::Heartbeat>(std::get<0>(back)) == hello);
   for (std::size_t n = 0; n < bytes.size(); ++n)
-    cr_assert(base::fault(net::decode(std::string_view(bytes).substr(0, n))) != nullptr, "cut at %zu", n);
+    cr_assert(base::errorIn(net::decode(std::string_view(bytes).substr(0, n))) != nullptr, "cut at %zu", n);
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     auto spoilt = bytes;
     spoilt[n] = static_cast<char>(spoilt[n] ^ 0x41);
     auto read = net::decode(spoilt);
     // The kind alone is not under the checksum; read as another kind the body does not fit or is another message.
-    if (n != 1) cr_assert(base::fault(read) != nullptr, "spoilt at %zu", n);
+    if (n != 1) cr_assert(base::errorIn(read) != nullptr, "spoilt at %zu", n);
   }
   auto other = bytes;
   other[1] = static_cast<char>(199);
-  cr_assert(base::fault(net::decode(other)) != nullptr);
-  cr_assert(base::fault(net::decode(std::string(net::kMaxMessageBytes + 1, '\1'))) != nullptr);
+  cr_assert(base::errorIn(net::decode(other)) != nullptr);
+  cr_assert(base::errorIn(net::decode(std::string(net::kMaxMessageBytes + 1, '\1'))) != nullptr);
 }
 
 Test(codec, long_messages_are_deflated_and_come_back_whole) {
@@ -199,11 +199,12 @@
                                        7000, random(), 1048576 + i});
     const auto bytes = net::encode(commit);
     const auto back = net::decode(bytes);
-    cr_assert(base::fault(back) == nullptr && std::get<schema::Commit>(std::get<0>(back)) == commit, "%zu members", n);
+    cr_assert(base::errorIn(back) == nullptr && std::get<schema::Commit>(std::get<0>(back)) == commit, "%zu members",
+              n);
     if (n > 50) cr_assert_lt(bytes.size(), 25 * n, "%zu bytes", bytes.size());
     auto spoilt = bytes;
     spoilt[spoilt.size() / 2] = static_cast<char>(spoilt[spoilt.size() / 2] ^ 0x41);
-    cr_assert(base::fault(net::decode(spoilt)) != nullptr);
+    cr_assert(base::errorIn(net::decode(spoilt)) != nullptr);
   }
 }
 
@@ -221,13 +222,13 @@
   auto page = runners::parsePage(
       R"({"instances":[{"targetService":"s","address":"10.0.0.9:80","zone":"z","capacitySlots":6,"state":"draining",)"
       R"("warmupLeftMs":120,"instanceId":"i-1"}],"nextPageToken":"p-50"})");
-  cr_assert(base::fault(page) == nullptr);
+  cr_assert(base::errorIn(page) == nullptr);
   const auto& p = std::get<0>(page);
   cr_assert_eq(p.nextPageToken, "p-50");
   cr_assert(p.runners.at(0).draining);
   cr_assert_eq(p.runners.at(0).slots, 6u);
   for (const auto* bad : {"", "{}", R"({"instances":3})", R"({"instances":[{"instanceId":"i"}]})"})
-    cr_assert(base::fault(runners::parsePage(bad)) != nullptr, "%s", bad);
+    cr_assert(base::errorIn(runners::parsePage(bad)) != nullptr, "%s", bad);
 }
 
 Test(runners, the_list_is_read_as_often_as_the_platform_bears) {
@@ -244,7 +245,7 @@
 }
 
 Test(events, only_whole_events_are_passed) {
-  pass::EventCutter cutter;
+  proxy::EventCutter cutter;
   cr_assert_eq(cutter.take("id: 1\nda"), "");
   cr_assert_eq(cutter.take("ta: x\n\nid: 2\ndata"), "id: 1\ndata: x\n\n");
   cr_assert_eq(cutter.lastId(), "1");
@@ -264,7 +265,7 @@
   in.set("Indigohill-Attempt-Id", "abc");
   in.set("Indigohill-Target-Instance", "forged");
   in.body() = "body";
-  const auto out = pass::forRunner(in, "i-7", Millis(1200), "9");
+  const auto out = proxy::forRunner(in, "i-7", Millis(1200), "9");
   cr_assert(out["X-Own"] == "kept" && out["Indigohill-Attempt-Id"] == "abc" && out["Host"] == "a.example");
   cr_assert(out.count("X-Hop") == 0 && out.count("Keep-Alive") == 0 && out.count("Transfer-Encoding") == 0);
   cr_assert(out["Indigohill-Target-Instance"] == "i-7" && out.count("Indigohill-Target-Instance") == 1);
@@ -273,7 +274,7 @@
 }
 
 Test(pass, prompts_are_read) {
-  const auto parts = pass::parsePrompt("5c1e07a2:800, 91bd3f06:410,zz:3,e4402b7d:250");
+  const auto parts = proxy::parsePrompt("5c1e07a2:800, 91bd3f06:410,zz:3,e4402b7d:250");
   cr_assert_eq(parts.size(), 3u);
   cr_assert_eq(parts[0].first, 0x5c1e07a2u);
   cr_assert_eq(parts[1].second, 410u);
@@ -291,7 +292,7 @@
       : table("z0", bounds, 1, now - std::chrono::hours(1)) {
     auto configuration =
         std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(document(1))));
-    routing::fold(picture, routing::FrameCame{{1, 1}, configuration, {}});
+    routing::fold(picture, routing::StateReceived{{1, 1}, configuration, {}});
     schema::View view;
     view.number = 1;
     for (std::size_t i = 0; i < routers; ++i) {
@@ -299,7 +300,7 @@
       m.role = static_cast<std::uint8_t>(membership::Role::Router);
       view.members.push_back(m);
     }
-    routing::fold(picture, routing::ViewCame{view});
+    routing::fold(picture, routing::ViewReceived{view});
     std::vector<schema::RunnerEntry> list;
     for (std::uint32_t i = 0; i < 3; ++i)
       list.push_back({"e" + std::to_string(i), "engine", "z" + std::to_string(i), 100 + i, 80, 128, false, 0});
@@ -310,7 +311,7 @@
     table.setLease(now + Millis(1000));
   }
   void show(std::vector<schema::RunnerEntry> list) {
-    routing::fold(picture, routing::RunnersCame{{1, ++version}, std::move(list), now});
+    routing::fold(picture, routing::RunnersReceived{{1, ++version}, std::move(list), now});
     apply();
   }
   void apply() { table.setPicture(std::make_shared<const routing::Picture>(picture), now); }
@@ -332,13 +333,13 @@
       1, 3000,
       R"(,{"name":"deep","hostname":"A.example","pathPrefix":"/text/deep/","routeType":"idempotent","timeoutMs":5,"targetService":"plain"})"))));
   routing::Picture picture;
-  routing::fold(picture, routing::FrameCame{{1, 1}, configuration, {}});
+  routing::fold(picture, routing::StateReceived{{1, 1}, configuration, {}});
   cr_assert_eq(picture.route("a.example:80", "/text/deep/x")->name, "deep");
   cr_assert_eq(picture.route("A.EXAMPLE", "/text/x?y=/text/deep/")->name, "r-text");
   cr_assert(picture.route("a.example", "/texts/") == nullptr);
   cr_assert(picture.route("b.example", "/text/") == nullptr);
   // What is older than what is held is not folded in.
-  routing::fold(picture, routing::FrameCame{{0, 9}, nullptr, {}});
+  routing::fold(picture, routing::StateReceived{{0, 9}, nullptr, {}});
   cr_assert(picture.configuration != nullptr);
 }
 
@@ -351,7 +352,7 @@
     auto d = r.table.decide(r.ask("/check/1"), r.now);
     cr_assert_eq(std::get<routing::PassTo>(d).instanceId, "p1");
   }
-  routing::fold(r.picture, routing::FrameCame{{1, 2}, r.picture.configuration, {"z1"}});
+  routing::fold(r.picture, routing::StateReceived{{1, 2}, r.picture.configuration, {"z1"}});
   r.apply();
   cr_assert(std::holds_alternative<routing::Wait>(r.table.decide(r.ask("/check/1"), r.now)));
   auto late = r.ask("/check/1");
@@ -462,29 +463,29 @@
 
 Test(feed, an_ask_is_answered_when_there_is_news) {
   base::TimePoint now{std::chrono::hours(1)};
-  feed::Source source({});
+  feed::Publisher source({});
   net::Outbox out;
   const settings::Endpoint who{1, 1};
-  source.receive(schema::Ask{1, {}, {}}, who, now, out);
+  source.receive(schema::Poll{1, {}, {}}, who, now, out);
   cr_assert(out.empty());
-  schema::Frame frame{{1, 1}, 3, "{}", {"digest"}, {}};
-  cr_assert(source.setFrame(frame));
+  schema::ControlState state{{1, 1}, 3, "{}", {"digest"}, {}};
+  cr_assert(source.setState(state));
   source.publish(now, out);
   cr_assert_eq(out.size(), 1u);
-  const auto news = feed::contentOf(std::get<schema::News>(out[0].message));
-  cr_assert(news.frames.at(0).revision == 3 && news.frames[0].digests.empty());
-  cr_assert_not(source.setFrame(schema::Frame{{1, 0}, 2, "{}", {}, {}}), "an older frame");
+  const auto news = feed::contentOf(std::get<schema::Update>(out[0].message));
+  cr_assert(news.states.at(0).revision == 3 && news.states[0].digests.empty());
+  cr_assert_not(source.setState(schema::ControlState{{1, 0}, 2, "{}", {}, {}}), "an older state");
   out.clear();
-  source.receive(schema::Ask{2, {1, 1}, {}}, who, now, out);
+  source.receive(schema::Poll{2, {1, 1}, {}}, who, now, out);
   cr_assert(out.empty());
   source.tick(now + Millis(5000), out);
-  cr_assert(out.size() == 1 && std::get<schema::News>(out[0].message).content.empty());
+  cr_assert(out.size() == 1 && std::get<schema::Update>(out[0].message).content.empty());
 }
 
 namespace {
-schema::News onlyNews(net::Outbox& out) {
+schema::Update onlyNews(net::Outbox& out) {
   cr_assert_eq(out.size(), 1u);
-  auto news = std::get<schema::News>(std::exchange(out, {})[0].message);
+  auto news = std::get<schema::Update>(std::exchange(out, {})[0].message);
   return news;
 }
 schema::RunnerEntry runner(const std::string& id, bool draining = false) {
@@ -495,51 +496,51 @@
 Test(feed, news_is_told_again_until_the_asker_shows_that_it_has_it) {
   base::TimePoint now{std::chrono::hours(1)};
   const feed::Times times;
-  feed::Source source(times);
+  feed::Publisher source(times);
   net::Outbox out;
   const settings::Endpoint who{1, 1};
-  source.receive(schema::Ask{1, {}, {}}, who, now, out);
+  source.receive(schema::Poll{1, {}, {}}, who, now, out);
   source.tick(now + times.hold, out);  // answered that there is none
   onlyNews(out);
   now += times.hold;
-  source.setFrame({{1, 1}, 3, "{}", {}, {}});
+  source.setState({{1, 1}, 3, "{}", {}, {}});
   source.publish(now, out);  // told although no ask is open: its next one may be lost
-  cr_assert_eq(feed::contentOf(onlyNews(out)).frames.size(), 1u);
+  cr_assert_eq(feed::contentOf(onlyNews(out)).states.size(), 1u);
   source.publish(now, out);
   cr_assert(out.empty());
   source.tick(now + times.repeat, out);
-  cr_assert_eq(feed::contentOf(onlyNews(out)).frames.size(), 1u);
-  source.receive(schema::Ask{2, {1, 1}, {}}, who, now + times.repeat, out);
+  cr_assert_eq(feed::contentOf(onlyNews(out)).states.size(), 1u);
+  source.receive(schema::Poll{2, {1, 1}, {}}, who, now + times.repeat, out);
   source.tick(now + 3 * times.repeat, out);
   cr_assert(out.empty(), "told again after it was shown");
 }
 
 Test(feed, two_asks_of_one_daemon_stand_side_by_side) {
   base::TimePoint now{std::chrono::hours(1)};
-  feed::Source source({});
+  feed::Publisher source({});
   net::Outbox out;
-  constexpr schema::Stamp nothing{~0ULL, ~0ULL};
-  source.receive(schema::Ask{1, {}, nothing}, {1, 1}, now, out);
-  source.receive(schema::Ask{2, nothing, {}}, {1, 1}, now, out);
-  source.setFrame({{1, 1}, 3, "{}", {}, {}});
+  constexpr schema::StateVersion nothing{~0ULL, ~0ULL};
+  source.receive(schema::Poll{1, {}, nothing}, {1, 1}, now, out);
+  source.receive(schema::Poll{2, nothing, {}}, {1, 1}, now, out);
+  source.setState({{1, 1}, 3, "{}", {}, {}});
   source.publish(now, out);
   cr_assert_eq(onlyNews(out).token, 1u);
 }
 
 Test(feed, a_list_of_runners_travels_as_changes_and_whole_where_the_base_is_lacking) {
   base::TimePoint now{std::chrono::hours(1)};
-  feed::Source source({}), sink({}), late({});
+  feed::Publisher source({}), sink({}), late({});
   net::Outbox out;
   std::vector<schema::RunnerEntry> list;
   for (int i = 0; i < 20; ++i) list.push_back(runner(fmt::format("i-{:02}", 19 - i)));
   source.setRunners({5, 1}, list, now);
-  schema::News news;
-  const auto ask = [&](const feed::Source& asker) {
-    source.receive(schema::Ask{1, {}, asker.askRunners()}, {1, 1}, now, out);
+  schema::Update news;
+  const auto ask = [&](const feed::Publisher& asker) {
+    source.receive(schema::Poll{1, {}, asker.askRunners()}, {1, 1}, now, out);
     news = onlyNews(out);
     return feed::contentOf(news);
   };
-  const auto take = [&](feed::Source& asker, const schema::Content& content) {
+  const auto take = [&](feed::Publisher& asker, const schema::UpdateContent& content) {
     return asker.takeRunners(news, content, now);
   };
   cr_assert(take(sink, ask(sink)));
@@ -555,7 +556,7 @@
   auto other = changes;
   other.gone.clear();
   cr_assert_not(take(late, other));
-  cr_assert(late.askRunners() == schema::Stamp{} && late.runnersStamp() == (schema::Stamp{5, 1}));
+  cr_assert(late.askRunners() == schema::StateVersion{} && late.runnersVersion() == (schema::StateVersion{5, 1}));
   cr_assert(take(late, ask(late)) && late.runners() == source.runners());
   cr_assert(take(sink, changes) && sink.runners() == source.runners());
   cr_assert_not(take(sink, changes), "taken twice");
@@ -575,13 +576,13 @@
   const std::string path = folder;
   {
     auto opened = store::Store::open(path, 4u << 20);
-    cr_assert(base::fault(opened) == nullptr);
+    cr_assert(base::errorIn(opened) == nullptr);
     auto& s = *std::get<0>(opened);
     std::mutex mutex;
     std::condition_variable done;
     int finished = 0;
     for (int i = 0; i < 20; ++i)
-      s.write({1, control::Slot::Frame, "frame " + std::to_string(i)}, [&](std::uint64_t, bool ok) {
+      s.write({1, control::Slot::State, "state " + std::to_string(i)}, [&](std::uint64_t, bool ok) {
         const std::lock_guard lock(mutex);
         finished += ok;
         done.notify_one();
@@ -591,15 +592,15 @@
   }
   {
     auto opened = store::Store::open(path, 4u << 20);
-    cr_assert_eq(std::get<0>(opened)->read(control::Slot::Frame).value_or(""), "frame 19");
+    cr_assert_eq(std::get<0>(opened)->read(control::Slot::State).value_or(""), "state 19");
     cr_assert(!std::get<0>(opened)->read(control::Slot::Vote).has_value());
     cr_assert_not(std::get<0>(opened)->wasLost());
   }
   std::ofstream(path + "/state.mdb", std::ios::binary | std::ios::trunc) << "this is no database, only some text";
   auto opened = store::Store::open(path, 4u << 20);
-  cr_assert(base::fault(opened) == nullptr);
+  cr_assert(base::errorIn(opened) == nullptr);
   cr_assert(std::get<0>(opened)->wasLost());
-  cr_assert(!std::get<0>(opened)->read(control::Slot::Frame).has_value());
+  cr_assert(!std::get<0>(opened)->read(control::Slot::State).has_value());
 }
 
 // Found on the first full score (nordet and ordbro, configurations acknowledged seconds late): written through a
@@ -610,9 +611,9 @@
   const std::string path = folder;
   {
     auto opened = store::Store::open(path, 32u << 20);
-    cr_assert(base::fault(opened) == nullptr);
+    cr_assert(base::errorIn(opened) == nullptr);
     std::promise<bool> done;
-    std::get<0>(opened)->write({1, control::Slot::Frame, std::string(20000, 'x')},
+    std::get<0>(opened)->write({1, control::Slot::State, std::string(20000, 'x')},
                                [&](std::uint64_t, bool ok) { done.set_value(ok); });
     cr_assert(done.get_future().get());
   }
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -15,7 +15,7 @@
 #include "documents.hpp"
 #include "http/server.hpp"
 #include "membership/group.hpp"
-#include "pass/executor.hpp"
+#include "proxy/executor.hpp"
 #include "replay/recording.hpp"
 #include "routing/table.hpp"
 #include "runners/reader.hpp"
@@ -141,7 +141,7 @@
                        {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
                        1,
                        base::Clock::now() - Millis(60000)};
-  pass::Executor executor{io.get_executor(), table};
+  proxy::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
   routing::Picture picture;
@@ -149,20 +149,20 @@
   explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain",
                  const std::string& extra = "") {
     const auto past = base::Clock::now() - Millis(30000);
-    routing::fold(picture, routing::FrameCame{{1, 1},
-                                              std::make_shared<const control::Configuration>(std::get<0>(
-                                                  control::parseConfiguration(tests::document(1, 3000, extra)))),
-                                              {}});
+    routing::fold(picture, routing::StateReceived{{1, 1},
+                                                  std::make_shared<const control::Configuration>(std::get<0>(
+                                                      control::parseConfiguration(tests::document(1, 3000, extra)))),
+                                                  {}});
     schema::View view;
     schema::Member m;
     m.role = static_cast<std::uint8_t>(membership::Role::Router);
     view.members = {m};
-    routing::fold(picture, routing::ViewCame{view});
+    routing::fold(picture, routing::ViewReceived{view});
     std::vector<schema::RunnerEntry> list;
     for (std::size_t i = 0; i < runners.size(); ++i)
       list.push_back(
           {"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
-    routing::fold(picture, routing::RunnersCame{{1, 1}, list, past});
+    routing::fold(picture, routing::RunnersReceived{{1, 1}, list, past});
     table.setPicture(std::make_shared<const routing::Picture>(picture), past);
     table.setLease(base::Clock::now() + std::chrono::hours(1));
     asio::co_spawn(io, executor.accept(acceptor), asio::detached);
@@ -330,7 +330,7 @@
 }
 
 Test(pass, how_long_connections_are_kept_is_learned) {
-  pass::IdleLimit limit;
+  proxy::IdleLimit limit;
   auto now = base::Clock::now();
   const auto hour = std::chrono::hours(1);
   cr_assert(limit.most(true) > hour && limit.most(false) > hour);
@@ -449,11 +449,11 @@
   asio::co_spawn(io, readTimes(reader, 4, results), asio::detached);
   io.run();
   cr_assert_eq(results.size(), 4u);
-  cr_assert(base::fault(results[0]) == nullptr && std::get<0>(results[0]).size() == 2);
+  cr_assert(base::errorIn(results[0]) == nullptr && std::get<0>(results[0]).size() == 2);
   cr_assert(platform.request(1).target() == "/instances?pageToken=p-1");
   // Over the rate, cut short, or no answer: a fault, and the last list stays with whoever asked.
-  for (int i = 1; i < 4; ++i) cr_assert(base::fault(results[i]) != nullptr, "%d", i);
-  cr_assert(base::fault(results[1])->what.find("429") != std::string::npos);
+  for (int i = 1; i < 4; ++i) cr_assert(base::errorIn(results[i]) != nullptr, "%d", i);
+  cr_assert(base::errorIn(results[1])->what.find("429") != std::string::npos);
 }
 
 Test(pass, recorded_requests_are_what_the_replay_reads) {
@@ -467,7 +467,7 @@
     front.exchange(get("/check/1?q=\"x\"", "Indigohill-Prompt-Prefix: a:5,b:6\r\nIndigohill-Token-Usage: 11,3\r\n"));
   }
   auto parsed = replay::parseRecording(lines.str());
-  cr_assert(base::fault(parsed) == nullptr, "%s", base::fault(parsed) ? base::fault(parsed)->what.c_str() : "");
+  cr_assert(base::errorIn(parsed) == nullptr, "%s", base::errorIn(parsed) ? base::errorIn(parsed)->what.c_str() : "");
   const auto& r = std::get<0>(parsed).at(0);
   cr_assert(r.id == "abc" && r.host == "a.example" && r.path == "/check/1?q=\"x\"" && r.status == 200);
   cr_assert(r.prompt == "a:5,b:6" && r.tokens == "11,3");
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -22,7 +22,7 @@
 plan::Side side(const std::string& document, std::size_t engines) {
   plan::Side out;
   auto parsed = control::parseConfiguration(document);
-  cr_assert(base::fault(parsed) == nullptr);
+  cr_assert(base::errorIn(parsed) == nullptr);
   out.configuration = std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
   for (std::uint32_t i = 0; i < engines; ++i)
     out.runners.push_back(
@@ -150,7 +150,7 @@
   after = before;
   after.daemons.controllers = 2;
   cr_assert(plan::make(before, after).invalid.empty());
-  before.daemons.losses = 2;
+  before.daemons.faultTolerance = 2;
   cr_assert_eq(plan::make(before, after).invalid.size(), 1u);
   after = before;
   after.runners.clear();
@@ -177,7 +177,7 @@
   a.changed.clear();
   a.daemons = file("daemons", R"({"daemons":[{"id":"a","role":"cook"}]})");
   cr_assert_eq(cli::runPlan(a), 3);
-  cr_assert_eq(base::fault(plan::parseDaemons(R"({"daemons":[{"id":"a","role":"cook"}]})"))->what.substr(0, 15),
+  cr_assert_eq(base::errorIn(plan::parseDaemons(R"({"daemons":[{"id":"a","role":"cook"}]})"))->what.substr(0, 15),
                "daemons[0].role");
   a.daemons.clear();
   a.runners = folder + "none";
@@ -226,7 +226,7 @@
 
 Test(import, what_can_be_carried_over_is_and_the_rest_is_listed) {
   auto read = import::fromEnvoy(kEnvoy, 7);
-  cr_assert(base::fault(read) == nullptr, "%s", base::fault(read) ? base::fault(read)->what.c_str() : "");
+  cr_assert(base::errorIn(read) == nullptr, "%s", base::errorIn(read) ? base::errorIn(read)->what.c_str() : "");
   const auto& in = std::get<0>(read);
   const auto c = std::get<0>(control::parseConfiguration(in.document));
   cr_assert(c.revision == 7 && c.routes.size() == 2 && c.services.size() == 2);
@@ -243,7 +243,7 @@
 Test(import, a_file_that_cannot_be_read_gets_line_and_reason) {
   const auto what = [](const std::string& text) {
     auto r = import::fromEnvoy(text, 1);
-    return base::fault(r) == nullptr ? std::string() : base::fault(r)->what;
+    return base::errorIn(r) == nullptr ? std::string() : base::errorIn(r)->what;
   };
   cr_assert(what("a: [1,\nb: }").starts_with("line 2:"), "%s", what("a: [1,\nb: }").c_str());
   cr_assert(what("- 1").starts_with("line 1:"));
--- a/tests/test_replay.cpp
+++ b/tests/test_replay.cpp
@@ -21,7 +21,7 @@
 
 std::shared_ptr<const control::Configuration> configuration(const std::string& text) {
   auto parsed = control::parseConfiguration(text);
-  cr_assert(base::fault(parsed) == nullptr, "%s", base::fault(parsed) ? base::fault(parsed)->what.c_str() : "");
+  cr_assert(base::errorIn(parsed) == nullptr, "%s", base::errorIn(parsed) ? base::errorIn(parsed)->what.c_str() : "");
   return std::make_shared<const control::Configuration>(std::get<0>(std::move(parsed)));
 }
 
@@ -54,12 +54,12 @@
 
 replay::Model fleet(const std::string& troubles = "") {
   auto parsed = replay::parseModel(replaced(kFleet, "TROUBLES", troubles.empty() ? "" : ",\"troubles\":" + troubles));
-  cr_assert(base::fault(parsed) == nullptr, "%s", base::fault(parsed) ? base::fault(parsed)->what.c_str() : "");
+  cr_assert(base::errorIn(parsed) == nullptr, "%s", base::errorIn(parsed) ? base::errorIn(parsed)->what.c_str() : "");
   return std::get<0>(std::move(parsed));
 }
 std::vector<replay::Recorded> traffic(const std::string& lines) {
   auto parsed = replay::parseRecording(lines);
-  cr_assert(base::fault(parsed) == nullptr);
+  cr_assert(base::errorIn(parsed) == nullptr);
   return std::get<0>(std::move(parsed));
 }
 settings::Policy policy(const std::string& lines) { return std::get<0>(settings::parsePolicy(lines)); }
@@ -73,7 +73,7 @@
 Test(replay, records_and_fleets_that_cannot_be_read_are_named) {
   const auto lineOf = [](const std::string& text) {
     auto r = replay::parseRecording(text);
-    return base::fault(r) == nullptr ? std::string() : base::fault(r)->what;
+    return base::errorIn(r) == nullptr ? std::string() : base::errorIn(r)->what;
   };
   cr_assert_eq(lineOf(mix(4, 10)), "");
   cr_assert(lineOf("").starts_with("holds no record"));
@@ -82,7 +82,7 @@
   cr_assert(lineOf(replaced(record(1, "/a/", 1, 1), "\"atMs\":1", "\"atMs\":\"1\"")).starts_with("line 1: atMs:"));
   const auto fieldOf = [](const std::string& text) {
     auto r = replay::parseModel(text);
-    return base::fault(r) == nullptr ? std::string() : base::fault(r)->what;
+    return base::errorIn(r) == nullptr ? std::string() : base::errorIn(r)->what;
   };
   cr_assert(fieldOf("{}").starts_with("runners: missing"));
   cr_assert(fieldOf("nonsense").starts_with("not readable"));
@@ -92,7 +92,8 @@
                 .starts_with("troubles[0].kind:"));
   cr_assert(fieldOf(replaced(kFleet, "TROUBLES", R"(,"troubles":[{"kind":"router_kill","name":"router/9"}])"))
                 .starts_with("troubles[0].name:"));
-  cr_assert(base::fault(settings::parsePolicy("policy.overlapWeight=many"))->what.starts_with("policy.overlapWeight:"));
+  cr_assert(
+      base::errorIn(settings::parsePolicy("policy.overlapWeight=many"))->what.starts_with("policy.overlapWeight:"));
 }
 
 Test(replay, a_calm_mix_is_served_in_aim_and_the_same_twice) {
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -68,7 +68,7 @@
 }  // namespace
 
 Test(rollout, a_record_that_is_wrong_is_refused_and_the_field_is_named) {
-  cr_assert(base::fault(rollout::parseRecord(record(1))) == nullptr);
+  cr_assert(base::errorIn(rollout::parseRecord(record(1))) == nullptr);
   const std::vector<std::tuple<std::string, std::string, std::string>> cases{
       {R"("number":1)", R"("number":0)", "number: 1 or more"},
       {R"("number":1)", R"("number":"1")", "number: a whole number"},
@@ -95,12 +95,12 @@
       {R"("stages":)", R"("evenWithoutRunners":1,"stages":)", "evenWithoutRunners: true or false"}};
   for (const auto& [from, to, wanted] : cases) {
     const auto parsed = rollout::parseRecord(replaced(record(1), from, to));
-    cr_assert(base::fault(parsed) != nullptr, "%s is taken", to.c_str());
-    cr_assert(base::fault(parsed)->what.find(wanted) != std::string::npos, "wanted %s, got %s", wanted.c_str(),
-              base::fault(parsed)->what.c_str());
+    cr_assert(base::errorIn(parsed) != nullptr, "%s is taken", to.c_str());
+    cr_assert(base::errorIn(parsed)->what.find(wanted) != std::string::npos, "wanted %s, got %s", wanted.c_str(),
+              base::errorIn(parsed)->what.c_str());
   }
-  cr_assert(base::fault(rollout::parseRecord("{\"service\":")) != nullptr);
-  cr_assert(base::fault(rollout::parseRecord("[]")) != nullptr);
+  cr_assert(base::errorIn(rollout::parseRecord("{\"service\":")) != nullptr);
+  cr_assert(base::errorIn(rollout::parseRecord("[]")) != nullptr);
 }
 
 Test(rollout, whoever_disagrees_or_is_unknown_is_held_back_with_the_reason) {
@@ -204,7 +204,7 @@
   };
   const auto read = [&](const std::string& more) {
     auto page = runners::parsePage(entry(more));
-    cr_assert(base::fault(page) == nullptr, "%s", more.c_str());
+    cr_assert(base::errorIn(page) == nullptr, "%s", more.c_str());
     return std::get<0>(page).runners.at(0);
   };
   const auto whole = read(R"(,"revision":"v1","models":[{"name":"m","revision":1,"adapters":["law"]}])");
@@ -266,27 +266,27 @@
   routing::Picture picture;
   routing::Table table{"z0", {}, 1, base::TimePoint{std::chrono::hours(1)}};
   base::TimePoint now{std::chrono::hours(2)};
-  std::uint64_t serial = 1;
+  std::uint64_t sequence = 1;
   routing::Asked asked;
 
   explicit Routes(std::vector<schema::RunnerEntry> runners) {
-    frame({});
+    state({});
     list(std::move(runners));
     asked.route = &picture.configuration->routes.at(1);
     asked.service = "plain";
     asked.arrivedAt = now - Millis(5000);
     asked.deadline = now + Millis(5000);
   }
-  void frame(std::vector<rollout::InForce> rollouts) {
-    routing::fold(picture, routing::FrameCame{{1, ++serial},
-                                              std::make_shared<const control::Configuration>(
-                                                  std::get<0>(control::parseConfiguration(tests::document(1)))),
-                                              {},
-                                              std::move(rollouts)});
+  void state(std::vector<rollout::InForce> rollouts) {
+    routing::fold(picture, routing::StateReceived{{1, ++sequence},
+                                                  std::make_shared<const control::Configuration>(
+                                                      std::get<0>(control::parseConfiguration(tests::document(1)))),
+                                                  {},
+                                                  std::move(rollouts)});
     set();
   }
   void list(std::vector<schema::RunnerEntry> runners) {
-    routing::fold(picture, routing::RunnersCame{{1, ++serial}, std::move(runners), now});
+    routing::fold(picture, routing::RunnersReceived{{1, ++sequence}, std::move(runners), now});
     set();
   }
   void set() { table.setPicture(std::make_shared<const routing::Picture>(picture), now); }
@@ -306,7 +306,7 @@
   Routes r({runner("good"), runner("software", "v2"), runner("weights", "v1", 2), runner("adapters", "v1", 1, {}),
             runner("unknown", "")});
   cr_assert_eq(r.chosen().size(), 5u);
-  r.frame({inForce(0)});
+  r.state({inForce(0)});
   auto chosen = r.chosen();
   cr_assert(chosen.size() == 1 && chosen["good"] == 60);
   // What a request expects goes with it.
@@ -320,7 +320,7 @@
   cr_assert(r.chosen().empty());
   decision = r.table.decide(r.asked, r.now);
   same(std::get<routing::Shed>(decision).why, "no runner with a snapshot that may serve");
-  r.frame({});
+  r.state({});
   cr_assert_eq(r.chosen()["good"], 60);
   auto plain = r.table.decide(r.asked, r.now);
   cr_assert(!std::get<routing::PassTo>(plain).expectedVersion);
@@ -330,7 +330,7 @@
   Routes r({runner("good"), runner("liar")});
   r.table.contradicted("liar", "m", 2);
   cr_assert_eq(r.chosen().size(), 2u);  // nothing is declared
-  r.frame({inForce(0)});
+  r.state({inForce(0)});
   r.table.contradicted("liar", "m", 1);  // the list has caught up with the answer meanwhile
   cr_assert(r.chosen().size() == 2);
   r.table.contradicted("liar", "m", 2);
@@ -338,7 +338,7 @@
   r.list({runner("good"), runner("liar")});
   cr_assert(r.chosen().size() == 1);
   r.list({runner("good"), runner("liar", "v2", 2)});
-  r.frame({inForce(1)});
+  r.state({inForce(1)});
   cr_assert(r.chosen().size() == 2);
   // One that turned a request away is asked again after a while.
   r.table.turnedAway("liar", r.now);
@@ -367,7 +367,7 @@
   runners.push_back(runner("like"));
   Routes r(runners);
   for (const bool declared : {false, true}) {
-    if (declared) r.frame({inForce(1)});
+    if (declared) r.state({inForce(1)});
     for (const bool known : {true, false}) {
       r.asked.ranking = {};
       r.asked.version.reset();
@@ -385,18 +385,18 @@
 
 Test(rollout, other_weights_are_a_change_of_the_list_and_count_in_its_digest) {
   const base::TimePoint now{std::chrono::hours(1)};
-  feed::Source truth{feed::Times{}}, copy{feed::Times{}};
+  feed::Publisher truth{feed::Times{}}, copy{feed::Times{}};
   for (auto* source : {&truth, &copy}) source->setRunners({1, 1}, {runner("a"), runner("b"), runner("c")}, now);
-  std::uint64_t serial = 1;
+  std::uint64_t sequence = 1;
   const std::vector<schema::RunnerEntry> others{runner("b", "v1", 2), runner("b", "v2", 2), runner("b", "v2", 2, {}),
                                                 runner("b", "v2", 2, {"tax"})};
   for (const auto& other : others) {
-    const schema::Stamp before{1, serial};
-    truth.setRunners({1, ++serial}, {runner("a"), other, runner("c")}, now);
+    const schema::StateVersion before{1, sequence};
+    truth.setRunners({1, ++sequence}, {runner("a"), other, runner("c")}, now);
     net::Outbox out;
     truth.receive({1, {}, before}, {2, 2}, now, out);
     cr_assert_eq(out.size(), 1u);
-    const auto& news = std::get<schema::News>(out[0].message);
+    const auto& news = std::get<schema::Update>(out[0].message);
     const auto content = feed::contentOf(news);
     cr_assert(content.runnersBase == before && content.runners == std::vector{other} && content.gone.empty());
     // Of other weights on its way, it is not the list that it should be.
@@ -647,8 +647,8 @@
     r.set("Indigohill-Model", "m");
     return r;
   }();
-  cr_assert_eq(pass::forRunner(in, "r", Millis(100), "").count("Indigohill-Expected-Version"), 0u);
-  cr_assert(pass::forRunner(in, "r", Millis(100), "", 3)["Indigohill-Expected-Version"] == "3");
+  cr_assert_eq(proxy::forRunner(in, "r", Millis(100), "").count("Indigohill-Expected-Version"), 0u);
+  cr_assert(proxy::forRunner(in, "r", Millis(100), "", 3)["Indigohill-Expected-Version"] == "3");
 }
 
 // The simulated fleet.
@@ -856,64 +856,64 @@
 Test(rollout_world, a_daemon_that_holds_something_else_under_the_stamp_is_not_ready_and_fetches_it_whole) {
   const settings::Endpoint source{1, 1};
   const auto now = base::TimePoint{std::chrono::hours(1)};
-  feed::Source truth{feed::Times{}};
-  schema::Frame frame{{1, 5}, 1, tests::document(1), {}, {}, {{"plain", 1, 0, record(1)}}};
-  truth.setFrame(frame);
+  feed::Publisher truth{feed::Times{}};
+  schema::ControlState state{{1, 5}, 1, tests::document(1), {}, {}, {{"plain", 1, 0, record(1)}}};
+  truth.setState(state);
   truth.setRunners({1, 1}, {runner("good")}, now);
   truth.setConfirmed(true);
   feed::Follower follower({"r", "z0", {2, 2}}, {source}, membership::Times{}, feed::Times{}, Millis(3000), 1, now);
   routing::Picture picture;
   // Carries asks to the source and its answers back, as `spoil` leaves them.
   auto at = now;
-  const auto round = [&](const std::function<void(schema::News&)>& spoil) {
-    feed::Followed fx;
+  const auto round = [&](const std::function<void(schema::Update&)>& spoil) {
+    feed::FollowerEffects effects;
     at += Millis(800);
-    follower.tick(at, fx);
-    for (const auto& item : fx.out)
-      if (const auto* ask = std::get_if<schema::Ask>(&item.message)) {
+    follower.tick(at, effects);
+    for (const auto& item : effects.out)
+      if (const auto* ask = std::get_if<schema::Poll>(&item.message)) {
         net::Outbox out;
         truth.receive(*ask, {2, 2}, at, out);
         truth.tick(at + Millis(700), out);
         for (auto& answer : out) {
-          auto news = std::get<schema::News>(answer.message);
+          auto news = std::get<schema::Update>(answer.message);
           spoil(news);
-          feed::Followed after;
+          feed::FollowerEffects after;
           follower.receive(news, source, at, after);
           for (const auto& event : after.events) routing::fold(picture, event);
         }
       }
   };
-  const auto plainly = [](schema::News&) {};
-  const auto other = [](schema::News& news) {
+  const auto plainly = [](schema::Update&) {};
+  const auto other = [](schema::Update& news) {
     auto content = feed::contentOf(news);
-    cr_assert_eq(content.frames.size(), 1u);
-    content.frames[0].rollouts[0].number = 7;
-    news.content = net::encodeContent(content);
+    cr_assert_eq(content.states.size(), 1u);
+    content.states[0].rollouts[0].number = 7;
+    news.content = net::encodeUpdateContent(content);
   };
   round(plainly);
   cr_assert(follower.informed() && picture.rollouts.at("plain").number == 1);
   for (int i = 0; i < 3; ++i) round(plainly);
   cr_assert(follower.informed());
   // A new one arrives as something else.
-  frame.stamp.serial = 6;
-  frame.rollouts[0].number = 2;
-  truth.setFrame(frame);
+  state.version.sequence = 6;
+  state.rollouts[0].number = 2;
+  truth.setState(state);
   round(other);
   cr_assert(!follower.informed() && picture.rollouts.at("plain").number == 7);
   for (int i = 0; i < 5; ++i) round(plainly);
   cr_assert(follower.informed() && picture.rollouts.at("plain").number == 2);
   // A record of a later program: held back and not ready until one comes that it can read.
-  frame.stamp.serial = 7;
-  frame.rollouts[0].document = replaced(record(3), "\"stages\"", "\"phases\"");
-  truth.setFrame(frame);
+  state.version.sequence = 7;
+  state.rollouts[0].document = replaced(record(3), "\"stages\"", "\"phases\"");
+  truth.setState(state);
   for (int i = 0; i < 6; ++i) {
     round(plainly);
     cr_assert(!follower.informed());
   }
   cr_assert(!picture.rollouts.at("plain").record);
-  frame.stamp.serial = 8;
-  frame.rollouts[0].document = record(4);
-  truth.setFrame(frame);
+  state.version.sequence = 8;
+  state.rollouts[0].document = record(4);
+  truth.setState(state);
   for (int i = 0; i < 4; ++i) round(plainly);
   cr_assert(follower.informed() && picture.rollouts.at("plain").record);
 }
--- a/tests/test_scale.cpp
+++ b/tests/test_scale.cpp
@@ -54,8 +54,8 @@
     if (!fleet.machine(i).alive) fleet.start(i);
   cr_assert(fleet.until(Millis(3000), [&] { return fleet.viewed(fleet.size()); }));
   // Each member is told of each extension about once: what is told grows with the members, not with their square.
-  cr_assert_lt(fleet.counts["Propose"].messages + fleet.counts["Extend"].messages, 8 * fleet.size());
-  cr_assert_lt(fleet.counts["Propose"].bytes + fleet.counts["Extend"].bytes + fleet.counts["Commit"].bytes,
+  cr_assert_lt(fleet.counts["Propose"].messages + fleet.counts["ProposeChanges"].messages, 8 * fleet.size());
+  cr_assert_lt(fleet.counts["Propose"].bytes + fleet.counts["ProposeChanges"].bytes + fleet.counts["Commit"].bytes,
                6000 * fleet.size());
 }
 
@@ -167,24 +167,24 @@
   auto next = base;
   next.number += 3;
   next.members.push_back({"9", "", "z", 1, 9, 1, 9, next.number - 1});
-  schema::Extend changes{base.number,
-                         1,
-                         77,
-                         base.members[0].incarnation,
-                         false,
-                         {{{}, {next.members.back()}}},
-                         next.number,
-                         next.epoch,
-                         next.lister,
-                         next.voters,
-                         2};
+  schema::ProposeChanges changes{base.number,
+                                 1,
+                                 77,
+                                 base.members[0].incarnation,
+                                 false,
+                                 {{{}, {next.members.back()}}},
+                                 next.number,
+                                 next.epoch,
+                                 next.lister,
+                                 next.voters,
+                                 2};
   net::Outbox out;
   // The digests are others': neither acknowledged nor delivered, but asked for whole.
   m.at(2).receive(changes, {1, 1}, m.now, out);
-  cr_assert(out.size() == 1 && std::get<schema::WantView>(out[0].message).round == 77);
+  cr_assert(out.size() == 1 && std::get<schema::ViewRequest>(out[0].message).round == 77);
   out.clear();
-  m.at(2).receive(schema::Deliver{next.number, 2, {}, 0}, {1, 1}, m.now, out);
-  cr_assert(out.size() == 1 && std::get<schema::WantView>(out[0].message).number == next.number);
+  m.at(2).receive(schema::CommitChanges{next.number, 2, {}, 0}, {1, 1}, m.now, out);
+  cr_assert(out.size() == 1 && std::get<schema::ViewRequest>(out[0].message).number == next.number);
   cr_assert_eq(m.at(2).view()->number, base.number);
   out.clear();
   m.at(2).receive(schema::Propose{base.number, 77, base.members[0].incarnation, false, false, changes.steps, next},
@@ -192,7 +192,7 @@
   cr_assert(out.size() == 1 && std::holds_alternative<schema::Ack>(out[0].message));
   out.clear();
   // Acknowledged, it needs no more than the number; under another digest it would be another view.
-  m.at(2).receive(schema::Deliver{next.number, 2, {}, 0}, {1, 1}, m.now, out);
+  m.at(2).receive(schema::CommitChanges{next.number, 2, {}, 0}, {1, 1}, m.now, out);
   cr_assert_eq(m.at(2).view()->number, base.number);
   m.at(2).receive(schema::Commit{next, {}, 0}, {1, 1}, m.now, out);
   cr_assert_eq(m.at(2).view()->number, next.number);
@@ -222,10 +222,10 @@
   out.clear();
   group.receive(schema::Leave{50, 0}, {2, 1}, now, out);
   const schema::Propose* proposal = nullptr;
-  const schema::Extend* changes = nullptr;
+  const schema::ProposeChanges* changes = nullptr;
   for (const auto& item : out) {
     if (const auto* found = std::get_if<schema::Propose>(&item.message)) proposal = found;
-    if (const auto* found = std::get_if<schema::Extend>(&item.message)) changes = found;
+    if (const auto* found = std::get_if<schema::ProposeChanges>(&item.message)) changes = found;
   }
   cr_assert(proposal != nullptr && changes != nullptr, "one whole for the joiner, changes for the other member");
   std::string ids;
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -22,7 +22,7 @@
   bringUp(world, op);
   cr_assert(op.readBack(Millis(8000)));
   for (std::size_t i = world.controllers(); i < world.size(); ++i)
-    cr_assert_eq(world.node(i).follower->source().frame()->revision, 1u);
+    cr_assert_eq(world.node(i).follower->source().state()->revision, 1u);
 }
 
 Test(world, an_exact_resend_is_acknowledged_and_a_late_base_is_refused) {
@@ -276,7 +276,9 @@
     out.clear();
     return {view, {}, 0};
   }
-  void hello(std::int64_t echoMs) { group.receive(schema::Hello{50, 100, 1, echoMs, false, 0, {}}, {2, 2}, now, out); }
+  void hello(std::int64_t echoMs) {
+    group.receive(schema::Heartbeat{50, 100, 1, echoMs, false, 0, {}}, {2, 2}, now, out);
+  }
 };
 
 }  // namespace
@@ -310,12 +312,12 @@
   Pair p;
   p.group.receive(p.commit(), {2, 2}, p.now, p.out);
   cr_assert_not(p.group.leaseHeld(p.now), "no voter has shown the view yet");
-  const auto stamp = indigohill::base::toMs(p.now);
-  p.hello(stamp);
+  const auto version = indigohill::base::toMs(p.now);
+  p.hello(version);
   cr_assert(p.group.leaseHeld(p.now));
   // Frozen meanwhile: the same echo read late renews nothing.
   p.now += Millis(5000);
-  p.hello(stamp);
+  p.hello(version);
   cr_assert_not(p.group.leaseHeld(p.now));
   p.hello(indigohill::base::toMs(p.now));
   cr_assert(p.group.leaseHeld(p.now));
@@ -325,17 +327,17 @@
   Pair p;
   p.group.receive(p.commit(), {2, 2}, p.now, p.out);
   p.out.clear();
-  p.group.receive(schema::Hello{50, 90, 1, 0, true, 0, {}}, {2, 2}, p.now, p.out);
+  p.group.receive(schema::Heartbeat{50, 90, 1, 0, true, 0, {}}, {2, 2}, p.now, p.out);
   cr_assert_eq(p.out.size(), 1u);
-  cr_assert_eq(std::get<schema::Deliver>(p.out[0].message).number, 100u);
+  cr_assert_eq(std::get<schema::CommitChanges>(p.out[0].message).number, 100u);
   p.out.clear();
-  p.group.receive(schema::WantView{0, 100}, {2, 2}, p.now, p.out);
+  p.group.receive(schema::ViewRequest{0, 100}, {2, 2}, p.now, p.out);
   cr_assert(p.out.size() == 1 && std::get<schema::Commit>(p.out[0].message).result == *p.group.view());
   cr_assert_eq(p.group.rejected(), 1u);
   // A failed incarnation is told so, by one that holds the lease.
   p.hello(indigohill::base::toMs(p.now));
   p.out.clear();
-  p.group.receive(schema::Hello{49, 90, 1, 0, true, 0, {}}, {3, 3}, p.now, p.out);
+  p.group.receive(schema::Heartbeat{49, 90, 1, 0, true, 0, {}}, {3, 3}, p.now, p.out);
   cr_assert(p.out.size() == 1 && std::get<schema::YouAreDead>(p.out[0].message).incarnation == 49);
 }
 
@@ -401,8 +403,8 @@
       for (std::size_t i = 0; i < world.size(); ++i) {
         auto& n = world.node(i);
         if (!n.alive) continue;
-        const auto& frame = (n.isController ? n.controller->source() : n.follower->source()).frame();
-        if (frame && op.refused.contains(frame->revision)) world.breakRule(n.name + " has a refused configuration");
+        const auto& state = (n.isController ? n.controller->source() : n.follower->source()).state();
+        if (state && op.refused.contains(state->revision)) world.breakRule(n.name + " has a refused configuration");
       }
     });
     bringUp(world, op);
--- a/tools/benchchoice.cpp
+++ b/tools/benchchoice.cpp
@@ -36,15 +36,15 @@
   auto now = base::TimePoint(std::chrono::hours(1));
   routing::Table table("z0", {}, 1, now);
   routing::Picture picture;
-  routing::fold(picture, routing::FrameCame{{1, 1},
-                                            std::make_shared<const control::Configuration>(
-                                                std::get<0>(control::parseConfiguration(kDocument))),
-                                            {}});
+  routing::fold(picture, routing::StateReceived{{1, 1},
+                                                std::make_shared<const control::Configuration>(
+                                                    std::get<0>(control::parseConfiguration(kDocument))),
+                                                {}});
   std::vector<schema::RunnerEntry> list;
   for (std::uint32_t i = 0; i < runners; ++i)
     list.push_back(
         {fmt::format("i-{:08x}", i * 2654435761u), "engine", fmt::format("z{}", i % 3), i + 1, 80, 24, false, 0});
-  routing::fold(picture, routing::RunnersCame{{1, 1}, list, now});
+  routing::fold(picture, routing::RunnersReceived{{1, 1}, list, now});
   const auto shown = std::make_shared<const routing::Picture>(picture);
   table.setPicture(shown, now);
   for (std::uint64_t i = 0; i < kPrefixes; ++i) {
--- a/tools/schemagen.cpp
+++ b/tools/schemagen.cpp
@@ -64,7 +64,7 @@
     out << "  template <class Archive>\n  void serialize(Archive& archive, unsigned) {\n";
     for (const auto& f : s.fields) out << "    archive & " << f.name << ";\n";
     out << "  }\n  bool operator==(const " << s.name << "&) const = default;\n";
-    if (s.name == "Stamp") out << "  auto operator<=>(const Stamp&) const = default;\n";
+    if (s.name == "StateVersion") out << "  auto operator<=>(const StateVersion&) const = default;\n";
     out << "};\n";
   }
   out << "\n// One line for each message that can be sent: number on the wire, name.\n"
