--- a/src/kvindex/index.cpp
+++ b/src/kvindex/index.cpp
@@ -77,7 +77,7 @@
 }
 
 void Index::link(BlockId id) {
-  for (int i = 0; i < kLists; ++i) {
+  for (std::size_t i = 0; i < kLists; ++i) {
     auto& [first, last] = ends(static_cast<List>(i), blocks_[id]);
     blocks_[id].at[i] = {kNone, first};
     (first == kNone ? last : blocks_[first].at[i].before) = id;
@@ -86,7 +86,7 @@
 }
 
 void Index::unlink(BlockId id) {
-  for (int i = 0; i < kLists; ++i) {
+  for (std::size_t i = 0; i < kLists; ++i) {
     auto& [first, last] = ends(static_cast<List>(i), blocks_[id]);
     const auto [before, after] = blocks_[id].at[i];
     (before == kNone ? first : blocks_[before].at[i].after) = after;
--- a/src/kvindex/index.hpp
+++ b/src/kvindex/index.hpp
@@ -89,7 +89,8 @@
   using BlockId = std::uint32_t;
   static constexpr std::uint32_t kNone = UINT32_MAX;
   // Lists through the blocks, the latest used first: all blocks, those of a runner, those of a node.
-  enum List { All, OfRunner, OfNode, kLists };
+  enum List { All, OfRunner, OfNode };
+  static constexpr std::size_t kLists = 3;
   struct Ends {
     BlockId first = kNone, last = kNone;
   };
--- a/src/runners/reader.hpp
+++ b/src/runners/reader.hpp
@@ -7,7 +7,7 @@
 // Reads the platform's whole list, page by page, over a kept connection.
 class Reader {
  public:
-  Reader(http::asio::any_io_executor executor, settings::Endpoint platform) : client_(executor, platform) {}
+  Reader(http::asio::any_io_executor executor, settings::Endpoint platform) : client_(std::move(executor), platform) {}
 
   http::asio::awaitable<base::Result<std::vector<schema::RunnerEntry>>> read(base::Millis limit) {
     std::vector<schema::RunnerEntry> all;
