--- a/src/base/fwd.hpp
+++ b/src/base/fwd.hpp
@@ -3,6 +3,6 @@
 namespace indigohill::base {
 enum class Verdict;
 struct Error;
-template <class Event, class Picture>
+template <class Event, class State>
 class Journal;
 }  // namespace indigohill::base
--- a/src/base/journal.hpp
+++ b/src/base/journal.hpp
@@ -8,31 +8,31 @@
 
 namespace indigohill::base {
 
-// A bounded journal in memory. Events are appended; the picture is folded from them, one after the other, and
+// A bounded journal in memory. Events are appended; the state is folded from them, one after the other, and
 // handed to readers as a whole that never changes under them. The bound is on what is kept to be looked at later:
 // every event is folded before it can fall out.
-template <class Event, class Picture>
+template <class Event, class State>
 class Journal {
  public:
-  using Fold = std::function<void(Picture&, const Event&)>;
+  using Fold = std::function<void(State&, const Event&)>;
 
   explicit Journal(Fold fold, std::size_t keep = 256)
-      : fold_(std::move(fold)), keep_(keep), picture_(std::make_shared<const Picture>()) {}
+      : fold_(std::move(fold)), keep_(keep), state_(std::make_shared<const State>()) {}
 
-  std::shared_ptr<const Picture> append(Event event) {
+  std::shared_ptr<const State> append(Event event) {
     const std::lock_guard lock(mutex_);
-    auto next = std::make_shared<Picture>(*picture_);
+    auto next = std::make_shared<State>(*state_);
     fold_(*next, event);
     events_.push_back(std::move(event));
     ++appended_;
     if (events_.size() > keep_) events_.pop_front();
-    picture_ = std::move(next);
-    return picture_;
+    state_ = std::move(next);
+    return state_;
   }
 
-  std::shared_ptr<const Picture> picture() const {
+  std::shared_ptr<const State> state() const {
     const std::lock_guard lock(mutex_);
-    return picture_;
+    return state_;
   }
   std::uint64_t appended() const {
     const std::lock_guard lock(mutex_);
@@ -49,7 +49,7 @@
   mutable std::mutex mutex_;
   std::deque<Event> events_;
   std::uint64_t appended_ = 0;
-  std::shared_ptr<const Picture> picture_;
+  std::shared_ptr<const State> state_;
 };
 
 }  // namespace indigohill::base
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -118,7 +118,7 @@
     for (const auto& note : effects.notes) spdlog::info("{}", note);
     for (const auto& demand : effects.demands) table_.heard(demand, now);
     for (const auto& suspicions : effects.suspicions) table_.heard(suspicions, now);
-    for (auto& event : effects.events) table_.setPicture(journal_.append(std::move(event)), now);
+    for (auto& event : effects.events) table_.setSnapshot(journal_.append(std::move(event)), now);
     if (!effects.events.empty()) executor_.waitlist().wakeAll();
     table_.setLease(core_.group().leaseUntil());
     isReady_ = core_.informed() && !leaving_;
@@ -130,7 +130,7 @@
     const auto now = base::Clock::now();
     feed::FollowerEffects effects;
     core_.tick(now, effects);
-    for (const auto& [to, suspicions] : table_.takeSuspicions(now))
+    for (const auto& [to, suspicions] : table_.takeHealthReports(now))
       to == 0 ? core_.tell(suspicions, effects.out) : core_.tell(to, suspicions, effects.out);
     if (now - lookedAt_ >= kSettingsLook) {
       lookedAt_ = now;
@@ -190,7 +190,7 @@
   asio::io_context io_;
   asio::strand<asio::io_context::executor_type> cohort_;
   feed::Follower core_;
-  base::Journal<routing::Event, routing::Picture> journal_;
+  base::Journal<routing::Event, routing::RoutingSnapshot> journal_;
   routing::Table table_;
   proxy::Executor executor_;
   http::tcp::acceptor acceptor_;
--- a/src/hollow/daemon.cpp
+++ b/src/hollow/daemon.cpp
@@ -48,7 +48,7 @@
   } else {
     follower_ = std::make_unique<feed::Follower>(feed::Follower::Self{place.name, place.zone, place.cohort}, cohorts,
                                                  membership::Times{}, feed::Times{}, base::Millis(3000), seed, now);
-    journal_ = std::make_unique<base::Journal<routing::Event, routing::Picture>>(routing::fold, kJournalKept);
+    journal_ = std::make_unique<base::Journal<routing::Event, routing::RoutingSnapshot>>(routing::fold, kJournalKept);
     table_ = std::make_unique<routing::Table>(place.zone, routing::Bounds{}, seed + 1, now);
   }
 }
@@ -141,7 +141,7 @@
 
 void Daemon::perform(feed::FollowerEffects& followed, base::TimePoint now, Output& effects) {
   for (const auto& demand : followed.demands) table_->heard(demand, now);
-  for (auto& event : followed.events) table_->setPicture(journal_->append(std::move(event)), now);
+  for (auto& event : followed.events) table_->setSnapshot(journal_->append(std::move(event)), now);
   table_->setLease(follower_->group().leaseUntil());
   std::move(followed.out.begin(), followed.out.end(), std::back_inserter(effects.out));
 }
--- a/src/hollow/daemon.hpp
+++ b/src/hollow/daemon.hpp
@@ -94,7 +94,7 @@
 
   std::unique_ptr<control::Controller> controller_;
   std::unique_ptr<feed::Follower> follower_;
-  std::unique_ptr<base::Journal<routing::Event, routing::Picture>> journal_;
+  std::unique_ptr<base::Journal<routing::Event, routing::RoutingSnapshot>> journal_;
   std::unique_ptr<routing::Table> table_;
 };
 
--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -327,13 +327,13 @@
   put("parts", "configurationParsed", live() - beforeConfiguration, "bytes", true);
 
   const double beforeTable = live();
-  base::Journal<routing::Event, routing::Picture> journal(routing::fold);
+  base::Journal<routing::Event, routing::RoutingSnapshot> journal(routing::fold);
   routing::Table table("zone-0", routing::Bounds{}, shape.seed, now);
   table.setLease(now + std::chrono::hours(1));
   const auto runners = runnerList(shape.runners, 1, shape.zones);
-  table.setPicture(journal.append(routing::StateReceived{{1, 1}, configured, {}}), now);
-  table.setPicture(journal.append(routing::RunnersReceived{{1, 1}, runners, now}), now);
-  table.setPicture(journal.append(routing::ViewReceived{viewOf(shape)}), now);
+  table.setSnapshot(journal.append(routing::StateReceived{{1, 1}, configured, {}}), now);
+  table.setSnapshot(journal.append(routing::RunnersReceived{{1, 1}, runners, now}), now);
+  table.setSnapshot(journal.append(routing::ViewReceived{viewOf(shape)}), now);
   put("parts", "tableAndPicture", live() - beforeTable, "bytes", true);
 
   // Prompts with shared parts, drawn from a seed; each place is given back at once.
@@ -343,7 +343,7 @@
   const auto from = threadCpuNs();
   for (std::size_t i = 0; i < choices; ++i) {
     now += Millis(1);
-    routing::Asked asked;
+    routing::RequestProfile asked;
     asked.route = &route;
     asked.service = "model-0";
     asked.prompt = {{random() % 16, 400}, {random() % 4000, 1200}, {random(), 300}};
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -45,11 +45,11 @@
 
 std::unique_ptr<routing::Table> table(const Side& side) {
   const base::TimePoint now{std::chrono::hours(1)};
-  auto picture = std::make_shared<routing::Picture>();
-  routing::fold(*picture, routing::StateReceived{{1, 1}, side.configuration, side.evacuated, side.rollouts});
-  routing::fold(*picture, routing::RunnersReceived{{1, 1}, side.runners, now});
+  auto snapshot = std::make_shared<routing::RoutingSnapshot>();
+  routing::fold(*snapshot, routing::StateReceived{{1, 1}, side.configuration, side.evacuated, side.rollouts});
+  routing::fold(*snapshot, routing::RunnersReceived{{1, 1}, side.runners, now});
   auto out = std::make_unique<routing::Table>("", side.daemons.bounds, 1, now);
-  out->setPicture(std::move(picture), now);
+  out->setSnapshot(std::move(snapshot), now);
   return out;
 }
 
@@ -104,8 +104,8 @@
     change.runnersTo = usable(to, name);
     const auto* a = from.configuration->service(name);
     const auto* b = to.configuration->service(name);
-    if (a != nullptr) change.warmRateFrom = routing::warmRate(*a, from.daemons.bounds, from.daemons.routers);
-    if (b != nullptr) change.warmRateTo = routing::warmRate(*b, to.daemons.bounds, to.daemons.routers);
+    if (a != nullptr) change.warmRateFrom = routing::slowStartRate(*a, from.daemons.bounds, from.daemons.routers);
+    if (b != nullptr) change.warmRateTo = routing::slowStartRate(*b, to.daemons.bounds, to.daemons.routers);
     std::size_t moved = 0;
     for (std::size_t i = 0; i < samples; ++i) {
       // Two parts, of which the last is the request's own.
--- a/src/proxy/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -173,7 +173,7 @@
     state->timer.async_wait([state](boost::system::error_code error) {
       if (error || state->connection == nullptr) return;
       const auto now = base::Clock::now();
-      if (!std::exchange(state->told, true)) state->table.late(state->instanceId, now);
+      if (!std::exchange(state->told, true)) state->table.recordLate(state->instanceId, now);
       if (!state->repeatable) return;
       if (state->table.suspended(state->instanceId, now)) {
         state->tookAway = true;
@@ -290,7 +290,7 @@
     co_await wire::async_write(client, out, http::kTuple);
   };
   for (;;) {
-    const auto picture = table_.picture();
+    const auto picture = table_.snapshot();
     const auto limits = picture->configuration ? picture->configuration->limits : control::Limits{};
     if (buffer.size() == 0) {
       client.expires_after(limits.idleTimeout);
@@ -382,7 +382,7 @@
 }
 
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
-  auto picture = table_.picture();
+  auto picture = table_.snapshot();
   const Millis told(
       std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
   // Just started: a configuration and runners come within moments, and a request that waits for them is served sooner
@@ -390,7 +390,7 @@
   const auto patience = arrivedAt + std::min(kFirstNews, told / 4);
   while ((!picture->configuration || !picture->hasRunners) && base::Clock::now() < patience) {
     if (!co_await waitlist_.wait(0, std::min(patience, base::Clock::now() + Millis(50)))) break;
-    picture = table_.picture();
+    picture = table_.snapshot();
   }
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
@@ -444,13 +444,13 @@
     }
     auto& to = std::get<routing::PassTo>(next);
     if (conduct.asked().tries > 1) ++(x.started ? counters_.resumed : counters_.retried);
-    x.taking = &to.taking;
+    x.taking = &to.admission;
     x.sentAt = now;
     // A client that names a version is taken at its word.
     const auto wanted = view(request[kExpectedVersion]);
     x.expected = wanted.empty() ? to.expectedVersion : rollout::parseVersions(wanted).version;
     const auto outcome = co_await attempt(x, to);
-    to.taking.release();
+    to.admission.release();
     waitlist_.wake();
     if (outcome.end == Outcome::End::Answered) {
       ++counters_.passed;
@@ -517,7 +517,7 @@
   using End = Outcome::End;
   auto taken = co_await pool_.take(x.service, to.instanceId, to.address, x.route.repeatable(), x.deadline);
   if (const auto* bad = base::errorIn(taken)) {
-    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
     co_return Outcome{End::Unreached, Verdict::NotRun, bad->what};
   }
   auto connection = std::get<0>(std::move(taken));
@@ -532,7 +532,7 @@
     if (connection->reused && !answered && error != beast::error::timeout)
       pool_.reused(x.service, *connection, true);
     else
-      table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+      table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
   };
   auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
   if (writeError) {
@@ -571,18 +571,18 @@
   if (const auto load = view(head[kLoad]); !load.empty()) {
     const auto first = load.find(','), second = load.find(',', first == std::string_view::npos ? first : first + 1);
     if (second != std::string_view::npos)
-      table_.load(to.instanceId, number<std::uint32_t>(load.substr(0, first), 0),
-                  number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
-                  number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
+      table_.reportLoad(to.instanceId, number<std::uint32_t>(load.substr(0, first), 0),
+                        number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
+                        number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
   }
   // Parts of prompts that were kept are of the weights they were computed with.
   const auto weights = view(head[kWeightVersions]);
   const auto told = rollout::parseVersions(weights);
   if (!weights.empty())
-    table_.weights(to.instanceId, base::hash(view(x.request[kModel])),
-                   told.version && !told.mixed ? *told.version : base::hash(weights));
+    table_.setRevision(to.instanceId, base::hash(view(x.request[kModel])),
+                       told.version && !told.mixed ? *told.version : base::hash(weights));
   const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
-  if (!notRun && status < 500 && !watch.late()) table_.inTime(to.instanceId, base::Clock::now());
+  if (!notRun && status < 500 && !watch.late()) table_.recordInTime(to.instanceId, base::Clock::now());
   const bool otherVersion = x.expected && told.otherThan(*x.expected);
   const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
   Outcome outcome;
@@ -592,12 +592,14 @@
     // One that has other weights by now is well, so it is no evidence of illness. What a client alone wished for tells
     // nothing about the runner's entry in the list.
     const bool otherWeights = status == 421 && x.expected;
-    table_.mark(to.instanceId, otherWeights ? routing::Mark::Good : routing::Mark::Refused, base::Clock::now());
-    if (otherWeights && x.expected == to.expectedVersion) table_.turnedAway(to.instanceId, base::Clock::now());
+    table_.recordResult(to.instanceId,
+                        otherWeights ? routing::AttemptResult::Success : routing::AttemptResult::Rejected,
+                        base::Clock::now());
+    if (otherWeights && x.expected == to.expectedVersion) table_.versionRejected(to.instanceId, base::Clock::now());
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
     if (!co_await skipBody(*connection, *parser)) co_return outcome;
   } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
-    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
   } else if (otherVersion && status < 300) {
     // It has run, so it is no success and promises nothing.
@@ -617,20 +619,21 @@
   // Its 504 at the deadline says nothing of its health.
   const bool ownFailure = status >= 500 && status != 504;
   if (outcome.end == End::Answered)
-    table_.mark(to.instanceId, ownFailure ? routing::Mark::Fault : routing::Mark::Good, now);
+    table_.recordResult(to.instanceId, ownFailure ? routing::AttemptResult::Failure : routing::AttemptResult::Success,
+                        now);
   // A runner of other weights is well; it just must not serve this.
   if (outcome.otherVersion)
-    table_.contradicted(to.instanceId, view(x.request[kModel]),
-                        outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
+    table_.versionMismatched(to.instanceId, view(x.request[kModel]),
+                             outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
   else if (outcome.end == End::Fault && now < x.deadline)
-    table_.mark(to.instanceId, routing::Mark::Fault, now);
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, now);
   if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
     pool_.giveBack(to.instanceId, std::move(connection), idle);
   co_return outcome;
 }
 
 bool Executor::mayChange(const Exchange& x, std::uint64_t from, std::uint64_t to) const {
-  const auto picture = table_.picture();
+  const auto picture = table_.snapshot();
   const auto found = picture->rollouts.find(x.service);
   return found != picture->rollouts.end() && found->second.allowsWithinStream(view(x.request[kModel]), from, to);
 }
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -27,7 +27,7 @@
   base::TimePoint arrivedAt, deadline, sentAt;
   const control::Route* route = nullptr;
   std::unique_ptr<routing::RoutingPolicy> conduct;
-  std::optional<routing::Admission> taking;
+  std::optional<routing::Admission> admission;
   std::string runner;         // the one that has it
   std::uint64_t sending = 0;  // counts the sends, so that what belongs to an earlier one is told apart
   std::uint32_t workMs = 0, outTokens = 0, eventsSent = 0;
@@ -64,10 +64,10 @@
   for (std::uint32_t i = 0; i < model_.routers; ++i) {
     Router router;
     router.table = std::make_unique<routing::Table>(model_.zones[i % model_.zones.size()], bounds, seed + i, past);
-    router.picture = std::make_shared<routing::Picture>();
-    routing::fold(*router.picture, routing::StateReceived{{1, 1}, configuration_, {}});
-    routing::fold(*router.picture, routing::ViewReceived{view, i + 1});
-    router.table->setPicture(std::make_shared<const routing::Picture>(*router.picture), past);
+    router.snapshot = std::make_shared<routing::RoutingSnapshot>();
+    routing::fold(*router.snapshot, routing::StateReceived{{1, 1}, configuration_, {}});
+    routing::fold(*router.snapshot, routing::ViewReceived{view, i + 1});
+    router.table->setSnapshot(std::make_shared<const routing::RoutingSnapshot>(*router.snapshot), past);
     router.table->setTell([this, i](const schema::LoadNotice& demand) {
       after(kHop, [this, i, demand] {
         for (std::uint32_t other = 0; other < routers_.size(); ++other)
@@ -88,8 +88,8 @@
   for (const auto& r : runners_)
     if (r->up) list.push_back(r->entry);
   for (auto& router : routers_) {
-    routing::fold(*router.picture, routing::RunnersReceived{{1, version_}, list, now_});
-    router.table->setPicture(std::make_shared<const routing::Picture>(*router.picture), now_);
+    routing::fold(*router.snapshot, routing::RunnersReceived{{1, version_}, list, now_});
+    router.table->setSnapshot(std::make_shared<const routing::RoutingSnapshot>(*router.snapshot), now_);
     router.table->setLease(now_ + std::chrono::hours(100));
   }
 }
@@ -125,7 +125,7 @@
   auto& router = routers_[job->router];
   job->routerLife = router.life;
   job->arrivedAt = now_;
-  job->route = router.picture->route(r.host, r.path);
+  job->route = router.snapshot->route(r.host, r.path);
   if (job->route == nullptr) {
     outcome.route = "(no route)";
     return;
@@ -170,7 +170,7 @@
 
 void Fleet::send(std::shared_ptr<Job> job, routing::PassTo to) {
   ++outcomes_[job->index].tries;
-  job->taking.emplace(std::move(to.taking));
+  job->admission.emplace(std::move(to.admission));
   const auto sending = ++job->sending;
   job->sentAt = now_;
   const auto found =
@@ -198,7 +198,7 @@
   }
   if (runner.running >= runner.group->slots) {
     if (runner.queue.size() >= runner.group->queue) {
-      routers_[job->router].table->mark(runner.instanceId, routing::Mark::Refused, now_);
+      routers_[job->router].table->recordResult(runner.instanceId, routing::AttemptResult::Rejected, now_);
       broken(job, {Verdict::NotRun, "turned away"});
       return;
     }
@@ -215,7 +215,7 @@
 }
 
 // Reads the prompt behind those accepted before it; parts that are kept are not read again.
-Millis Fleet::readPrompt(Runner& runner, const routing::Asked& asked, Outcome& outcome) {
+Millis Fleet::readPrompt(Runner& runner, const routing::RequestProfile& asked, Outcome& outcome) {
   std::uint64_t toRead = 0;
   bool chain = true;
   for (const auto& [id, tokens] : asked.prompt) {
@@ -262,9 +262,9 @@
   ++outcome.runs;
   after(first, [this, job, &runner, sending, life] {
     if (job->done || job->sending != sending || runner.life != life) return;
-    routers_[job->router].table->load(runner.instanceId, runner.running,
-                                      static_cast<std::uint32_t>(runner.queue.size()), runner.group->slots, now_);
-    if (job->taking) job->taking->begun(now_ - job->sentAt);
+    routers_[job->router].table->reportLoad(runner.instanceId, runner.running,
+                                            static_cast<std::uint32_t>(runner.queue.size()), runner.group->slots, now_);
+    if (job->admission) job->admission->begun(now_ - job->sentAt);
     if (job->route->type != control::RouteType::Streaming) return;
     if (!job->started) {
       outcomes_[job->index].took = std::chrono::duration_cast<Millis>(now_ - sentAt(job->index));
@@ -276,7 +276,7 @@
     if (runner.life != life) return;
     leaveSlot(runner);
     if (job->done || job->sending != sending) return;
-    routers_[job->router].table->mark(runner.instanceId, routing::Mark::Good, now_);
+    routers_[job->router].table->recordResult(runner.instanceId, routing::AttemptResult::Success, now_);
     answered(job);
   });
 }
@@ -293,7 +293,7 @@
 
 void Fleet::answered(std::shared_ptr<Job> job) {
   job->done = true;
-  job->taking.reset();
+  job->admission.reset();
   auto& outcome = outcomes_[job->index];
   outcome.served = true;
   if (job->route->type != control::RouteType::Streaming)
@@ -304,9 +304,9 @@
 void Fleet::broken(std::shared_ptr<Job> job, base::Error fault) {
   if (job->done) return;
   ++job->sending;
-  job->taking.reset();
+  job->admission.reset();
   if (fault.what != "out of time" && fault.what != "turned away" && !job->runner.empty())
-    routers_[job->router].table->mark(job->runner, routing::Mark::Fault, now_);
+    routers_[job->router].table->recordResult(job->runner, routing::AttemptResult::Failure, now_);
   if (job->conduct->again(fault, job->started, job->eventsSent > 0, now_))
     step(job);
   else
@@ -316,7 +316,7 @@
 // The client tries again by itself as the protocol lets it: after a promise, or if the request may repeat.
 void Fleet::ended(std::shared_ptr<Job> job, const routing::Ending& ending) {
   job->done = true;
-  job->taking.reset();
+  job->admission.reset();
   const bool promise = !ending.cut && ending.status == 503;
   if (job->clientTry >= model_.clientTries || !(promise || job->route->type == control::RouteType::Idempotent)) return;
   const auto pause = promise ? Millis(static_cast<std::int64_t>(1000 * ending.retryAfterS)) : Millis(50);
@@ -351,7 +351,7 @@
     runner.keptTokens = 0;
     const auto gone = runner.instanceId;
     for (auto& weak : open_)
-      if (auto job = weak.lock(); job && !job->done && job->runner == gone && job->taking)
+      if (auto job = weak.lock(); job && !job->done && job->runner == gone && job->admission)
         broken(job, {Verdict::MayHaveRun, "runner crashed"});
     after(model_.listLag, [this] { show(); });
     if (t.lasts.count() > 0)
--- a/src/replay/fleet.hpp
+++ b/src/replay/fleet.hpp
@@ -57,7 +57,7 @@
   };
   struct Router {
     std::unique_ptr<routing::Table> table;
-    std::shared_ptr<routing::Picture> picture;
+    std::shared_ptr<routing::RoutingSnapshot> snapshot;
     bool up = true;
     std::uint64_t life = 0;
   };
@@ -81,12 +81,12 @@
   void answered(std::shared_ptr<Job> job);
   void ended(std::shared_ptr<Job> job, const routing::Ending& ending);
   void leaveSlot(Runner& runner);
-  base::Millis readPrompt(Runner& runner, const routing::Asked& asked, Outcome& outcome);
+  base::Millis readPrompt(Runner& runner, const routing::RequestProfile& asked, Outcome& outcome);
   void trouble(const Trouble& t);
 
   Model model_;
   std::shared_ptr<const control::Configuration> configuration_;
-  routing::Picture judge_;
+  routing::RoutingSnapshot judge_;
   base::TimePoint now_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t order_ = 0, steps_ = 0, version_ = 0;
--- a/src/routing/routing_policy.cpp
+++ b/src/routing/routing_policy.cpp
@@ -18,10 +18,10 @@
 std::variant<PassTo, Wait, Ending> RoutingPolicy::next(base::TimePoint now) {
   if (now >= asked_.deadline) return ending(now);
   auto decision = table_.decide(asked_, now);
-  if (auto* shed = std::get_if<Shed>(&decision)) {
-    last_ = shed->why;
+  if (auto* reject = std::get_if<Reject>(&decision)) {
+    last_ = reject->why;
     if (mayHaveRun_ || started_) return ending(now);
-    return Ending{false, shed->status, shed->retryAfterS, shed->why};
+    return Ending{false, reject->status, reject->retryAfterS, reject->why};
   }
   if (auto* wait = std::get_if<Wait>(&decision)) return *wait;
   auto& to = std::get<PassTo>(decision);
@@ -39,7 +39,7 @@
     if (!route_.repeatable()) return false;
   }
   if (started && !(route_.resumable && resumable)) return false;
-  return asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
+  return asked_.tries < route_.maxAttempts && table_.admitRetry(asked_.service, now);
 }
 
 bool RoutingPolicy::unreached(const base::Error& fault, base::TimePoint now) {
--- a/src/routing/routing_policy.hpp
+++ b/src/routing/routing_policy.hpp
@@ -21,7 +21,7 @@
   RoutingPolicy(Table& table, const control::Route& route, std::string_view attemptId, base::TimePoint arrivedAt,
                 base::TimePoint deadline);
 
-  Asked& asked() { return asked_; }
+  RequestProfile& asked() { return asked_; }
   // Counts the request towards the budget of its service.
   void arrived(base::TimePoint now) { table_.arrived(asked_.service, now); }
 
@@ -39,7 +39,7 @@
  private:
   Table& table_;
   const control::Route& route_;
-  Asked asked_;
+  RequestProfile asked_;
   bool mayHaveRun_ = false, started_ = false;
   std::uint32_t unreached_ = 0;
   std::string last_ = "not tried";
--- a/src/routing/slow_start.hpp
+++ b/src/routing/slow_start.hpp
@@ -27,9 +27,9 @@
 
 // How many routers hold a part of a cold runner's rate, of `routers` there are: as many as may each have one request in
 // hand besides the whole of the rate.
-std::size_t warmHolders(const control::Service& service, const Bounds& bounds, std::size_t routers);
+std::size_t slowStartHolders(const control::Service& service, const Bounds& bounds, std::size_t routers);
 // Requests a second that each holder may send there.
-double warmRate(const control::Service& service, const Bounds& bounds, std::size_t routers);
+double slowStartRate(const control::Service& service, const Bounds& bounds, std::size_t routers);
 
 // The groups that this router may still share a cold runner's rate with: the views and the extensions it has
 // acknowledged. A group stops counting when a later view has been delivered and every lease of its time has lapsed.
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t kPlaces = 8;    // of the rendezvous order
 }  // namespace
 
-const control::Route* Picture::route(std::string_view host, std::string_view path) const {
+const control::Route* RoutingSnapshot::route(std::string_view host, std::string_view path) const {
   std::string name(host.substr(0, host.find(':')));
   for (auto& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
   const auto found = byHost.find(name);
@@ -37,31 +37,31 @@
   return nullptr;
 }
 
-void fold(Picture& picture, const Event& event) {
+void fold(RoutingSnapshot& snapshot, const Event& event) {
   if (const auto* state = std::get_if<StateReceived>(&event)) {
-    if (state->version < picture.stateVersion) return;
-    picture.stateVersion = state->version;
-    picture.configuration = state->configuration;
-    picture.evacuated = {state->evacuated.begin(), state->evacuated.end()};
-    picture.rollouts.clear();
-    for (const auto& rollout : state->rollouts) picture.rollouts.emplace(rollout.service, rollout);
-    picture.byHost.clear();
-    if (!picture.configuration) return;
-    for (const auto& route : picture.configuration->routes) picture.byHost[route.host].push_back(&route);
-    for (auto& [host, routes] : picture.byHost)
+    if (state->version < snapshot.stateVersion) return;
+    snapshot.stateVersion = state->version;
+    snapshot.configuration = state->configuration;
+    snapshot.evacuated = {state->evacuated.begin(), state->evacuated.end()};
+    snapshot.rollouts.clear();
+    for (const auto& rollout : state->rollouts) snapshot.rollouts.emplace(rollout.service, rollout);
+    snapshot.byHost.clear();
+    if (!snapshot.configuration) return;
+    for (const auto& route : snapshot.configuration->routes) snapshot.byHost[route.host].push_back(&route);
+    for (auto& [host, routes] : snapshot.byHost)
       std::stable_sort(routes.begin(), routes.end(),
                        [](const auto* a, const auto* b) { return a->prefix.size() > b->prefix.size(); });
   } else if (const auto* runners = std::get_if<RunnersReceived>(&event)) {
-    if (picture.hasRunners && runners->version < picture.runnersVersion) return;
-    picture.runnersVersion = runners->version;
-    picture.runners = runners->runners;
-    picture.listedAt = runners->listedAt;
-    picture.hasRunners = true;
+    if (snapshot.hasRunners && runners->version < snapshot.runnersVersion) return;
+    snapshot.runnersVersion = runners->version;
+    snapshot.runners = runners->runners;
+    snapshot.listedAt = runners->listedAt;
+    snapshot.hasRunners = true;
   } else if (const auto* view = std::get_if<ViewReceived>(&event)) {
-    picture.view = view->view;
-    picture.self = view->self;
+    snapshot.view = view->view;
+    snapshot.self = view->self;
   } else if (const auto* proposal = std::get_if<ProposalReceived>(&event)) {
-    picture.proposed = proposal->routers;
+    snapshot.proposed = proposal->routers;
   }
 }
 
@@ -78,14 +78,14 @@
 Table::Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt)
     : zone_(std::move(zone)),
       bounds_(bounds),
-      picture_(std::make_shared<const Picture>()),
+      snapshot_(std::make_shared<const RoutingSnapshot>()),
       index_(std::make_unique<kvindex::Index>(bounds.indexBytes)),
       startedAt_(startedAt),
       random_(seed) {}
 
-std::shared_ptr<const Picture> Table::picture() const {
+std::shared_ptr<const RoutingSnapshot> Table::snapshot() const {
   const std::lock_guard lock(mutex_);
-  return picture_;
+  return snapshot_;
 }
 
 void Table::setLease(base::TimePoint until) {
@@ -105,18 +105,18 @@
   if (another) setIndex(std::make_unique<kvindex::Index>(bounds.indexBytes));
 }
 
-void Table::setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now) {
+void Table::setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
-  const auto before = std::exchange(picture_, std::move(picture));
-  if (picture_->view && !before->view) viewSince_ = now;
+  const auto before = std::exchange(snapshot_, std::move(snapshot));
+  if (snapshot_->view && !before->view) viewSince_ = now;
   // A larger group counts from the moment its extension is acknowledged: the newcomer may have its part before the
   // commit arrives here.
-  const auto members = picture_->view ? routersOf(*picture_->view) : Routers{};
-  const auto routers = std::max(members.size(), picture_->proposed.size());
-  const bool another = picture_->view.has_value() != before->view.has_value() || picture_->self != before->self ||
-                       (picture_->view && picture_->view->number != before->view->number);
-  if (another) warm_.delivered(members, picture_->self, now);
-  if (!picture_->proposed.empty()) warm_.proposed(picture_->proposed);
+  const auto members = snapshot_->view ? routersOf(*snapshot_->view) : Routers{};
+  const auto routers = std::max(members.size(), snapshot_->proposed.size());
+  const bool another = snapshot_->view.has_value() != before->view.has_value() || snapshot_->self != before->self ||
+                       (snapshot_->view && snapshot_->view->number != before->view->number);
+  if (another) warm_.delivered(members, snapshot_->self, now);
+  if (!snapshot_->proposed.empty()) warm_.proposed(snapshot_->proposed);
   if (routers > 0 && (routerCounts_.empty() || routerCounts_.back().second != routers))
     routerCounts_.emplace_back(now, routers);
   // Nobody asks further back than this.
@@ -124,7 +124,7 @@
          now - routerCounts_[1].first >= 2 * (bounds_.retryWindow + bounds_.lease) + kWarmMargin)
     routerCounts_.pop_front();
   for (auto& [id, runner] : runners_) runner.listed = false;
-  for (const auto& entry : picture_->runners) {
+  for (const auto& entry : snapshot_->runners) {
     const auto [found, added] = runners_.try_emplace(entry.instanceId);
     auto& runner = found->second;
     if (added) {
@@ -132,15 +132,16 @@
       number(runner);
     }
     runner.listed = true;
-    const bool newsOfIt = picture_->runnersVersion != before->runnersVersion;
+    const bool newsOfIt = snapshot_->runnersVersion != before->runnersVersion;
     runner.entry = entry;
     judge(runner, *before);
     // The list was read before it came here and lags by itself; what is left is counted from now, on the safe side.
     if (newsOfIt && entry.warmupLeftMs > 0)
       runner.coldUntil = std::max(runner.coldUntil, now + base::Millis(entry.warmupLeftMs));
     // Taken back from an evacuation, runners may have turned cold.
-    if (before->evacuated.contains(entry.zone) && !picture_->evacuated.contains(entry.zone) && picture_->configuration)
-      if (const auto* service = picture_->configuration->service(entry.service))
+    if (before->evacuated.contains(entry.zone) && !snapshot_->evacuated.contains(entry.zone) &&
+        snapshot_->configuration)
+      if (const auto* service = snapshot_->configuration->service(entry.service))
         runner.coldUntil = std::max(runner.coldUntil, now + service->warmup);
   }
   std::erase_if(runners_, [this](const auto& item) {
@@ -160,7 +161,7 @@
       pool.runners.push_back(&runner);
       pool.hashes.push_back(runner.idHash);
       if (const auto* service =
-              picture_->configuration ? picture_->configuration->service(runner.entry.service) : nullptr)
+              snapshot_->configuration ? snapshot_->configuration->service(runner.entry.service) : nullptr)
         if (index_) index_->setCapacity(runner.number, service->kvCacheTokens);
     }
 }
@@ -201,13 +202,13 @@
 void Table::setIndex(std::unique_ptr<kvindex::Index> index) {
   const std::lock_guard lock(mutex_);
   index_ = std::move(index);
-  if (index_ && picture_->configuration)
+  if (index_ && snapshot_->configuration)
     for (const auto& [name, pool] : pools_)
-      if (const auto* service = picture_->configuration->service(name))
+      if (const auto* service = snapshot_->configuration->service(name))
         for (const auto* runner : pool.runners) index_->setCapacity(runner->number, service->kvCacheTokens);
 }
 
-void Table::weights(const std::string& instanceId, std::uint64_t model, std::uint64_t revision) {
+void Table::setRevision(const std::string& instanceId, std::uint64_t model, std::uint64_t revision) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found != runners_.end() && index_) index_->setRevision(found->second.number, model, revision);
@@ -260,7 +261,7 @@
   if (failedLookUps_++ == 0) spdlog::warn("look-up of kept prompt parts failed, routing by load alone: {}", what);
 }
 
-std::vector<kvindex::Overlap> Table::overlaps(const Asked& asked) {
+std::vector<kvindex::Overlap> Table::overlaps(const RequestProfile& asked) {
   try {
     if (!index_) throw std::runtime_error("the index is being built anew");
     auto found = index_->match(asked.model, asked.prompt, kOverlaps);
@@ -273,7 +274,7 @@
 }
 
 // Prompt tokens that any runner can fetch from the shared pool, if there is one.
-double Table::pooledTokens(const Asked& asked) {
+double Table::pooledTokens(const RequestProfile& asked) {
   if (!shared_) return 0;
   try {
     const auto held = shared_->held(asked.model, asked.prompt);
@@ -348,7 +349,7 @@
   return routers == 0 ? 0 : 0.8 * bounds.retrySlack / static_cast<double>(routers);
 }
 
-bool Table::drawRetry(const std::string& service, base::TimePoint now) {
+bool Table::admitRetry(const std::string& service, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   // Further tries rest on the view: none without a lease.
   if (now >= leaseUntil_) return false;
@@ -371,24 +372,24 @@
   return runner.own + runner.reported * std::max(0.0, fresh);
 }
 
-double Table::warmShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
-                              base::TimePoint now) {
+double Table::slowStartShareLocked(const std::string& instanceId, std::string_view zone,
+                                   const control::Service& service, base::TimePoint now) {
   // Nothing without a lease, and nothing to one that has just joined: it does not know whom it shares with.
   const auto memory = bounds_.lease + kWarmMargin;
-  if (now >= leaseUntil_ || !picture_->view || now - viewSince_ < memory) return 0;
+  if (now >= leaseUntil_ || !snapshot_->view || now - viewSince_ < memory) return 0;
   return warm_.rate(instanceId, zone, service, bounds_, memory, now);
 }
 
-double Table::warmShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
-                        base::TimePoint now) {
+double Table::slowStartShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                             base::TimePoint now) {
   const std::lock_guard lock(mutex_);
-  return warmShareLocked(instanceId, zone, service, now);
+  return slowStartShareLocked(instanceId, zone, service, now);
 }
 
 // A cold runner's rate is held by a few routers; each keeps to its part of the rate with one in hand.
 bool Table::takeWarm(Runner& runner, const control::Service& service, base::TimePoint now) {
   if (service.warmupPerS <= 0) return true;
-  const double rate = warmShareLocked(runner.entry.instanceId, runner.entry.zone, service, now);
+  const double rate = slowStartShareLocked(runner.entry.instanceId, runner.entry.zone, service, now);
   if (rate <= 0) return false;
   if (runner.warmAt == base::TimePoint{}) runner.warmAt = now;
   runner.warmTokens = std::min(1.0, runner.warmTokens + rate * base::seconds(now - runner.warmAt));
@@ -404,24 +405,24 @@
 
 bool Table::usable(const Runner& runner, const std::string& service) const {
   const auto& e = runner.entry;
-  return runner.listed && e.service == service && !e.draining && !picture_->evacuated.contains(e.zone) &&
+  return runner.listed && e.service == service && !e.draining && !snapshot_->evacuated.contains(e.zone) &&
          runner.heldBack.empty();
 }
 
 const rollout::InForce* Table::rolloutOf(const std::string& service) const {
-  const auto found = picture_->rollouts.find(service);
-  return found == picture_->rollouts.end() ? nullptr : &found->second;
+  const auto found = snapshot_->rollouts.find(service);
+  return found == snapshot_->rollouts.end() ? nullptr : &found->second;
 }
 
 // Whether this request may go there as far as versions are concerned: a stream that has begun goes on at its like.
-bool Table::versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const {
+bool Table::versionFits(const Runner& runner, const RequestProfile& asked, base::TimePoint now) const {
   if (runner.heldUntil > now) return false;
   if (asked.snapshot) return *asked.snapshot == runner.snapshot;
   return !asked.version || runner.snapshot.version(asked.modelName) == asked.version;
 }
 
 // What a runner's answers told against its entry counts until the entry or the record is another one.
-void Table::judge(Runner& runner, const Picture& before) const {
+void Table::judge(Runner& runner, const RoutingSnapshot& before) const {
   auto listed = rollout::snapshotOf(runner.entry);
   const auto* now = rolloutOf(runner.entry.service);
   const auto had = before.rollouts.find(runner.entry.service);
@@ -436,7 +437,8 @@
   if (now != nullptr && runner.contradicted && runner.heldBack.empty()) runner.heldBack = kContradicted;
 }
 
-void Table::contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told) {
+void Table::versionMismatched(const std::string& instanceId, std::string_view model,
+                              std::optional<std::uint64_t> told) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
@@ -450,7 +452,7 @@
 }
 
 // It may just be changing, so it is asked again; asking costs a further try, hence ever less often.
-void Table::turnedAway(const std::string& instanceId, base::TimePoint now) {
+void Table::versionRejected(const std::string& instanceId, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end() || rolloutOf(found->second.entry.service) == nullptr) return;
@@ -469,7 +471,7 @@
 
 // Scores the runners that are worth a look: those that the index names, the first places of the rendezvous order, and
 // others by chance. Few runners are all looked at.
-void Table::rank(Asked& asked, const Pool& pool, bool engine, base::TimePoint now) {
+void Table::rank(RequestProfile& asked, const Pool& pool, bool engine, base::TimePoint now) {
   const auto& policy = bounds_.policy;
   auto& ranking = asked.ranking;
   ranking.order.clear();
@@ -546,7 +548,7 @@
 }
 
 // What a request without any runner to go to is told.
-const char* Table::whyNobody(const Asked& asked, base::TimePoint now) const {
+const char* Table::whyNobody(const RequestProfile& asked, base::TimePoint now) const {
   bool held = false;
   for (const auto& [id, runner] : runners_) {
     if (usable(runner, asked.service) && versionFits(runner, asked, now)) return "no runner left to try";
@@ -556,10 +558,10 @@
   return held ? "no runner with a snapshot that may serve" : "no runner";
 }
 
-Decision Table::decide(Asked& asked, base::TimePoint now) {
+Decision Table::decide(RequestProfile& asked, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
-  const auto* service = picture_->configuration ? picture_->configuration->service(asked.service) : nullptr;
-  if (service == nullptr) return Shed{503, 0.5, "service unknown"};
+  const auto* service = snapshot_->configuration ? snapshot_->configuration->service(asked.service) : nullptr;
+  if (service == nullptr) return Reject{503, 0.5, "service unknown"};
   const auto& policy = bounds_.policy;
   const double perS =
       policy.toldPerS / static_cast<double>(std::max<std::size_t>(1, routersLocked(now, bounds_.lease)));
@@ -575,7 +577,7 @@
     return std::min(asked.arrivedAt + part, asked.deadline);
   };
   const auto none = [&](const char* why) -> Decision {
-    if (now >= waitUntil()) return Shed{503, policy.retryAfterS, why};
+    if (now >= waitUntil()) return Reject{503, policy.retryAfterS, why};
     return Wait{waitUntil()};
   };
   if (pool == nullptr) return none(whyNobody(asked, now));
@@ -704,33 +706,33 @@
   found->second.trial = false;
 }
 
-void Table::mark(const std::string& instanceId, Mark mark, base::TimePoint now) {
+void Table::recordResult(const std::string& instanceId, AttemptResult result, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end()) return;
   auto& runner = found->second;
   runner.trial = false;
-  if (mark == Mark::Fault) {
+  if (result == AttemptResult::Failure) {
     met(runner, now);
     if (++runner.faults < kFaultsToEject && runner.ejectedUntil == base::TimePoint{}) return;
     const auto over = std::min(kEjectDoublings, runner.faults - std::min(runner.faults, kFaultsToEject));
     runner.ejectedUntil = now + bounds_.policy.ejectMs * (1u << over);
   } else {
     // Turned away where there is room: a runner that is ill this way looks idle and draws more and more.
-    if (mark == Mark::Refused && demand(runner, now) < runner.entry.slots) met(runner, now);
+    if (result == AttemptResult::Rejected && demand(runner, now) < runner.entry.slots) met(runner, now);
     runner.faults = 0;
     runner.ejectedUntil = {};
   }
 }
 
-void Table::late(const std::string& instanceId, base::TimePoint) {
+void Table::recordLate(const std::string& instanceId, base::TimePoint) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end()) return;
   lateness_[found->second.entry.service].late(instanceId);
 }
 
-void Table::inTime(const std::string& instanceId, base::TimePoint now) {
+void Table::recordInTime(const std::string& instanceId, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end()) return;
@@ -746,11 +748,11 @@
 
 // Own requests met trouble there: for its assessors, of which this router may be one.
 void Table::met(Runner& runner, base::TimePoint now) {
-  if (!picture_->view || runner.suspension.holds(now) || now - runner.toldAt < kTellAgain) return;
+  if (!snapshot_->view || runner.suspension.holds(now) || now - runner.toldAt < kTellAgain) return;
   runner.toldAt = now;
-  const auto routers = routersOf(*picture_->view);
+  const auto routers = routersOf(*snapshot_->view);
   for (const auto to : assessorsOf(routers, runner.entry.instanceId)) {
-    if (to != picture_->self) {
+    if (to != snapshot_->self) {
       suspicions_[to].insert(runner.entry.instanceId);
       continue;
     }
@@ -766,7 +768,7 @@
   const auto& service = runner.entry.service;
   std::size_t there = 0;
   for (const auto& [id, other] : runners_) there += usable(other, service);
-  const auto routers = routersOf(*picture_->view);
+  const auto routers = routersOf(*snapshot_->view);
   // What it gets is guessed from what comes in here.
   const double expected = static_cast<double>(budgets_[service].requests.sum) * base::seconds(kEvidenceLife) /
                           base::seconds(bounds_.retryWindow) * static_cast<double>(routers.size()) /
@@ -774,7 +776,7 @@
   const auto forWhom = runner.evidence.agreed(routers, expected, runner.suspension, now);
   if (!forWhom) return;
   const auto own =
-      std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == picture_->self; });
+      std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == snapshot_->self; });
   const bool here = *forWhom == kEveryZone || (own != routers.end() && own->zone == *forWhom);
   // What this router would not follow itself it tells nobody.
   if (here && !suspend(runner, *forWhom == kEveryZone, now)) return;
@@ -802,20 +804,20 @@
   return true;
 }
 
-std::vector<std::pair<std::uint64_t, schema::HealthReport>> Table::takeSuspicions(base::TimePoint) {
+std::vector<std::pair<std::uint64_t, schema::HealthReport>> Table::takeHealthReports(base::TimePoint) {
   const std::lock_guard lock(mutex_);
   std::vector<std::pair<std::uint64_t, schema::HealthReport>> out;
   for (auto& [to, ids] : std::exchange(suspicions_, {}))
-    out.push_back({to, {picture_->self, false, kEveryZone, {ids.begin(), ids.end()}}});
+    out.push_back({to, {snapshot_->self, false, kEveryZone, {ids.begin(), ids.end()}}});
   for (auto& [zone, ids] : std::exchange(agreed_, {}))
-    out.push_back({0, {picture_->self, true, zone, {ids.begin(), ids.end()}}});
+    out.push_back({0, {snapshot_->self, true, zone, {ids.begin(), ids.end()}}});
   return out;
 }
 
 void Table::heard(const schema::HealthReport& suspicions, base::TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (!picture_->view) return;
-  const auto routers = routersOf(*picture_->view);
+  if (!snapshot_->view) return;
+  const auto routers = routersOf(*snapshot_->view);
   const auto from =
       std::find_if(routers.begin(), routers.end(), [&](const auto& r) { return r.incarnation == suspicions.reporter; });
   if (from == routers.end()) return;
@@ -831,8 +833,8 @@
   }
 }
 
-void Table::load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t,
-                 base::TimePoint now) {
+void Table::reportLoad(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t,
+                       base::TimePoint now) {
   const std::lock_guard lock(mutex_);
   const auto found = runners_.find(instanceId);
   if (found == runners_.end()) return;
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -26,7 +26,7 @@
 namespace indigohill::routing {
 
 // What traffic reads of the control side: one immutable value, folded from the journal of news and views.
-struct Picture {
+struct RoutingSnapshot {
   schema::StateVersion stateVersion, runnersVersion;
   std::shared_ptr<const control::Configuration> configuration;
   std::unordered_map<std::string, std::vector<const control::Route*>> byHost;  // longest prefix first
@@ -42,7 +42,7 @@
   const control::Route* route(std::string_view host, std::string_view path) const;
 };
 
-// The events the picture is folded from.
+// The events the snapshot is folded from.
 struct StateReceived {
   schema::StateVersion version;
   std::shared_ptr<const control::Configuration> configuration;
@@ -62,7 +62,7 @@
   Routers routers;  // empty: none is pending
 };
 using Event = std::variant<StateReceived, RunnersReceived, ViewReceived, ProposalReceived>;
-void fold(Picture& picture, const Event& event);
+void fold(RoutingSnapshot& snapshot, const Event& event);
 
 // The runners that a request may go to, as they were scored when it came: computed once, the lower the better.
 // Admission and stream recovery take the next one from it.
@@ -77,7 +77,7 @@
   bool all = false;  // holds every runner of the service
 };
 
-struct Asked {
+struct RequestProfile {
   const control::Route* route = nullptr;
   std::string service;
   std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt;  // parts: id, tokens
@@ -145,22 +145,22 @@
   settings::Endpoint address;
   std::string zone;
   std::uint32_t connections = 1;  // how many this daemon may hold to it
-  Admission taking;
+  Admission admission;
   rollout::Snapshot snapshot{};                    // as listed
   std::optional<std::uint64_t> expectedVersion{};  // of the weights; asked for while a rollout or a stream wants one
 };
 struct Wait {
   base::TimePoint until;
 };
-struct Shed {
+struct Reject {
   int status = 503;
   double retryAfterS = 0;
   std::string why;
 };
-using Decision = std::variant<PassTo, Wait, Shed>;
+using Decision = std::variant<PassTo, Wait, Reject>;
 
 // How a try at a runner went, as far as the runner's health is concerned.
-enum class Mark { Good, Refused, Fault };
+enum class AttemptResult { Success, Rejected, Failure };
 
 struct Bounds {
   double retryRatio = 0.2, retrySlack = 0, warmupOvershoot = 1.5, warmupSlack = 5;
@@ -176,9 +176,9 @@
  public:
   Table(std::string zone, Bounds bounds, std::uint64_t seed, base::TimePoint startedAt);
 
-  // Every change of the picture goes through here; the table keeps its own state of each runner beside it.
-  void setPicture(std::shared_ptr<const Picture> picture, base::TimePoint now);
-  std::shared_ptr<const Picture> picture() const;
+  // Every change of the snapshot goes through here; the table keeps its own state of each runner beside it.
+  void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot, base::TimePoint now);
+  std::shared_ptr<const RoutingSnapshot> snapshot() const;
   void setLease(base::TimePoint until);
   void setBounds(const Bounds& bounds);
 
@@ -187,26 +187,27 @@
   // Which service of a split a request goes to; the same for the same id.
   static std::string pick(const control::Route& route, std::string_view attemptId);
   // Ranks the runners if the request has no ranking yet, and admits it to one of them.
-  Decision decide(Asked& asked, base::TimePoint now);
-  Decision decide(Asked&& asked, base::TimePoint now) { return decide(asked, now); }
+  Decision decide(RequestProfile& asked, base::TimePoint now);
+  Decision decide(RequestProfile&& asked, base::TimePoint now) { return decide(asked, now); }
   // Whether one further try may be made now; it is counted if so.
-  bool drawRetry(const std::string& service, base::TimePoint now);
-  void mark(const std::string& instanceId, Mark mark, base::TimePoint now);
+  bool admitRetry(const std::string& service, base::TimePoint now);
+  void recordResult(const std::string& instanceId, AttemptResult result, base::TimePoint now);
   // A request there has had no first byte for as long as its aim. Evidence like a fault, but only for others' eyes.
-  void late(const std::string& instanceId, base::TimePoint now);
+  void recordLate(const std::string& instanceId, base::TimePoint now);
   // The first byte of an answer came within the aim.
-  void inTime(const std::string& instanceId, base::TimePoint now);
+  void recordInTime(const std::string& instanceId, base::TimePoint now);
   // Whether the routers together hold it to be ill.
   bool suspended(const std::string& instanceId, base::TimePoint now) const;
-  // What is to be told of ill runners: to one router of the view by its incarnation, or to all (0). Asked at each tick.
-  std::vector<std::pair<std::uint64_t, schema::HealthReport>> takeSuspicions(base::TimePoint now);
+  // What is to be told of ill runners: to one router of the view by its incarnation, or to all (0). RequestProfile at
+  // each tick.
+  std::vector<std::pair<std::uint64_t, schema::HealthReport>> takeHealthReports(base::TimePoint now);
   void heard(const schema::HealthReport& suspicions, base::TimePoint now);
-  void load(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
-            base::TimePoint now);
+  void reportLoad(const std::string& instanceId, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
+                  base::TimePoint now);
   // While a rollout is declared, a runner whose answer told another version than its list entry (none: a mixture) is
   // held back until that entry changes, and one that turned away a request for the listed version for a while.
-  void contradicted(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told);
-  void turnedAway(const std::string& instanceId, base::TimePoint now);
+  void versionMismatched(const std::string& instanceId, std::string_view model, std::optional<std::uint64_t> told);
+  void versionRejected(const std::string& instanceId, base::TimePoint now);
   std::size_t routers(base::TimePoint now, base::Millis memory) const;
   // A runner has answered this prompt and keeps it now. Long shared parts that it did not keep before are told.
   void answered(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
@@ -225,10 +226,10 @@
   // Another index, empty or filled; none while one is built.
   void setIndex(std::unique_ptr<kvindex::Index> index);
   // Which weights the runner has under the model's name, as it told in an answer.
-  void weights(const std::string& instanceId, std::uint64_t model, std::uint64_t revision);
+  void setRevision(const std::string& instanceId, std::uint64_t model, std::uint64_t revision);
   // Requests a second that this router may send to a cold runner, besides one in hand; 0: none at all.
-  double warmShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
-                   base::TimePoint now);
+  double slowStartShare(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                        base::TimePoint now);
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
   std::string home(const std::string& service,
                    const std::vector<std::pair<std::uint64_t, std::uint32_t>>& prompt) const;
@@ -287,24 +288,24 @@
   void forget(const Runner& runner);
   void makePools();
   const Pool* poolOf(const std::string& service) const;
-  std::vector<kvindex::Overlap> overlaps(const Asked& asked);
-  double pooledTokens(const Asked& asked);
+  std::vector<kvindex::Overlap> overlaps(const RequestProfile& asked);
+  double pooledTokens(const RequestProfile& asked);
   void lookUpFailed(const char* what);
-  void rank(Asked& asked, const Pool& pool, bool engine, base::TimePoint now);
+  void rank(RequestProfile& asked, const Pool& pool, bool engine, base::TimePoint now);
   Runner* ranked(const Ranked& ranked) const;
   bool usable(const Runner& runner, const std::string& service) const;
   bool leftOut(const Runner& runner, base::TimePoint now) const;
-  const char* whyNobody(const Asked& asked, base::TimePoint now) const;
-  bool versionFits(const Runner& runner, const Asked& asked, base::TimePoint now) const;
-  void judge(Runner& runner, const Picture& before) const;
+  const char* whyNobody(const RequestProfile& asked, base::TimePoint now) const;
+  bool versionFits(const Runner& runner, const RequestProfile& asked, base::TimePoint now) const;
+  void judge(Runner& runner, const RoutingSnapshot& before) const;
   const rollout::InForce* rolloutOf(const std::string& service) const;
   double demand(const Runner& runner, base::TimePoint now) const;
   void met(Runner& runner, base::TimePoint now);
   void gather(Runner& runner, const RouterId& reporter, base::TimePoint now);
   bool suspend(Runner& runner, bool byAll, base::TimePoint now);
   bool takeWarm(Runner& runner, const control::Service& service, base::TimePoint now);
-  double warmShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
-                         base::TimePoint now);
+  double slowStartShareLocked(const std::string& instanceId, std::string_view zone, const control::Service& service,
+                              base::TimePoint now);
   std::size_t routersLocked(base::TimePoint now, base::Millis memory) const;
   double unread(Runner& runner, base::TimePoint now) const;
   void promptRead(const std::string& instanceId, std::uint32_t prompt, std::uint64_t told,
@@ -314,7 +315,7 @@
   std::string zone_;
   Bounds bounds_;
   mutable std::mutex mutex_;  // lock order: docs/design.md, "Threads and locks"
-  std::shared_ptr<const Picture> picture_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
   std::map<std::string, Runner> runners_;
   std::vector<Runner*> byNumber_;  // runners by their number; a number is free where there is none
   std::map<std::string, Pool> pools_;
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -117,7 +117,7 @@
   } else {
     n.follower = std::make_unique<feed::Follower>(feed::Follower::Self{n.name, n.zone, n.cohort}, seeds,
                                                   membership::Times{}, feed::Times{}, Millis(3000), random_(), now_);
-    n.journal = std::make_unique<base::Journal<routing::Event, routing::Picture>>(routing::fold);
+    n.journal = std::make_unique<base::Journal<routing::Event, routing::RoutingSnapshot>>(routing::fold);
     routing::Bounds bounds;
     bounds.warmupOvershoot = shape_.warmupOvershoot;
     bounds.warmupSlack = shape_.warmupSlack;
@@ -183,7 +183,7 @@
 void World::perform(std::size_t i, feed::FollowerEffects& effects) {
   auto& n = *nodes_[i];
   trace(i, effects.notes);
-  for (auto& event : effects.events) n.table->setPicture(n.journal->append(std::move(event)), now_);
+  for (auto& event : effects.events) n.table->setSnapshot(n.journal->append(std::move(event)), now_);
   n.table->setLease(n.follower->group().leaseUntil());
   deliver(i, std::move(effects.out));
 }
@@ -455,7 +455,8 @@
       const auto routers = n.table->routers(now_, membership::Times{}.lease + Millis(1000));
       if (routers > 0) shares += 1.0 / static_cast<double>(routers);
       for (std::size_t c = 0; c < kCold.size(); ++c) {
-        const double rate = n.table->warmShare(kCold[c], fmt::format("zone-{}", c % shape_.controllers), service, now_);
+        const double rate =
+            n.table->slowStartShare(kCold[c], fmt::format("zone-{}", c % shape_.controllers), service, now_);
         if (rate > 0) toCold[c] += 1 + rate;
       }
     }
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -42,7 +42,7 @@
   std::vector<std::function<void()>> heldUp;  // what waits while the machine is frozen
   std::unique_ptr<control::Controller> controller;
   std::unique_ptr<feed::Follower> follower;
-  std::unique_ptr<base::Journal<routing::Event, routing::Picture>> journal;
+  std::unique_ptr<base::Journal<routing::Event, routing::RoutingSnapshot>> journal;
   std::unique_ptr<routing::Table> table;
   std::uint64_t lastView = 0;
   std::uint64_t lastRevision = 0;
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -96,7 +96,7 @@
   proxy::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
-  routing::Picture picture;
+  routing::RoutingSnapshot picture;
   std::uint64_t sequence = 0;
 
   explicit Traffic(const std::vector<Weighted*>& runners) {
@@ -134,7 +134,7 @@
     set();
   }
   static base::TimePoint past() { return base::Clock::now() - Millis(30000); }
-  void set() { table.setPicture(std::make_shared<const routing::Picture>(picture), past()); }
+  void set() { table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(picture), past()); }
 
   // Sends a request and reads to the end of the connection.
   std::string get(const std::string& path, const std::string& more = "") {
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -21,7 +21,7 @@
 struct Fleet {
   base::TimePoint now{std::chrono::hours(1)};
   std::vector<std::unique_ptr<routing::Table>> tables;
-  std::vector<routing::Picture> pictures;
+  std::vector<routing::RoutingSnapshot> snapshots;
   std::vector<schema::RunnerEntry> runners;
   schema::View view;
   std::uint64_t sequence = 0;
@@ -45,33 +45,35 @@
     m.zone = "z" + std::to_string(tables.size() % 3);
     view.members.push_back(m);
     tables.push_back(std::make_unique<routing::Table>(m.zone, bounds, tables.size(), now - std::chrono::hours(1)));
-    pictures.emplace_back();
-    routing::fold(pictures.back(), routing::StateReceived{{1, 1},
-                                                          std::make_shared<const control::Configuration>(std::get<0>(
-                                                              control::parseConfiguration(tests::document(1)))),
-                                                          {}});
+    snapshots.emplace_back();
+    routing::fold(snapshots.back(), routing::StateReceived{{1, 1},
+                                                           std::make_shared<const control::Configuration>(std::get<0>(
+                                                               control::parseConfiguration(tests::document(1)))),
+                                                           {}});
+  }
+  void apply(std::size_t i) {
+    tables[i]->setSnapshot(std::make_shared<const routing::RoutingSnapshot>(snapshots[i]), now);
   }
-  void apply(std::size_t i) { tables[i]->setPicture(std::make_shared<const routing::Picture>(pictures[i]), now); }
   void deliver() {
     ++view.number;
     for (const auto& m : view.members) {
-      routing::fold(pictures[m.incarnation - 1], routing::ViewReceived{view, m.incarnation});
+      routing::fold(snapshots[m.incarnation - 1], routing::ViewReceived{view, m.incarnation});
       apply(m.incarnation - 1);
     }
   }
   void show() {
     ++sequence;
     for (std::size_t i = 0; i < tables.size(); ++i) {
-      routing::fold(pictures[i], routing::RunnersReceived{{1, sequence}, runners, now});
+      routing::fold(snapshots[i], routing::RunnersReceived{{1, sequence}, runners, now});
       apply(i);
     }
   }
   void lease() {
     for (const auto& m : view.members) tables[m.incarnation - 1]->setLease(now + Millis(1500));
   }
-  routing::Asked ask(std::size_t router, std::uint64_t part) {
-    routing::Asked asked;
-    asked.route = pictures[router].route("a.example", "/text/1");
+  routing::RequestProfile ask(std::size_t router, std::uint64_t part) {
+    routing::RequestProfile asked;
+    asked.route = snapshots[router].route("a.example", "/text/1");
     asked.service = "engine";
     asked.prompt = {{part, 500}, {part * 7 + 1, 100}};
     asked.promptTokens = 600;
@@ -111,7 +113,7 @@
     auto decision = fleet.tables[router]->decide(fleet.ask(router, random() % 5000), fleet.now);
     if (auto* to = std::get_if<routing::PassTo>(&decision)) {
       sent[to->instanceId].add(fleet.now);
-      running.emplace_back(fleet.now + Millis(150), std::move(to->taking));
+      running.emplace_back(fleet.now + Millis(150), std::move(to->admission));
     }
   }
   std::size_t cold = 0, warm = 0;
@@ -157,7 +159,8 @@
                                    static_cast<std::ptrdiff_t>(random() % fleet.view.members.size()));
         for (auto joins = random() % 20; joins > 0 && fleet.tables.size() < 400; --joins) {
           fleet.join();
-          routing::fold(fleet.pictures.back(), routing::RunnersReceived{{1, fleet.sequence}, fleet.runners, fleet.now});
+          routing::fold(fleet.snapshots.back(),
+                        routing::RunnersReceived{{1, fleet.sequence}, fleet.runners, fleet.now});
           leaseUntil.push_back({});
         }
         ++fleet.view.number;
@@ -171,18 +174,18 @@
       for (const auto& l : late)
         if (l.at <= fleet.now) {
           if (l.commit) {
-            routing::fold(fleet.pictures[l.router], routing::ViewReceived{l.view, l.router + 1});
-            if (const auto& p = fleet.pictures[l.router]; p.proposed == routing::routersOf(l.view))
-              routing::fold(fleet.pictures[l.router], routing::ProposalReceived{});
+            routing::fold(fleet.snapshots[l.router], routing::ViewReceived{l.view, l.router + 1});
+            if (const auto& p = fleet.snapshots[l.router]; p.proposed == routing::routersOf(l.view))
+              routing::fold(fleet.snapshots[l.router], routing::ProposalReceived{});
           } else {
-            routing::fold(fleet.pictures[l.router], routing::ProposalReceived{routing::routersOf(l.view)});
+            routing::fold(fleet.snapshots[l.router], routing::ProposalReceived{routing::routersOf(l.view)});
           }
           fleet.apply(l.router);
         }
       std::erase_if(late, [&](const Late& l) { return l.at <= fleet.now; });
       // Leases: members of the newest view that have it renew theirs; what is left out keeps what it had.
       for (const auto& m : fleet.view.members)
-        if (const auto& v = fleet.pictures[m.incarnation - 1].view; v && v->number == fleet.view.number)
+        if (const auto& v = fleet.snapshots[m.incarnation - 1].view; v && v->number == fleet.view.number)
           leaseUntil[m.incarnation - 1] = fleet.now + Millis(1500);
       for (std::size_t i = 0; i < fleet.tables.size(); ++i) {
         if (leaseUntil[i] <= fleet.now) continue;
@@ -212,7 +215,7 @@
   const auto holders = [&] {
     std::size_t out = 0;
     for (std::size_t i = world.controllers(); i < world.size(); ++i)
-      if (world.node(i).alive) out += world.node(i).table->warmShare("cold-a", "zone-1", service, world.now()) > 0;
+      if (world.node(i).alive) out += world.node(i).table->slowStartShare("cold-a", "zone-1", service, world.now()) > 0;
     return out;
   };
   const auto some = [&] { return holders() >= 8; };
@@ -234,7 +237,7 @@
 std::size_t exchange(Fleet& fleet) {
   std::size_t heard = 0;
   for (std::size_t i = 0; i < fleet.tables.size(); ++i)
-    for (const auto& [to, said] : fleet.tables[i]->takeSuspicions(fleet.now)) {
+    for (const auto& [to, said] : fleet.tables[i]->takeHealthReports(fleet.now)) {
       heard += net::encode(said).size() * (to != 0 ? 1 : fleet.tables.size() - 1);
       if (to != 0) {
         fleet.tables[to - 1]->heard(said, fleet.now);
@@ -272,8 +275,9 @@
     ++out.at[to->instanceId];
     const bool bad = trouble(router, to->instanceId);
     out.hit += bad;
-    fleet.tables[router]->mark(to->instanceId, bad ? routing::Mark::Fault : routing::Mark::Good, fleet.now);
-    running.emplace_back(fleet.now + Millis(150), std::move(to->taking));
+    fleet.tables[router]->recordResult(
+        to->instanceId, bad ? routing::AttemptResult::Failure : routing::AttemptResult::Success, fleet.now);
+    running.emplace_back(fleet.now + Millis(150), std::move(to->admission));
   }
   return out;
 }
@@ -342,7 +346,7 @@
   for (int i = 0; i < 1000; ++i) {
     fleet.now += Millis(1);
     if (i % 200 == 0) exchange(fleet);
-    if (i % 20 == 0) fleet.tables[random() % kRouters]->mark("e9", routing::Mark::Refused, fleet.now);
+    if (i % 20 == 0) fleet.tables[random() % kRouters]->recordResult("e9", routing::AttemptResult::Rejected, fleet.now);
   }
   cr_assert(fleet.tables[13]->suspended("e9", fleet.now));
 }
@@ -365,7 +369,7 @@
 void answer(Fleet& fleet, std::size_t router, const std::string& id, bool late) {
   fleet.tables[router]->arrived(id[0] == 'p' ? "plain" : "engine", fleet.now);
   late ? fleet.tables[router]->late(id, fleet.now) : fleet.tables[router]->inTime(id, fleet.now);
-  fleet.tables[router]->mark(id, routing::Mark::Good, fleet.now);
+  fleet.tables[router]->recordResult(id, routing::AttemptResult::Success, fleet.now);
 }
 }  // namespace
 
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -293,7 +293,7 @@
 struct Chooser {
   explicit Chooser(std::size_t engines, settings::Policy policy = settings::defaultPolicy())
       : table("z0", bounds(policy), 7, now) {
-    routing::fold(picture, routing::StateReceived{{1, 1}, configuration(), {}});
+    routing::fold(snapshot, routing::StateReceived{{1, 1}, configuration(), {}});
     for (std::uint32_t i = 0; i < engines; ++i)
       list.push_back({"e" + std::to_string(i), "engine", "z0", 100 + i, 80, 128, false, 0});
     show();
@@ -309,12 +309,12 @@
         std::get<0>(control::parseConfiguration(tests::document(1, 3000))));
   }
   void show() {
-    routing::fold(picture, routing::RunnersReceived{{1, ++version}, list, now});
-    table.setPicture(std::make_shared<const routing::Picture>(picture), now);
+    routing::fold(snapshot, routing::RunnersReceived{{1, ++version}, list, now});
+    table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(snapshot), now);
   }
-  routing::Asked ask(std::uint64_t thing, std::uint64_t own = 1) {
-    routing::Asked asked;
-    asked.route = picture.route("a.example", "/text/1");
+  routing::RequestProfile ask(std::uint64_t thing, std::uint64_t own = 1) {
+    routing::RequestProfile asked;
+    asked.route = snapshot.route("a.example", "/text/1");
     asked.service = "engine";
     asked.prompt = {{1, 500}, {thing, 4000}, {1'000'000 + own, 300}};
     asked.promptTokens = 4800;
@@ -323,16 +323,16 @@
     return asked;
   }
   // Passes and answers a request; where it went.
-  std::string serve(routing::Asked asked) {
+  std::string serve(routing::RequestProfile asked) {
     auto decision = table.decide(asked, now);
     cr_assert(std::holds_alternative<routing::PassTo>(decision), "not served");
     auto& to = std::get<routing::PassTo>(decision);
-    to.taking.begun(Millis(50));
+    to.admission.begun(Millis(50));
     return to.instanceId;
   }
 
   base::TimePoint now{std::chrono::hours(1)};
-  routing::Picture picture;
+  routing::RoutingSnapshot snapshot;
   routing::Table table;
   std::vector<schema::RunnerEntry> list;
   std::uint64_t version = 0;
@@ -355,9 +355,9 @@
   cr_assert_eq(c.serve(c.ask(5, 2)), where);
   cr_assert_eq(c.table.indexState().counters.hits, 1u);
   // Other weights: what was computed with the old ones goes.
-  c.table.weights(where, 0, 1);
+  c.table.setRevision(where, 0, 1);
   cr_assert_eq(c.table.indexState().blocks, 4u);
-  c.table.weights(where, 0, 2);
+  c.table.setRevision(where, 0, 2);
   cr_assert_eq(c.table.indexState().blocks, 0u);
   c.serve(c.ask(5, 3));
   for (auto& entry : c.list) entry.instanceId += "-again";
@@ -422,7 +422,7 @@
   cr_assert(bad->asked == 5 && c.table.indexState().poolFailed == 5u);
   cr_assert_eq(c.table.indexState().failed, 9u, "the index itself goes on");
   cr_assert_gt(c.table.indexState().counters.stores, 0u);
-  // A store that is broken off by an exception: the index is given up, requests go on, and the next picture has a new
+  // A store that is broken off by an exception: the index is given up, requests go on, and the next snapshot has a new
   // one.
   auto breaking = std::make_unique<Index>(kRoomy);
   breaking->setWatch([](const kvindex::Event&) { throw std::bad_alloc(); });
@@ -446,7 +446,7 @@
     asked.tried.insert(order.back());
     auto next = c.table.decide(asked, c.now + Millis(20));
     order.push_back(std::get<routing::PassTo>(next).instanceId);
-    std::get<routing::PassTo>(next).taking.release();
+    std::get<routing::PassTo>(next).admission.release();
   }
   cr_assert_eq(c.table.indexState().rankings, 1u, "asked again, not ranked again");
   cr_assert_eq(std::set<std::string>(order.begin(), order.end()).size(), order.size(), "each another runner");
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -210,11 +210,11 @@
 
 Test(journal, folds_every_event_and_keeps_a_bounded_number) {
   base::Journal<int, std::vector<int>> journal([](std::vector<int>& sum, int e) { sum.push_back(e); }, 4);
-  const auto before = journal.picture();
+  const auto before = journal.state();
   for (int i = 0; i < 10; ++i) journal.append(i);
   cr_assert_eq(journal.kept(), 4u);
   cr_assert_eq(journal.appended(), 10u);
-  cr_assert_eq(journal.picture()->size(), 10u);
+  cr_assert_eq(journal.state()->size(), 10u);
   cr_assert_eq(before->size(), 0u);
 }
 
@@ -284,7 +284,7 @@
 
 struct Routed {
   base::TimePoint now{std::chrono::hours(1)};
-  routing::Picture picture;
+  routing::RoutingSnapshot snapshot;
   routing::Table table;
 
   explicit Routed(routing::Bounds bounds = {0.2, 40, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
@@ -292,7 +292,7 @@
       : table("z0", bounds, 1, now - std::chrono::hours(1)) {
     auto configuration =
         std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(document(1))));
-    routing::fold(picture, routing::StateReceived{{1, 1}, configuration, {}});
+    routing::fold(snapshot, routing::StateReceived{{1, 1}, configuration, {}});
     schema::View view;
     view.number = 1;
     for (std::size_t i = 0; i < routers; ++i) {
@@ -300,7 +300,7 @@
       m.role = static_cast<std::uint8_t>(membership::Role::Router);
       view.members.push_back(m);
     }
-    routing::fold(picture, routing::ViewReceived{view});
+    routing::fold(snapshot, routing::ViewReceived{view});
     std::vector<schema::RunnerEntry> list;
     for (std::uint32_t i = 0; i < 3; ++i)
       list.push_back({"e" + std::to_string(i), "engine", "z" + std::to_string(i), 100 + i, 80, 128, false, 0});
@@ -311,13 +311,13 @@
     table.setLease(now + Millis(1000));
   }
   void show(std::vector<schema::RunnerEntry> list) {
-    routing::fold(picture, routing::RunnersReceived{{1, ++version}, std::move(list), now});
+    routing::fold(snapshot, routing::RunnersReceived{{1, ++version}, std::move(list), now});
     apply();
   }
-  void apply() { table.setPicture(std::make_shared<const routing::Picture>(picture), now); }
-  routing::Asked ask(const char* path) {
-    routing::Asked asked;
-    asked.route = picture.route("a.example", path);
+  void apply() { table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(snapshot), now); }
+  routing::RequestProfile ask(const char* path) {
+    routing::RequestProfile asked;
+    asked.route = snapshot.route("a.example", path);
     asked.service = asked.route->split[0].first;
     asked.arrivedAt = now;
     asked.deadline = now + Millis(1000);
@@ -332,32 +332,32 @@
   auto configuration = std::make_shared<const control::Configuration>(std::get<0>(control::parseConfiguration(document(
       1, 3000,
       R"(,{"name":"deep","hostname":"A.example","pathPrefix":"/text/deep/","routeType":"idempotent","timeoutMs":5,"targetService":"plain"})"))));
-  routing::Picture picture;
-  routing::fold(picture, routing::StateReceived{{1, 1}, configuration, {}});
-  cr_assert_eq(picture.route("a.example:80", "/text/deep/x")->name, "deep");
-  cr_assert_eq(picture.route("A.EXAMPLE", "/text/x?y=/text/deep/")->name, "r-text");
-  cr_assert(picture.route("a.example", "/texts/") == nullptr);
-  cr_assert(picture.route("b.example", "/text/") == nullptr);
+  routing::RoutingSnapshot snapshot;
+  routing::fold(snapshot, routing::StateReceived{{1, 1}, configuration, {}});
+  cr_assert_eq(snapshot.route("a.example:80", "/text/deep/x")->name, "deep");
+  cr_assert_eq(snapshot.route("A.EXAMPLE", "/text/x?y=/text/deep/")->name, "r-text");
+  cr_assert(snapshot.route("a.example", "/texts/") == nullptr);
+  cr_assert(snapshot.route("b.example", "/text/") == nullptr);
   // What is older than what is held is not folded in.
-  routing::fold(picture, routing::StateReceived{{0, 9}, nullptr, {}});
-  cr_assert(picture.configuration != nullptr);
+  routing::fold(snapshot, routing::StateReceived{{0, 9}, nullptr, {}});
+  cr_assert(snapshot.configuration != nullptr);
 }
 
 Test(routing, nothing_goes_to_a_runner_that_drains_or_is_evacuated_or_gone) {
   Routed r;
-  auto list = r.picture.runners;
+  auto list = r.snapshot.runners;
   list[3].draining = true;
   r.show(list);
   for (int i = 0; i < 20; ++i) {
     auto d = r.table.decide(r.ask("/check/1"), r.now);
     cr_assert_eq(std::get<routing::PassTo>(d).instanceId, "p1");
   }
-  routing::fold(r.picture, routing::StateReceived{{1, 2}, r.picture.configuration, {"z1"}});
+  routing::fold(r.snapshot, routing::StateReceived{{1, 2}, r.snapshot.configuration, {"z1"}});
   r.apply();
   cr_assert(std::holds_alternative<routing::Wait>(r.table.decide(r.ask("/check/1"), r.now)));
   auto late = r.ask("/check/1");
   late.arrivedAt = r.now - Millis(500);
-  cr_assert(std::holds_alternative<routing::Shed>(r.table.decide(late, r.now)));
+  cr_assert(std::holds_alternative<routing::Reject>(r.table.decide(late, r.now)));
 }
 
 Test(routing, prompts_with_the_same_parts_go_to_the_same_runner) {
@@ -385,13 +385,13 @@
   Routed r;
   for (int i = 0; i < 100; ++i) r.table.arrived("plain", r.now);
   int drawn = 0;
-  while (r.table.drawRetry("plain", r.now)) ++drawn;
+  while (r.table.admitRetry("plain", r.now)) ++drawn;
   // 0.2 of 100 requests and a fourth of the slack of 40, with something kept back.
   cr_assert(drawn > 20 && drawn <= 30, "%d", drawn);
   r.now += Millis(12000);
-  cr_assert_not(r.table.drawRetry("plain", r.now), "without a lease");
+  cr_assert_not(r.table.admitRetry("plain", r.now), "without a lease");
   r.table.setLease(r.now + Millis(1000));
-  cr_assert(r.table.drawRetry("plain", r.now));
+  cr_assert(r.table.admitRetry("plain", r.now));
 }
 
 Test(routing, a_cold_runner_gets_its_rate_from_all_routers_together) {
@@ -399,7 +399,7 @@
   std::vector<std::unique_ptr<Routed>> routers;
   for (int i = 0; i < 4; ++i) {
     routers.push_back(std::make_unique<Routed>());
-    auto list = routers.back()->picture.runners;
+    auto list = routers.back()->snapshot.runners;
     list.erase(list.begin(), list.begin() + 2);
     list[0].warmupLeftMs = 60000;
     routers.back()->show(list);
@@ -431,7 +431,7 @@
 
 Test(routing, a_runner_that_fails_is_left_out_and_tried_again) {
   Routed r;
-  for (int i = 0; i < 2; ++i) r.table.mark("p0", routing::Mark::Fault, r.now);
+  for (int i = 0; i < 2; ++i) r.table.recordResult("p0", routing::AttemptResult::Failure, r.now);
   for (int i = 0; i < 10; ++i)
     cr_assert_eq(std::get<routing::PassTo>(r.table.decide(r.ask("/check/1"), r.now)).instanceId, "p1");
   r.now += Millis(1100);
@@ -447,7 +447,7 @@
 Test(routing, a_trial_that_ends_without_a_word_is_followed_by_another) {
   // The client went, or its time was over: the runner that it tried is not left out for good.
   Routed r;
-  for (int i = 0; i < 2; ++i) r.table.mark("p0", routing::Mark::Fault, r.now);
+  for (int i = 0; i < 2; ++i) r.table.recordResult("p0", routing::AttemptResult::Failure, r.now);
   for (int round = 0; round < 3; ++round) {
     r.now += Millis(1100);
     r.table.setLease(r.now + Millis(1000));
--- a/tests/test_pass.cpp
+++ b/tests/test_pass.cpp
@@ -144,7 +144,7 @@
   proxy::Executor executor{io.get_executor(), table};
   tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
   std::thread thread;
-  routing::Picture picture;
+  routing::RoutingSnapshot picture;
 
   explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain",
                  const std::string& extra = "") {
@@ -163,7 +163,7 @@
       list.push_back(
           {"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
     routing::fold(picture, routing::RunnersReceived{{1, 1}, list, past});
-    table.setPicture(std::make_shared<const routing::Picture>(picture), past);
+    table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(picture), past);
     table.setLease(base::Clock::now() + std::chrono::hours(1));
     asio::co_spawn(io, executor.accept(acceptor), asio::detached);
     thread = std::thread([this] { io.run(); });
@@ -477,7 +477,7 @@
   Runner runner({whole("ok")});
   {
     Front front({&runner});
-    front.table.setPicture(std::make_shared<const routing::Picture>(), base::Clock::now());
+    front.table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(), base::Clock::now());
     cr_assert(starts(front.exchange(get("/check/1")), "HTTP/1.1 503"));
   }
   Front front({&runner});
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -49,9 +49,9 @@
   std::map<std::string, std::vector<std::string>> out;
   for (std::size_t r = world.controllers(); r < world.size(); ++r) {
     auto& n = world.node(r);
-    const auto picture = n.table->picture();
+    const auto picture = n.table->snapshot();
     for (std::size_t i = 0; i < samples; ++i) {
-      routing::Asked asked;
+      routing::RequestProfile asked;
       asked.route = picture->route("a.example", "/text/1");
       asked.service = "engine";
       asked.prompt = prompt(i);
@@ -93,7 +93,7 @@
   const auto listed = [&](std::size_t count) {
     return world.runUntil(Millis(8000), [&] {
       for (std::size_t r = world.controllers(); r < world.size(); ++r) {
-        const auto picture = world.node(r).table->picture();
+        const auto picture = world.node(r).table->snapshot();
         if (!picture->configuration || picture->runners.size() != count) return false;
       }
       return status == 200;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -263,11 +263,11 @@
 
 namespace {
 struct Routes {
-  routing::Picture picture;
+  routing::RoutingSnapshot picture;
   routing::Table table{"z0", {}, 1, base::TimePoint{std::chrono::hours(1)}};
   base::TimePoint now{std::chrono::hours(2)};
   std::uint64_t sequence = 1;
-  routing::Asked asked;
+  routing::RequestProfile asked;
 
   explicit Routes(std::vector<schema::RunnerEntry> runners) {
     state({});
@@ -289,7 +289,7 @@
     routing::fold(picture, routing::RunnersReceived{{1, ++sequence}, std::move(runners), now});
     set();
   }
-  void set() { table.setPicture(std::make_shared<const routing::Picture>(picture), now); }
+  void set() { table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(picture), now); }
   // How often each runner is chosen.
   std::map<std::string, int> chosen(int times = 60) {
     std::map<std::string, int> out;
@@ -319,7 +319,7 @@
   r.list({runner("good", "v1", 2)});
   cr_assert(r.chosen().empty());
   decision = r.table.decide(r.asked, r.now);
-  same(std::get<routing::Shed>(decision).why, "no runner with a snapshot that may serve");
+  same(std::get<routing::Reject>(decision).why, "no runner with a snapshot that may serve");
   r.state({});
   cr_assert_eq(r.chosen()["good"], 60);
   auto plain = r.table.decide(r.asked, r.now);
@@ -328,12 +328,12 @@
 
 Test(rollout, a_runner_whose_answers_contradict_the_list_is_held_back_until_its_entry_changes) {
   Routes r({runner("good"), runner("liar")});
-  r.table.contradicted("liar", "m", 2);
+  r.table.versionMismatched("liar", "m", 2);
   cr_assert_eq(r.chosen().size(), 2u);  // nothing is declared
   r.state({inForce(0)});
-  r.table.contradicted("liar", "m", 1);  // the list has caught up with the answer meanwhile
+  r.table.versionMismatched("liar", "m", 1);  // the list has caught up with the answer meanwhile
   cr_assert(r.chosen().size() == 2);
-  r.table.contradicted("liar", "m", 2);
+  r.table.versionMismatched("liar", "m", 2);
   cr_assert(r.chosen().size() == 1);
   r.list({runner("good"), runner("liar")});
   cr_assert(r.chosen().size() == 1);
@@ -341,7 +341,7 @@
   r.state({inForce(1)});
   cr_assert(r.chosen().size() == 2);
   // One that turned a request away is asked again after a while.
-  r.table.turnedAway("liar", r.now);
+  r.table.versionRejected("liar", r.now);
   cr_assert(r.chosen().size() == 1);
   r.now += Millis(1500);
   cr_assert(r.chosen().size() == 2);
@@ -379,7 +379,7 @@
     }
   }
   // Held back by its own answers between two lists, it is no candidate from then on.
-  r.table.contradicted("like", "m", 3);
+  r.table.versionMismatched("like", "m", 3);
   cr_assert(r.chosen(1).empty());
 }
 
@@ -688,7 +688,7 @@
     for (std::size_t i = world.controllers(); i < world.size(); ++i) {
       auto& n = world.node(i);
       if (!n.alive || n.frozen || outOfTouch.contains(i) || !n.follower->informed()) continue;
-      routing::Asked asked;
+      routing::RequestProfile asked;
       asked.route = &configuration.routes[1];
       asked.service = "plain";
       asked.arrivedAt = world.now();
@@ -751,7 +751,7 @@
     fleet.world.run(Millis(3000));
     cr_assert_eq(status, 200);
     for (std::size_t i = fleet.world.controllers(); i < fleet.world.size(); ++i)
-      cr_assert(fleet.world.node(i).journal->picture()->rollouts.empty());
+      cr_assert(fleet.world.node(i).journal->state()->rollouts.empty());
   }
   fmt::print(stderr, "simulated: {} decisions after the declaration, {} after the bound, none at a mismatched worker\n",
              decided, served);
@@ -806,9 +806,9 @@
   world.cutOff(router, all, true);
   fleet.declare();
   world.run(Millis(5000));
-  cr_assert(world.node(router).journal->picture()->rollouts.empty());
+  cr_assert(world.node(router).journal->state()->rollouts.empty());
   world.cutOff(router, all, false);
-  cr_assert(world.runUntil(Millis(4000), [&] { return world.node(router).journal->picture()->rollouts.size() == 1; }));
+  cr_assert(world.runUntil(Millis(4000), [&] { return world.node(router).journal->state()->rollouts.size() == 1; }));
   fleet.outOfTouch.clear();
   world.run(Millis(3000));
   fleet.holds();
@@ -862,7 +862,7 @@
   truth.setRunners({1, 1}, {runner("good")}, now);
   truth.setConfirmed(true);
   feed::Follower follower({"r", "z0", {2, 2}}, {source}, membership::Times{}, feed::Times{}, Millis(3000), 1, now);
-  routing::Picture picture;
+  routing::RoutingSnapshot picture;
   // Carries asks to the source and its answers back, as `spoil` leaves them.
   auto at = now;
   const auto round = [&](const std::function<void(schema::Update&)>& spoil) {
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -220,7 +220,7 @@
   const auto everyRouter = [&](bool evacuated) {
     return world.runUntil(Millis(4000), [&] {
       for (std::size_t i = world.controllers(); i < world.size(); ++i)
-        if (world.node(i).table->picture()->evacuated.contains("zone-1") != evacuated) return false;
+        if (world.node(i).table->snapshot()->evacuated.contains("zone-1") != evacuated) return false;
       return true;
     });
   };
--- a/tools/benchchoice.cpp
+++ b/tools/benchchoice.cpp
@@ -35,18 +35,18 @@
 void measure(std::uint32_t runners) {
   auto now = base::TimePoint(std::chrono::hours(1));
   routing::Table table("z0", {}, 1, now);
-  routing::Picture picture;
-  routing::fold(picture, routing::StateReceived{{1, 1},
-                                                std::make_shared<const control::Configuration>(
-                                                    std::get<0>(control::parseConfiguration(kDocument))),
-                                                {}});
+  routing::RoutingSnapshot snapshot;
+  routing::fold(snapshot, routing::StateReceived{{1, 1},
+                                                 std::make_shared<const control::Configuration>(
+                                                     std::get<0>(control::parseConfiguration(kDocument))),
+                                                 {}});
   std::vector<schema::RunnerEntry> list;
   for (std::uint32_t i = 0; i < runners; ++i)
     list.push_back(
         {fmt::format("i-{:08x}", i * 2654435761u), "engine", fmt::format("z{}", i % 3), i + 1, 80, 24, false, 0});
-  routing::fold(picture, routing::RunnersReceived{{1, 1}, list, now});
-  const auto shown = std::make_shared<const routing::Picture>(picture);
-  table.setPicture(shown, now);
+  routing::fold(snapshot, routing::RunnersReceived{{1, 1}, list, now});
+  const auto shown = std::make_shared<const routing::RoutingSnapshot>(snapshot);
+  table.setSnapshot(shown, now);
   for (std::uint64_t i = 0; i < kPrefixes; ++i) {
     const auto parts = prompt(i, 0);
     table.stored(table.home("engine", parts), 7, kvindex::Chain(parts).first(2));
@@ -56,7 +56,7 @@
   std::size_t served = 0;
   for (std::uint64_t i = 0; i < kRequests; ++i) {
     now += std::chrono::microseconds(1000);
-    routing::Asked asked;
+    routing::RequestProfile asked;
     asked.route = &shown->configuration->routes.front();
     asked.service = "engine";
     asked.model = 7;
@@ -68,7 +68,7 @@
     auto decision = table.decide(asked, now);
     const auto chosen = cpuUs();
     if (auto* to = std::get_if<routing::PassTo>(&decision)) {
-      to->taking.begun(base::Millis(60));
+      to->admission.begun(base::Millis(60));
       ++served;
     }
     recording += cpuUs() - chosen;
