--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -368,7 +368,7 @@
 namespace {
 void answer(Fleet& fleet, std::size_t router, const std::string& id, bool late) {
   fleet.tables[router]->arrived(id[0] == 'p' ? "plain" : "engine", fleet.now);
-  late ? fleet.tables[router]->late(id, fleet.now) : fleet.tables[router]->inTime(id, fleet.now);
+  late ? fleet.tables[router]->recordLate(id, fleet.now) : fleet.tables[router]->recordInTime(id, fleet.now);
   fleet.tables[router]->recordResult(id, routing::AttemptResult::Success, fleet.now);
 }
 }  // namespace
