Voters announce themselves to seeds that are not in the view

Seeds had been exchanged for machines without a disk. After a loss of all power the voters knew each other from their records and founded a view before a seed had started; nobody in the view spoke to the seeds, the seeds knew only each other, and every router asked only the seeds, so the view stayed at three members for good.

Voters that hold a lease now send their addresses to each seed that is not in the view, with every hello period. A daemon without a view asks them as well, passes them on to whoever asks it, and routers ask them for news. A daemon whose view has had no lease for a suspicion time-out shows its view to all contacts, as all that it watches may have gone.

--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -13,7 +13,6 @@
 Follower::Follower(Self self, std::vector<settings::Endpoint> seeds, membership::Times group, Times times,
                    Millis drainBound, std::uint64_t seed, base::TimePoint startedAt)
     : self_(std::move(self)),
-      seeds_(seeds),
       drainBound_(drainBound),
       seed_(seed),
       group_({self_.nodeName + "/router", "", self_.zone, membership::Role::Router, self_.cohort}, std::move(seeds),
@@ -111,7 +110,7 @@
   if (first) effects.notes.push_back(fmt::format("list of runners: {} of them", publisher_.runners().size()));
 }
 
-// The controllers of the view, the own domain first; the seeds while there is no view.
+// The controllers of the view, the own zone first; without a view, wherever the group may be found.
 void Follower::askForNews(base::TimePoint now, net::Outbox& out) {
   std::vector<settings::Endpoint> own, others;
   if (group_.view())
@@ -121,7 +120,7 @@
   if (!others.empty())
     std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(seed_ % others.size()), others.end());
   own.insert(own.end(), others.begin(), others.end());
-  subscriber_.tick(now, own.empty() ? seeds_ : own, stateVersion(), publisher_.askRunners(), out);
+  subscriber_.tick(now, own.empty() ? group_.contacts() : own, stateVersion(), publisher_.askRunners(), out);
 }
 
 void Follower::settle(FollowerEffects& effects) {
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -36,10 +36,7 @@
   // Tells one of them, by its incarnation.
   void tell(std::uint64_t to, const schema::Message& message, net::Outbox& out) const;
   void leave(FollowerEffects& effects);
-  void setSeeds(std::vector<settings::Endpoint> seeds) {
-    seeds_ = seeds;
-    group_.setSeeds(std::move(seeds));
-  }
+  void setSeeds(std::vector<settings::Endpoint> seeds) { group_.setSeeds(std::move(seeds)); }
 
   // Without news for so long that a draining runner might be missed, the platform is asked directly.
   bool readingDue(base::TimePoint now);
@@ -65,7 +62,6 @@
   }
 
   Self self_;
-  std::vector<settings::Endpoint> seeds_;
   base::Millis drainBound_;
   std::uint64_t seed_;
   membership::Group group_;
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -104,7 +104,7 @@
 
 bool Group::watchesAll() const {
   if (!view_) return false;
-  if (!self_.voterId.empty() && base::contains(view_->voters, self_.voterId)) return true;
+  if (isVoter()) return true;
   std::size_t oldest = 0;
   for (const auto& m : view_->members) {
     if (suspected_.contains(m.incarnation)) continue;
@@ -144,6 +144,7 @@
   if (viewlessSince_ == base::TimePoint{}) viewlessSince_ = now;
   std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 5 * times_.join; });
   std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(contacts_, [&](const auto& entry) { return now - entry.second.heardAt > 2 * times_.suspect; });
   tryDelivery(now);
   if (!view_) {
     // One that holds a proposal with itself in it has been heard; it asks on, more slowly, as the commit may be lost.
@@ -154,6 +155,8 @@
     dropSilentJoiners(now);
     remind(now, out);
     if (now - helloAt_ >= times_.hello) sendHellos(now, out);
+    announce(now, out);
+    seekGroup(now, out);
     considerExtension(now, out);
   }
   if (round_) {
@@ -195,32 +198,6 @@
   }
 }
 
-void Group::sendJoin(base::TimePoint now, net::Outbox& out) {
-  joinAt_ = now;
-  if (leavingSelf_) return;
-  schema::Join join;
-  join.member.id = self_.id;
-  join.member.voterId = self_.voterId;
-  join.member.zone = self_.zone;
-  join.member.role = static_cast<std::uint8_t>(self_.role);
-  join.member.ip = self_.address.ip;
-  join.member.port = self_.address.port;
-  join.member.bootId = bootId_;
-  join.floor = floor_;
-  join.epoch = knownEpoch_;
-  join.voters = knownVoters_;
-  std::set<settings::Endpoint> targets(seeds_.begin(), seeds_.end());
-  targets.insert(lastKnown_.begin(), lastKnown_.end());
-  // Those that ask to join are answered with the same: one of them may be the founder and know nobody else's address.
-  // Routers found nothing, so they need not hear of others that have no view either.
-  for (const auto& [id, joiner] : joiners_)
-    if (joiner.member.role == static_cast<std::uint8_t>(Role::Controller)) targets.insert(addressOf(joiner.member));
-  targets.erase(self_.address);
-  for (const auto& to : targets) out.push_back({to, join});
-  // Its own word counts when the group is founded.
-  joiners_[self_.id] = {join.member, now, floor_};
-}
-
 // When nobody has a view, the voters found the group anew: the first of a majority of them that hear each other.
 // Cut off from a majority, a voter waits; an existing view with a quorum would have taken it in.
 void Group::considerFounding(base::TimePoint now, net::Outbox& out) {
@@ -494,6 +471,7 @@
   const auto& next = commit.result;
   view_ = next;
   viewDigest_ = digestOf(next);
+  installedAt_ = now;
   if (pending_ && pending_->result.number <= next.number) pending_.reset();
   // A round that extends an older view would be turned away as stale by everybody: it is begun anew.
   if (round_ && round_->proposal.base < next.number) round_.reset();
@@ -582,6 +560,7 @@
     // The view that this daemon has acknowledged is in place at others: its own commit was lost.
     if (pending_ && in(pending_->result, m.incarnation) && m.view >= pending_->result.number)
       out.push_back({from, schema::ViewRequest{0, m.view}});
+    passContactsOn(from, out);
     return;
   }
   const auto* sender = find(*view_, m.incarnation);
@@ -591,7 +570,7 @@
     // sender is a failed incarnation and is told so, by those alone that hold the lease: without it this daemon may
     // itself be the one that was left out.
     if (m.view > view_->number)
-      out.push_back({from, schema::Heartbeat{incarnation_, view_->number, base::toMs(now), 0, false, 0, {}}});
+      showView(from, now, out);
     else if (leaseHeld(now))
       out.push_back({from, schema::YouAreDead{m.incarnation, view_->number}});
     return;
@@ -627,37 +606,6 @@
   if (m.wanted) sendHello(*sender, false, now, out);
 }
 
-void Group::on(const schema::Join& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
-  if (view_) {
-    for (const auto& known : view_->members)
-      if (known.id == m.member.id && known.bootId == m.member.bootId) {
-        // Taken in already; it has missed the commit.
-        sendView(addressOf(known), out);
-        return;
-      }
-    if (m.member.id == self_.id) return;
-    if (!manages()) {
-      // Passed on to the manager, as the joiner cannot know who that is.
-      for (const auto& known : view_->members)
-        if (!suspected_.contains(known.incarnation) && !leaving_.contains(known.incarnation)) {
-          if (!joiners_.contains(m.member.id) || joiners_[m.member.id].heardAt != now)
-            out.push_back({addressOf(known), m});
-          break;
-        }
-    }
-  }
-  // Taken in with the next tick: many come at once when machines return together.
-  joiners_[m.member.id] = {m.member, now, m.floor};
-  // Of those that found the group anew some may have missed the newest record, and would wait for voters of an older.
-  if (!view_ && m.epoch > knownEpoch_) setVoters(m.epoch, m.voters);
-  // Voters that are no seeds know nobody but the seeds, and one of them may have to be the founder: what comes from
-  // such a daemon itself is passed on to the others.
-  if (!view_ && !m.member.voterId.empty() && from == addressOf(m.member))
-    for (const auto& [id, joiner] : joiners_)
-      if (id != m.member.id && id != self_.id && !joiner.member.voterId.empty())
-        out.push_back({addressOf(joiner.member), m});
-}
-
 // A proposal from an incarnation that has failed, or from one that has missed a commit: answered here.
 bool Group::stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
                   base::TimePoint now, net::Outbox& out) {
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -52,6 +52,9 @@
   // The newest news this daemon holds, for the flush before a failure view.
   void setHeld(const schema::StateVersion& held) { held_ = held; }
   void setSeeds(std::vector<settings::Endpoint> seeds) { seeds_ = std::move(seeds); }
+  // Every address at which the group may be found: members that have announced themselves, seeds, and the controllers
+  // of the last view.
+  std::vector<settings::Endpoint> contacts() const;
   // View numbers and incarnations below this were used before; kept on disk by voters.
   void setFloor(std::uint64_t floor) { floor_ = std::max(floor_, floor); }
   std::uint64_t floor() const { return floor_; }
@@ -88,6 +91,12 @@
     std::uint64_t floor = 0;
   };
 
+  // A member of a view, told by itself or by a daemon that it has announced itself to.
+  struct Contact {
+    base::TimePoint heardAt;
+    bool announcedItself = false;
+  };
+
   static bool in(const schema::View& view, std::uint64_t incarnation);
   static const schema::Member* find(const schema::View& view, std::uint64_t incarnation);
   static std::size_t votersIn(const schema::View& view, const std::vector<std::string>& voters);
@@ -101,6 +110,13 @@
   void sendHellos(base::TimePoint now, net::Outbox& out);
   void sendHello(const schema::Member& to, bool wanted, base::TimePoint now, net::Outbox& out);
   void sendJoin(base::TimePoint now, net::Outbox& out);
+  bool isVoter() const;
+  std::vector<settings::Endpoint> missingSeeds() const;
+  void announce(base::TimePoint now, net::Outbox& out);
+  void passContactsOn(const settings::Endpoint& to, net::Outbox& out) const;
+  void rememberContact(const settings::Endpoint& address, bool announcedItself, base::TimePoint now);
+  void showView(const settings::Endpoint& to, base::TimePoint now, net::Outbox& out) const;
+  void seekGroup(base::TimePoint now, net::Outbox& out);
   void considerFounding(base::TimePoint now, net::Outbox& out);
   void considerExtension(base::TimePoint now, net::Outbox& out);
   void rebase(const schema::Propose& old, schema::Propose& proposal) const;
@@ -130,6 +146,7 @@
   void on(const schema::Commit& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::YouAreDead& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Leave& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
+  void on(const schema::Contacts& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
 
   Self self_;
   std::vector<settings::Endpoint> seeds_;
@@ -161,8 +178,10 @@
   std::map<std::string, Joiner> joiners_;
   std::map<std::string, base::TimePoint> barred_;  // joiners that did not acknowledge, until when they wait
   std::vector<settings::Endpoint> lastKnown_;
+  std::map<settings::Endpoint, Contact> contacts_;
   std::vector<Delivered> delivered_;
   base::TimePoint leaseUntil_{}, helloAt_{}, joinAt_{}, viewlessSince_{}, pendingAt_{};
+  base::TimePoint installedAt_{}, announcedAt_{}, soughtAt_{};
   bool leavingSelf_ = false;
   std::uint64_t rejected_ = 0, deaths_ = 0;
 };
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -98,6 +98,10 @@
     seeds.push_back(nodes_[c]->cohort);
     controls.push_back(nodes_[c]->control);
   }
+  if (!seedNodes.empty()) {
+    seeds.clear();
+    for (const auto seed : seedNodes) seeds.push_back(nodes_[seed]->cohort);
+  }
   if (n.isController) {
     std::vector<control::DiskWrite> writes;
     control::Identity identity;
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -89,6 +89,8 @@
                        std::function<void(const control::Answer&)> done);
 
   std::vector<schema::RunnerEntry> platform;  // what the platform's list shows
+  // The nodes that settings name as seeds from the next start on; the first three controllers if none are given.
+  std::vector<std::size_t> seedNodes;
 
   const std::optional<std::string>& broken() const { return broken_; }
   std::uint64_t steps() const { return steps_; }
