Give no final answer without a majority's word, and never refuse a taken order

Cause: only reads asked the voters. A superseded primary could still refuse (412, 400, 409) or confirm (200 for what is in force already) from its old state. The lease was looked at by tick alone, so orders that lay in a socket through a freeze were handled under the old one. Of taken orders 64 digests were kept; an older one sent again was refused.

Change: PendingAnswers holds back every answer that writes nothing until a majority of the voters has confirmed, after the order came, that it has accepted no later record; one round of messages serves all that wait, and a new record has the orders judged again. ClusterView carries the end of the lease, which is judged by the clock at each use. Per taken order the state keeps base version and a 64-bit digest, the last 512 (8 KB); older ones get 503 before their validity is looked at. Replica::forget drops an order whose caller has gone.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -129,7 +129,7 @@
     const auto& group = core_.group();
     boost::json::object out;
     out["voter"] = replica.voterId();
-    out["active"] = replica.active();
+    out["active"] = replica.active(base::Clock::now());
     if (const auto& r = replica.record()) {
       out["epoch"] = r->epoch;
       out["primary"] = r->primary;
--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -276,11 +276,8 @@
   }
 }
 
-std::string orderDigest(std::string_view call, std::uint64_t baseVersion, std::string_view body) {
-  const auto head = fmt::format("{} {} {}", call, baseVersion, body.size());
-  const auto one = base::hash(body, base::hash(head));
-  const auto two = base::hash(body, base::hash(head, 0x9e3779b97f4a7c15ULL));
-  return fmt::format("{:016x}{:016x}", one, two);
+std::uint64_t orderDigest(std::string_view call, std::uint64_t baseVersion, std::string_view body) {
+  return base::hash(body, base::hash(fmt::format("{} {} {}", call, baseVersion, body.size())));
 }
 
 }  // namespace indigohill::control
--- a/src/control/configuration.hpp
+++ b/src/control/configuration.hpp
@@ -60,6 +60,6 @@
 base::Result<std::string> applyUpdate(std::string_view current, std::string_view update);
 
 // A stable digest of an order, by which an exact resend is known again.
-std::string orderDigest(std::string_view call, std::uint64_t baseVersion, std::string_view body);
+std::uint64_t orderDigest(std::string_view call, std::uint64_t baseVersion, std::string_view body);
 
 }  // namespace indigohill::control
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -45,9 +45,9 @@
 
 void Controller::setSeeds(std::vector<settings::Endpoint> seeds) { group_.setSeeds(known(std::move(seeds))); }
 
-ClusterView Controller::around(base::TimePoint now) const {
+ClusterView Controller::around() const {
   ClusterView out;
-  out.lease = group_.leaseHeld(now);
+  out.leaseUntil = group_.leaseUntil();
   if (!group_.view()) return out;
   out.voters = group_.view()->voters;
   for (const auto& m : group_.view()->members)
@@ -57,7 +57,7 @@
 
 void Controller::tick(base::TimePoint now, Effects& effects) {
   group_.tick(now, effects.out);
-  replica_.tick(now, around(now), effects);
+  replica_.tick(now, around(), effects);
   publisher_.tick(now, effects.out);
   settle(now, effects);
 }
@@ -73,8 +73,8 @@
     const bool ofRunners = runnerSubscriber_.receive(*news, from, now);
     const auto content = feed::contentOf(*news);
     for (const auto& state : content.states)
-      if (!replica_.active() && publisher_.setState(state)) group_.setHeld(state.version);
-    if (ofState && !replica_.active()) publisher_.compare(*news);
+      if (!replica_.active(now) && publisher_.setState(state)) group_.setHeld(state.version);
+    if (ofState && !replica_.active(now)) publisher_.compare(*news);
     publisher_.takeRunners(*news, content, ofRunners ? now - base::Millis(news->runnersAgeMs) : base::TimePoint{});
   } else {
     group_.receive(message, from, now, effects.out);
@@ -99,7 +99,7 @@
 
 // Frames come from the primary, runners from the holder of that duty.
 void Controller::askForNews(base::TimePoint now, net::Outbox& out) {
-  if (const auto primary = replica_.primaryAddress(); primary && !replica_.active())
+  if (const auto primary = replica_.primaryAddress(); primary && !replica_.active(now))
     stateSubscriber_.tick(now, {*primary}, stateVersion(), kNothing, out);
   if (group_.view() && !group_.isLister())
     for (const auto& m : group_.view()->members)
@@ -139,7 +139,7 @@
   if (const auto holder = group_.flushFrom())
     effects.out.push_back({*holder, schema::Poll{0, stateVersion(), kNothing}});
   // A relay vouches for what it has only while it is in touch with the primary and has all that is in force there.
-  const bool fresh = replica_.active() ||
+  const bool fresh = replica_.active(now) ||
                      (replica_.primaryFresh(now) && publisher_.state() && stateVersion() >= replica_.primaryVersion());
   publisher_.setConfirmed(fresh && !publisher_.digestMismatch() && group_.leaseHeld(now));
   publisher_.publish(now, effects.out);
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -31,6 +31,8 @@
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& effects);
   void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects);
   void order(Order order, base::TimePoint now, Effects& effects);
+  // The caller has gone: its order is dropped if it has not been begun.
+  void forget(std::uint64_t call) { replica_.forget(call); }
   void setSeeds(std::vector<settings::Endpoint> seeds);
 
   // The duty of reading the platform's list: whether it is due here, and what came of it.
@@ -48,7 +50,7 @@
 
  private:
   std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
-  ClusterView around(base::TimePoint now) const;
+  ClusterView around() const;
   void askForNews(base::TimePoint now, net::Outbox& out);
   void settle(base::TimePoint now, Effects& effects);
   schema::StateVersion stateVersion() const {
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 
 #include "base/lists.hpp"
+#include "control/taken_orders.hpp"
 
 namespace indigohill::control {
 
 namespace {
-constexpr std::size_t kDigestsKept = 64;
+// Of taken configurations: 16 bytes each. A caller sends one again within seconds, so this covers any storm of changes.
+constexpr std::size_t kTakenOrdersKept = 512;
 constexpr std::size_t kOrdersWaiting = 64;
 constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
 
@@ -28,7 +30,8 @@
       times_(times),
       random_(seed),
       record_(std::move(loaded.record)),
-      state_(std::move(loaded.state)) {
+      state_(std::move(loaded.state)),
+      pendingAnswers_(random_() >> 1) {
   if (loaded.vote) vote_ = *loaded.vote;
   // Before the first record is replaced nothing can have been acknowledged, so no state means an empty one.
   if (!state_ && record_ && record_->epoch == 1) state_ = schema::ControlState{};
@@ -102,7 +105,7 @@
 }
 
 bool Replica::primaryFresh(base::TimePoint now) const {
-  return active() || (beatSeen_ && now - beatAt_ < 4 * times_.beat);
+  return active(now) || (beatSeen_ && now - beatAt_ < 4 * times_.beat);
 }
 
 std::optional<settings::Endpoint> Replica::primaryAddress() const {
@@ -129,12 +132,17 @@
 void Replica::stepDown(Effects& effects) {
   phase_ = Phase::Idle;
   published_.reset();
-  if (current_ && current_->order) effects.answers.push_back({current_->order->call, 503, "the primary changes", {}});
-  current_.reset();
-  for (const auto& [order, at] : orders_) effects.answers.push_back({order.call, 503, "the primary changes", {}});
+  requeue();
+  for (const auto& queued : orders_) effects.answers.push_back({queued.order.call, 503, "the primary changes", {}});
   orders_.clear();
-  for (const auto& reading : readings_) effects.answers.push_back({reading.order.call, 503, "the primary changes", {}});
-  readings_.clear();
+}
+
+// Puts what is under way back in front of the queue, as it arrived: it is judged again under the next record.
+void Replica::requeue() {
+  if (current_ && current_->order) orders_.push_front(std::move(*current_->order));
+  current_.reset();
+  auto pending = pendingAnswers_.takeAll();
+  orders_.insert(orders_.begin(), std::make_move_iterator(pending.begin()), std::make_move_iterator(pending.end()));
 }
 
 // Takes over a record that was decided.
@@ -147,7 +155,6 @@
   transferRequested_ = false;
   primaryGone_ = false;
   leaseSince_ = now;
-  for (auto& reading : readings_) reading.confirmed.clear();
   if (record.primary != self_.voterId) {
     if (phase_ != Phase::Idle) stepDown(effects);
     return;
@@ -156,8 +163,7 @@
   // This controller stood for the record (or somebody finished it on its behalf): what it holds is written once more
   // under the new epoch, at the backup too, before anything of it is shown. Only then is the older epoch shut out
   // wherever the state lies.
-  if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
-  current_.reset();
+  requeue();
   phase_ = Phase::Activating;
   auto next = *state_;
   next.version.epoch = record.epoch;
@@ -309,10 +315,7 @@
     target = vote_.accepted;
   else if (!chooseNextRecord(target, now))
     return;
-  if (phase_ == Phase::Active || phase_ == Phase::Activating) {
-    if (current_ && current_->order) orders_.emplace_front(*current_->order, current_->startedAt);
-    current_.reset();
-  }
+  if (phase_ == Phase::Active || phase_ == Phase::Activating) requeue();
   if (!finishing) phase_ = Phase::Campaigning;
   if (vote_.slot != target.epoch) vote_ = {target.epoch, 0, 0, {}, vote_.sealed};
   vote_.sealed = std::max(vote_.sealed, record_->epoch);
@@ -386,7 +389,7 @@
 }
 
 void Replica::considerCampaign(base::TimePoint now, Effects& effects) {
-  if (!record_ || !cluster_.lease || now < campaignAfter_) return;
+  if (!record_ || !leaseHeld(now) || now < campaignAfter_) return;
   if (candidacy_) {
     if (now - candidacy_->startedAt > candidacy_->patience)
       campaign(now, effects);
@@ -401,7 +404,7 @@
     if (phase_ == Phase::Idle) {
       campaign(now, effects);
     } else if (chooseNextRecord(target, now) &&
-               (target.backups != record_->backups || (active() && target.voters != record_->voters))) {
+               (target.backups != record_->backups || (active(now) && target.voters != record_->voters))) {
       // Without all backups nothing can be acknowledged, and the machine may be the next to be lost: new ones at once.
       // Missing voters are exchanged; and that copies are spread over zones is worth an epoch too, now and then.
       if (inOneZone(record_->backups) && target.voters == record_->voters && !anySilent(now)) {
@@ -449,10 +452,10 @@
 }
 
 void Replica::tick(base::TimePoint now, const ClusterView& around, Effects& effects) {
-  if (around.lease && !cluster_.lease) leaseSince_ = now;
+  if (now < around.leaseUntil && !leaseHeld(now)) leaseSince_ = now;
   cluster_ = around;
-  // The office rests on the view: without a lease there may be another primary by now.
-  if (!around.lease && phase_ != Phase::Idle) stepDown(effects);
+  // Leadership rests on the view: without a lease there may be another primary by now.
+  if (!leaseHeld(now) && phase_ != Phase::Idle) stepDown(effects);
   if (record_ && !relay()) {
     watchVoters(now);
     considerCampaign(now, effects);
@@ -470,24 +473,18 @@
         if (!w.copied.contains(backup)) silentAt_[backup] = now;
     }
     if (current_ && now - current_->sentAt >= times_.resend) sendCopies(now, effects);
+    finishWrite(now, effects);  // held back if the lease had run out for a moment
   }
   if (diskBad_ && now >= campaignAfter_) diskBad_ = false;
-  while (!orders_.empty() && now - orders_.front().second > times_.orderLife) {
-    effects.answers.push_back({orders_.front().first.call, 503, "not finished in time", {}});
+  while (!orders_.empty() && now - orders_.front().arrivedAt > times_.orderLife) {
+    effects.answers.push_back({orders_.front().order.call, 503, "not finished in time", {}});
     orders_.pop_front();
   }
-  for (auto& reading : readings_) {
-    if (now - reading.startedAt > times_.orderLife) {
-      effects.answers.push_back({reading.order.call, 503, "the voters do not confirm", {}});
-      reading.order.call = 0;
-    } else if (record_ && now - reading.sentAt >= times_.resend) {
-      reading.sentAt = now;
-      ask(reading, effects);
-    }
-  }
-  std::erase_if(readings_, [](const auto& reading) { return reading.order.call == 0; });
+  for (const auto& queued : pendingAnswers_.takeOlderThan(now - times_.orderLife))
+    effects.answers.push_back({queued.order.call, 503, "the voters do not confirm", {}});
   nextOrder(now, effects);
-  if (active() && now - beatSentAt_ >= times_.beat) beat(now, effects);
+  askForConfirmation(now, effects);
+  if (active(now) && now - beatSentAt_ >= times_.beat) beat(now, effects);
   drainLocal(now, effects);
 }
 
@@ -652,7 +649,7 @@
   }
 }
 
-void Replica::startWrite(schema::ControlState state, std::optional<Order> order, base::TimePoint now,
+void Replica::startWrite(schema::ControlState state, std::optional<QueuedOrder> order, base::TimePoint now,
                          Effects& effects) {
   state_ = std::move(state);
   Write w;
@@ -678,15 +675,18 @@
       effects.out.push_back({{m.ip, m.port}, schema::PrimaryHeartbeat{self_.voterId, *record_, published_->version}});
 }
 
-// In force only when it is on the primary's and on every backup's disk: then shown, then acknowledged.
+// In force only when it is on the primary's and on every backup's disk: then shown, then acknowledged. This needs no
+// confirmation by the voters: only the primary or a backup of this epoch can lead the next, and each of them had the
+// write before it stood for that, as after standing it takes and makes no more copies in this epoch. So whether or not
+// a later record has been decided by now, its primary holds the write. (docs/control/orders.md)
 void Replica::finishWrite(base::TimePoint now, Effects& effects) {
-  if (!current_ || !current_->ownDone || !copiesWhole(current_->copied)) return;
+  if (!current_ || !current_->ownDone || !copiesWhole(current_->copied) || !leaseHeld(now)) return;
   published_ = current_->state;
   if (phase_ == Phase::Activating) {
     phase_ = Phase::Active;
     activeSince_ = now;
   }
-  if (current_->order) effects.answers.push_back({current_->order->call, 200, "{}", {}});
+  if (current_->order) effects.answers.push_back({current_->order->order.call, 200, "{}", {}});
   current_.reset();
   // At once: until they have heard of it, the others send operators away and vouch for nothing.
   beat(now, effects);
@@ -702,15 +702,20 @@
 void Replica::order(Order order, base::TimePoint now, Effects& effects) {
   const bool mine = record_ && record_->primary == self_.voterId &&
                     (phase_ == Phase::Active || phase_ == Phase::Activating || phase_ == Phase::Campaigning);
-  if (!mine || orders_.size() >= kOrdersWaiting) {
+  if (!mine || !leaseHeld(now) || orders_.size() + pendingAnswers_.size() >= kOrdersWaiting) {
     effects.answers.push_back(refusal(order.call, now));
     return;
   }
-  orders_.emplace_back(std::move(order), now);
+  orders_.push_back({std::move(order), now});
   nextOrder(now, effects);
   drainLocal(now, effects);
 }
 
+void Replica::forget(std::uint64_t call) {
+  std::erase_if(orders_, [&](const auto& queued) { return queued.order.call == call; });
+  pendingAnswers_.forget(call);
+}
+
 // Checks an order against the newest state. An answer when there is nothing to write, else the state to write.
 std::optional<Answer> Replica::prepare(const Order& order, schema::ControlState& next) const {
   next = *state_;
@@ -727,11 +732,21 @@
   if (order.kind == OrderKind::DeclareRollout) return prepareRollout(order, rollout::Change::Declare, next);
   if (order.kind == OrderKind::AdvanceRollout) return prepareRollout(order, rollout::Change::Advance, next);
   if (order.kind == OrderKind::WithdrawRollout) return prepareRollout(order, rollout::Change::Withdraw, next);
+  return prepareConfiguration(order, next);
+}
+
+std::optional<Answer> Replica::prepareConfiguration(const Order& order, schema::ControlState& next) const {
   const bool update = order.kind == OrderKind::Update;
   const auto digest = orderDigest(update ? "update" : "replace", order.baseVersion, order.body);
-  if (base::contains(next.digests, digest)) return Answer{order.call, 200, "{}", {}};
-  if (order.baseVersion != next.revision)
+  if (order.baseVersion != next.revision) {
+    const auto recalled = order.baseVersion > next.revision
+                              ? Recall::NotTaken
+                              : recall(next.takenOrders, kTakenOrdersKept, order.baseVersion, digest);
+    if (recalled == Recall::Taken) return Answer{order.call, 200, "{}", {}};
+    if (recalled == Recall::Forgotten)
+      return Answer{order.call, 503, "built on a version too old to tell whether this was taken", {}};
     return Answer{order.call, 412, "the current revision is " + std::to_string(next.revision), {}};
+  }
   std::string document = order.body;
   if (update) {
     if (next.document.empty()) return Answer{order.call, 400, "update: there is no configuration yet", {}};
@@ -746,8 +761,7 @@
     return Answer{order.call, 400, "revision: not above the current one, " + std::to_string(next.revision), {}};
   next.revision = revision;
   next.document = std::move(document);
-  next.digests.push_back(digest);
-  if (next.digests.size() > kDigestsKept) next.digests.erase(next.digests.begin());
+  remember(next.takenOrders, kTakenOrdersKept, order.baseVersion, digest);
   return std::nullopt;
 }
 
@@ -770,37 +784,42 @@
 }
 
 void Replica::nextOrder(base::TimePoint now, Effects& effects) {
-  while (active() && !current_ && !candidacy_ && !orders_.empty()) {
+  while (active(now) && !current_ && !candidacy_ && !orders_.empty()) {
     // Before anything was acknowledged there is time for the machines that are still starting. And as long as the
     // group's view rests on the voters before, it does not bear the loss of as many as this record's voters.
     const bool untouched = state_->revision == 0 && state_->evacuated.empty();
     const bool wanting = (untouched && !complete()) || cluster_.voters != record_->voters;
-    if (wanting && now - activeSince_ < times_.gather && !isReading(orders_.front().first.kind)) return;
-    auto order = std::move(orders_.front().first);
-    const auto at = orders_.front().second;
+    if (wanting && now - activeSince_ < times_.gather && !isReading(orders_.front().order.kind)) return;
+    auto queued = std::move(orders_.front());
     orders_.pop_front();
-    if (isReading(order.kind)) {
-      readings_.push_back({order, random_(), at, now, {}});
-      ask(readings_.back(), effects);
-      considerAnswering(now, effects);
-      continue;
-    }
     schema::ControlState next;
-    if (auto answer = prepare(order, next))
-      effects.answers.push_back(std::move(*answer));
+    auto answer = isReading(queued.order.kind) ? describe(queued.order) : prepare(queued.order, next);
+    if (!answer)
+      startWrite(std::move(next), std::move(queued), now, effects);
+    else if (isClear(*answer))
+      pendingAnswers_.add(std::move(queued), std::move(*answer));
     else
-      startWrite(std::move(next), std::move(order), now, effects);
+      effects.answers.push_back(std::move(*answer));
   }
+  askForConfirmation(now, effects);
+}
+
+Answer Replica::describe(const Order& order) const {
+  if (order.kind == OrderKind::DescribeRollouts) return {order.call, 200, rollout::describe(published_->rollouts), {}};
+  if (published_->document.empty()) return {order.call, 404, "no configuration yet", {}};
+  return {order.call, 200, published_->document, {}};
 }
 
-// Read only once a majority of the voters has confirmed, after the order came, that it has accepted no later record.
-// Then none had been decided, so nothing was acknowledged elsewhere. The backups' word would do as well, since one of
-// them would have had to stand, but any of them may be the one that is silent.
-void Replica::ask(Reading& reading, Effects& effects) {
-  if (accepts(record_->epoch)) reading.confirmed.insert(self_.voterId);
+// The backups' word would do as well, since one of them would have had to stand, but any of them may be the one that is
+// silent.
+void Replica::askForConfirmation(base::TimePoint now, Effects& effects) {
+  if (!active(now)) return;
+  const auto round = pendingAnswers_.roundDue(now, times_.resend);
+  if (!round) return;
+  if (accepts(record_->epoch)) pendingAnswers_.confirm(self_.voterId, *round);
   for (const auto& voter : record_->voters)
-    if (!reading.confirmed.contains(voter) && voter != self_.voterId)
-      send(voter, schema::ConfirmEpoch{self_.voterId, reading.token, record_->epoch}, effects);
+    if (voter != self_.voterId) send(voter, schema::ConfirmEpoch{self_.voterId, *round, record_->epoch}, effects);
+  considerAnswering(now, effects);
 }
 
 bool Replica::accepts(std::uint64_t epoch) const {
@@ -813,23 +832,14 @@
 
 void Replica::on(const schema::EpochConfirmed& m, base::TimePoint now, Effects& effects) {
   if (!record_ || m.epoch != record_->epoch) return;
-  for (auto& reading : readings_)
-    if (reading.token == m.token) reading.confirmed.insert(m.from);
+  pendingAnswers_.confirm(m.from, m.token);
   considerAnswering(now, effects);
 }
 
-void Replica::considerAnswering(base::TimePoint, Effects& effects) {
-  if (!active()) return;
-  std::erase_if(readings_, [&](const auto& reading) {
-    if (!majority(reading.confirmed, record_->voters)) return false;
-    if (reading.order.kind == OrderKind::DescribeRollouts)
-      effects.answers.push_back({reading.order.call, 200, rollout::describe(published_->rollouts), {}});
-    else if (published_->document.empty())
-      effects.answers.push_back({reading.order.call, 404, "no configuration yet", {}});
-    else
-      effects.answers.push_back({reading.order.call, 200, published_->document, {}});
-    return true;
-  });
+void Replica::considerAnswering(base::TimePoint now, Effects& effects) {
+  if (!active(now)) return;
+  for (auto& answer : pendingAnswers_.takeConfirmed(record_->voters)) effects.answers.push_back(std::move(answer));
+  askForConfirmation(now, effects);
 }
 
 void Replica::on(const schema::PrimaryHeartbeat& m, base::TimePoint now, Effects& effects) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -10,6 +10,8 @@
 #include "base/lists.hpp"
 #include "base/time.hpp"
 #include "control/configuration.hpp"
+#include "control/order.hpp"
+#include "control/pending_answers.hpp"
 #include "net/codec.hpp"
 #include "rollout/orders.hpp"
 #include "schema/messages.hpp"
@@ -18,36 +20,6 @@
 // operator's orders. A pure state machine; disk writes are asked for and reported back as done.
 namespace indigohill::control {
 
-enum class OrderKind {
-  Replace,
-  Update,
-  Evacuate,
-  EndEvacuation,
-  Describe,
-  DeclareRollout,
-  AdvanceRollout,
-  WithdrawRollout,
-  DescribeRollouts
-};
-// Changes nothing, and is answered once it is confirmed that no later record has been accepted.
-constexpr bool isReading(OrderKind kind) { return kind == OrderKind::Describe || kind == OrderKind::DescribeRollouts; }
-
-struct Order {
-  std::uint64_t call = 0;
-  OrderKind kind = OrderKind::Describe;
-  std::uint64_t baseVersion = 0;
-  std::string body;                            // document, update, or name of the zone
-  std::string service{};                       // of a rollout
-  std::vector<schema::RunnerEntry> runners{};  // as this controller knows them, for rollouts
-};
-
-struct Answer {
-  std::uint64_t call = 0;
-  int status = 503;
-  std::string body;
-  settings::Endpoint redirect;  // cohort address of the primary, where status is 307
-};
-
 // Keys of what is kept on disk.
 enum class Slot : std::uint8_t { Record = 1, Vote = 2, State = 3, Floor = 4, Identity = 5 };
 
@@ -68,7 +40,7 @@
 struct ClusterView {
   std::vector<schema::Member> controllers;
   std::vector<std::string> voters;  // that the view rests on
-  bool lease = false;
+  base::TimePoint leaseUntil{};     // this daemon may act on the view until then
 };
 
 struct ReplicaTimes {
@@ -107,12 +79,15 @@
   void receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now, Effects& effects);
   void synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects);
   void order(Order order, base::TimePoint now, Effects& effects);
+  // The caller has gone: its order is not carried out if that has not begun.
+  void forget(std::uint64_t call);
   // Leaving in order, or a disk in trouble: a backup that answers is asked to take over.
   void transferLeadership(net::Outbox& out);
 
-  bool active() const { return phase_ == Phase::Active; }
+  // Whether this is the primary, has activated its epoch and holds the lease at this moment.
+  bool active(base::TimePoint now) const { return phase_ == Phase::Active && leaseHeld(now); }
   const std::optional<schema::EpochRecord>& record() const { return record_; }
-  // What is in force, at the active primary alone.
+  // What is in force, at the primary alone.
   const std::optional<schema::ControlState>& published() const { return published_; }
   const std::optional<schema::ControlState>& state() const { return state_; }
   // Whether the primary has been heard of lately (or is this one).
@@ -139,19 +114,12 @@
     bool ownDone = false;
     std::set<std::string> copied;
     base::TimePoint startedAt, sentAt;
-    std::optional<Order> order;  // none at activation
+    std::optional<QueuedOrder> order;  // none at activation
   };
   struct Reply {
     std::string to;
     schema::Message message;
   };
-  struct Reading {
-    Order order;
-    std::uint64_t token = 0;
-    base::TimePoint startedAt, sentAt;
-    std::set<std::string> confirmed;
-  };
-
   bool relay() const { return self_.voterId.empty(); }
   bool isBackup() const { return base::contains(record_->backups, self_.voterId); }
   bool copiesWhole(const std::set<std::string>& done) const;
@@ -164,8 +132,10 @@
   std::vector<std::string> chooseBackups(std::size_t count, const std::set<std::string>* among,
                                          base::TimePoint now) const;
   void considerPreparing(base::TimePoint now, Effects& effects);
-  void ask(Reading& reading, Effects& effects);
+  bool leaseHeld(base::TimePoint now) const { return now < cluster_.leaseUntil; }
+  void askForConfirmation(base::TimePoint now, Effects& effects);
   void considerAnswering(base::TimePoint now, Effects& effects);
+  void requeue();
   bool accepts(std::uint64_t epoch) const;
   const schema::Member* controller(const std::string& voterId) const;
   std::optional<settings::Endpoint> addressOf(const std::string& voterId) const;
@@ -180,14 +150,16 @@
   void push(base::TimePoint now, Effects& effects);
   void considerCampaign(base::TimePoint now, Effects& effects);
   void watchVoters(base::TimePoint now);
-  void startWrite(schema::ControlState state, std::optional<Order> order, base::TimePoint now, Effects& effects);
+  void startWrite(schema::ControlState state, std::optional<QueuedOrder> order, base::TimePoint now, Effects& effects);
   void sendCopies(base::TimePoint now, Effects& effects);
   void beat(base::TimePoint now, Effects& effects);
   void finishWrite(base::TimePoint now, Effects& effects);
   void nextOrder(base::TimePoint now, Effects& effects);
   void stepDown(Effects& effects);
   Answer refusal(std::uint64_t call, base::TimePoint now) const;
+  Answer describe(const Order& order) const;
   std::optional<Answer> prepare(const Order& order, schema::ControlState& next) const;
+  std::optional<Answer> prepareConfiguration(const Order& order, schema::ControlState& next) const;
   std::optional<Answer> prepareRollout(const Order& order, rollout::Change kind, schema::ControlState& next) const;
 
   void on(const schema::Prepare& m, base::TimePoint now, Effects& effects);
@@ -217,8 +189,8 @@
   Phase phase_ = Phase::Idle;
   std::optional<Candidacy> candidacy_;
   std::optional<Write> current_;
-  std::deque<std::pair<Order, base::TimePoint>> orders_;
-  std::vector<Reading> readings_;
+  std::deque<QueuedOrder> orders_;
+  PendingAnswers pendingAnswers_;
   std::map<std::uint64_t, Reply> replies_;  // said once the write with this token is on disk
   std::deque<schema::Message> local_;
   std::uint64_t nextToken_ = 1;
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -29,7 +29,7 @@
 
 // Of all but the digests of orders, which the primary keeps to itself.
 std::uint64_t digestOf(schema::ControlState state) {
-  state.digests.clear();
+  state.takenOrders.clear();
   return base::hash(net::encodeControlState(state));
 }
 }  // namespace
@@ -140,7 +140,7 @@
   if (stateToo) {
     content.states.push_back(*state_);
     // The digests are for the primary alone.
-    content.states.back().digests.clear();
+    content.states.back().takenOrders.clear();
   }
   if (runnersToo) putRunners(ask.runners, content);
   if (stateToo || runnersToo) kept->second = net::encodeUpdateContent(content);
--- a/src/hollow/daemon.cpp
+++ b/src/hollow/daemon.cpp
@@ -122,9 +122,9 @@
   if (follower_) follower_->tell(demand, effects.out);
 }
 
-Role Daemon::role() const {
+Role Daemon::role(base::TimePoint now) const {
   if (!controller_) return Role::Router;
-  if (controller_->replica().active()) return Role::Primary;
+  if (controller_->replica().active(now)) return Role::Primary;
   const auto& record = controller_->replica().record();
   const auto& self = controller_->replica().voterId();
   if (!record || !base::contains(record->voters, self)) return Role::Relay;
--- a/src/hollow/daemon.hpp
+++ b/src/hollow/daemon.hpp
@@ -80,9 +80,9 @@
   // Tells the other routers of a long prompt, as the executor does.
   void tell(const schema::LoadNotice& demand, Output& effects) const;
 
-  Role role() const;
+  Role role(base::TimePoint now) const;
   bool isLister() const { return group().isLister(); }
-  bool holdsOffice() const { return controller_ && controller_->replica().active(); }
+  bool holdsOffice(base::TimePoint now) const { return controller_ && controller_->replica().active(now); }
   const membership::Group& group() const { return controller_ ? controller_->group() : follower_->group(); }
   std::uint64_t revision() const;
   schema::StateVersion runnersVersion() const { return source().runnersVersion(); }
--- a/src/hollow/fleet.cpp
+++ b/src/hollow/fleet.cpp
@@ -341,7 +341,7 @@
 
 std::optional<std::size_t> Fleet::primary() const {
   for (std::size_t i = 0; i < shape_.controllers; ++i)
-    if (alive(i) && daemon(i).holdsOffice()) return i;
+    if (alive(i) && daemon(i).holdsOffice(now_)) return i;
   return std::nullopt;
 }
 
--- a/src/hollow/measure.cpp
+++ b/src/hollow/measure.cpp
@@ -127,7 +127,7 @@
           s.bytesOf[k] += static_cast<double>(t.sentBytes[k] + t.receivedBytes[k]);
         }
       };
-      add(fleet_.daemon(i).role());
+      add(fleet_.daemon(i).role(fleet_.now()));
       if (fleet_.daemon(i).isLister()) add(Role::Lister);
     }
     for (std::size_t r = 0; r < kRoles; ++r) {
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -125,9 +125,9 @@
   return opened;
 }
 
-// Numbers that no message has, for what is kept on disk. 200 and 202 were a record with a single backup and votes on
-// it.
-constexpr std::uint8_t kFrame = 201, kRecord = 203, kVote = 204, kContent = 205;
+// Numbers that no message has, for what is kept on disk. 200 to 202 had another layout: a record with a single backup,
+// a state with the digests of orders as text, and votes on that record.
+constexpr std::uint8_t kState = 206, kRecord = 203, kVote = 204, kContent = 205;
 
 template <class T>
 base::Result<T> unpackKind(std::uint8_t kind, std::string_view bytes) {
@@ -184,14 +184,14 @@
   return unpack<schema::UpdateContent>(std::get<0>(opened).body);
 }
 std::string encodeRecord(const schema::EpochRecord& record) { return sealed(kDiskVersion, kRecord, pack(record)); }
-std::string encodeControlState(const schema::ControlState& state) { return sealed(kDiskVersion, kFrame, pack(state)); }
+std::string encodeControlState(const schema::ControlState& state) { return sealed(kDiskVersion, kState, pack(state)); }
 std::string encodeVote(const schema::Vote& vote) { return sealed(kDiskVersion, kVote, pack(vote)); }
 base::Result<schema::EpochRecord> decodeRecord(std::string_view bytes) {
   return unpackKind<schema::EpochRecord>(kRecord, bytes);
 }
 base::Result<schema::Vote> decodeVote(std::string_view bytes) { return unpackKind<schema::Vote>(kVote, bytes); }
 base::Result<schema::ControlState> decodeControlState(std::string_view bytes) {
-  return unpackKind<schema::ControlState>(kFrame, bytes);
+  return unpackKind<schema::ControlState>(kState, bytes);
 }
 
 }  // namespace indigohill::net
--- a/src/rollout/orders.cpp
+++ b/src/rollout/orders.cpp
@@ -5,12 +5,18 @@
 #include <algorithm>
 #include <boost/json.hpp>
 
+#include "control/taken_orders.hpp"
 #include "rollout/fields.hpp"
 
 namespace indigohill::rollout {
 
 namespace {
 
+constexpr std::size_t kTakenOrdersKept = 16;  // of each service
+
+// Thrown where the order is an exact resend of the last one: nothing changes.
+struct InForceAlready {};
+
 struct Refused {
   Refusal refusal;
 };
@@ -22,9 +28,17 @@
   if (!standing.known(body)) wrong("service", "'" + body + "' is not in the configuration");
 }
 
-void checkNumber(std::uint64_t number, const schema::Rollout* now) {
-  if (now != nullptr && number <= now->number)
-    conflict(fmt::format("number: {} is not above the current one, {}", number, now->number));
+// An order that was taken is never refused when it is sent again.
+void checkNumber(std::uint64_t number, const schema::Rollout* now, const Standing& standing) {
+  if (now == nullptr || number > now->number) return;
+  const auto recalled = standing.order ? control::recall(now->takenOrders, kTakenOrdersKept, number, *standing.order)
+                                       : control::Recall::NotTaken;
+  if (recalled == control::Recall::Taken && number == now->number) throw InForceAlready{};
+  if (recalled == control::Recall::Taken)
+    throw Refused{{503, fmt::format("number: {} was taken and has been overtaken by {}", number, now->number)}};
+  if (recalled == control::Recall::Forgotten)
+    throw Refused{{503, fmt::format("number: {} is too old to tell whether it was taken", number)}};
+  conflict(fmt::format("number: {} is not above the current one, {}", number, now->number));
 }
 
 void checkRunners(const schema::Rollout& next, bool evenWithout, const Standing& standing) {
@@ -43,8 +57,8 @@
   auto parsed = parseRecord(body);
   if (const auto* bad = base::errorIn(parsed)) throw Wrong{bad->what};
   const auto& record = std::get<Record>(parsed);
+  checkNumber(record.number, find(standing, record.service), standing);
   checkService(service, record.service, standing);
-  checkNumber(record.number, find(standing, record.service));
   schema::Rollout next{record.service, record.number, 0, std::string(body), {}};
   checkRunners(next, record.evenWithoutRunners, standing);
   return next;
@@ -82,8 +96,8 @@
   if (!service.empty() && service != name)
     wrong("service", "'" + name + "' is not '" + service + "', which the call names");
   const auto number = in.whole("number");
+  checkNumber(number, now, standing);
   if (now == nullptr || now->document.empty()) conflict("no rollout is declared for service " + name);
-  checkNumber(number, now);
   if (kind == Change::Advance) return advanced(in, *now, number, standing);
   if (in.has("stage")) wrong("stage", "a withdrawal has none");
   // The number stays, so that an old declaration that arrives late cannot come into force again.
@@ -95,12 +109,11 @@
 std::variant<std::vector<schema::Rollout>, Refusal> change(Change kind, const std::string& service,
                                                            std::string_view body, const Standing& standing) {
   auto out = standing.rollouts;
-  for (const auto& r : out)
-    if (!standing.order.empty() && r.order == standing.order) return out;
   try {
     auto next = changed(kind, service, body, standing);
-    next.order = standing.order;
     const auto place = std::find_if(out.begin(), out.end(), [&](const auto& r) { return r.service == next.service; });
+    if (place != out.end()) next.takenOrders = place->takenOrders;
+    if (standing.order) control::remember(next.takenOrders, kTakenOrdersKept, next.number, *standing.order);
     if (place != out.end())
       *place = next;
     else
@@ -110,6 +123,8 @@
     return Refusal{400, e.what};
   } catch (const Refused& e) {
     return e.refusal;
+  } catch (const InForceAlready&) {
+    return out;
   }
 }
 
--- a/src/rollout/orders.hpp
+++ b/src/rollout/orders.hpp
@@ -1,5 +1,7 @@
 #pragma once
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,17 +19,18 @@
   const std::vector<schema::Rollout>& rollouts;
   const std::vector<schema::RunnerEntry>& runners;        // as last listed
   std::function<bool(const std::string& service)> known;  // whether the configuration has the service
-  std::string order{};                                    // digest of the order that is checked
+  std::optional<std::uint64_t> order{};                   // digest of the order that is checked
 };
 
-// 400: the order itself is wrong, and `what` names the field; 409: it does not fit what is in force.
+// 400: the order itself is wrong, and `what` names the field; 409: it does not fit what is in force; 503: it was taken
+// and has been overtaken since, or is too old to tell, and gets neither an acknowledgement nor a refusal.
 struct Refusal {
   int status = 400;
   std::string what;
 };
 
 // The rollouts that the order makes of those in force; the same ones where it is an exact resend of the last order
-// about its service. (Of an older one it is not: that may have been overtaken, and must not be acknowledged.) `service`
+// about its service. `service`
 // is that of the path, empty to take the body's word. The body of `Declare` is a record; of the others {"number": ..,
 // "stage": .., "evenWithoutRunners": ..}, where stage (of `Advance` alone) names the one to go to and has to be the
 // next.
