Voters also announce themselves to members that failed of late

A daemon that starts again while all of its seeds are gone knew nobody. Voters keep the addresses of failed members for 30 suspicion time-outs and announce themselves to four of them, in turn, with each hello period.

The test (8 worlds) found that a restarted router could stay not ready for good: news meant for its former life came before any of its polls was answered, so it went on asking the next controller each 150 ms and replaced each held poll before its answer was due. Any news now ends that first pace. The test fails without either change. The third test, a member that was cut off while all voters moved, passed before as well and stays as a guard.

--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -241,10 +241,11 @@
 
 bool Subscriber::receive(const schema::Update& news, const settings::Endpoint&, base::TimePoint now) {
   while (!recent_.empty() && now - recent_.front().second > 2 * times_.again) recent_.pop_front();
+  // Also by news that was not asked for: a controller is up, holds the asks, and must be given the time to answer.
+  answeredAt_ = now;
   const auto asked = [&](const auto& ask) { return ask.first == news.token; };
   if (std::none_of(recent_.begin(), recent_.end(), asked)) return false;
   waiting_ = false;
-  answeredAt_ = now;
   if (news.confirmed)
     confirmedAt_ = now;
   else if (news.token == token_)
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 constexpr std::size_t kMostContacts = 16;
+constexpr std::size_t kDepartedAtOnce = 4;
+constexpr int kDepartedLife = 30;  // suspicion time-outs for which the address of a failed member is kept
 }  // namespace
 
 bool Group::isVoter() const { return view_ && !self_.voterId.empty() && base::contains(view_->voters, self_.voterId); }
@@ -28,13 +30,30 @@
   return out;
 }
 
-std::vector<settings::Endpoint> Group::missingSeeds() const {
+// A daemon that restarts, or is reachable again, is told where the group is although all of its seeds may be gone. They
+// are taken in turn, a few with each announcement, so that the loss of many machines makes no burst of messages.
+void Group::noteDeparted(const schema::View& before, const schema::View& next, base::TimePoint now) {
+  for (const auto& member : before.members)
+    if (!in(next, member.incarnation)) departedAt_[addressOf(member)] = now;
+  for (const auto& member : next.members) departedAt_.erase(addressOf(member));
+}
+
+// The seeds that are not in the view, and some of the members that have failed of late.
+std::vector<settings::Endpoint> Group::missingDaemons(base::TimePoint now) {
   std::vector<settings::Endpoint> out;
   for (const auto& seed : seeds_) {
     const bool present = std::any_of(view_->members.begin(), view_->members.end(),
                                      [&](const auto& member) { return addressOf(member) == seed; });
     if (!present && seed != self_.address) out.push_back(seed);
   }
+  std::erase_if(departedAt_, [&](const auto& entry) { return now - entry.second > kDepartedLife * times_.suspect; });
+  auto next = departedAt_.upper_bound(lastDepartedTold_);
+  for (std::size_t i = 0; i < std::min(kDepartedAtOnce, departedAt_.size()); ++i) {
+    if (next == departedAt_.end()) next = departedAt_.begin();
+    lastDepartedTold_ = next->first;
+    if (!base::contains(out, next->first)) out.push_back(next->first);
+    ++next;
+  }
   return out;
 }
 
@@ -46,7 +65,7 @@
   contacts.view = view_->number;
   for (const auto& member : view_->members)
     if (base::contains(view_->voters, member.voterId)) contacts.members.push_back({member.ip, member.port});
-  for (const auto& seed : missingSeeds()) out.push_back({seed, contacts});
+  for (const auto& address : missingDaemons(now)) out.push_back({address, contacts});
 }
 
 // Only what was announced here: contacts that went from one to the next for ever would outlive the daemons they name.
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -469,6 +469,7 @@
 
 void Group::install(const schema::Commit& commit, base::TimePoint now) {
   const auto& next = commit.result;
+  if (view_) noteDeparted(*view_, next, now);
   view_ = next;
   viewDigest_ = digestOf(next);
   installedAt_ = now;
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -111,7 +111,8 @@
   void sendHello(const schema::Member& to, bool wanted, base::TimePoint now, net::Outbox& out);
   void sendJoin(base::TimePoint now, net::Outbox& out);
   bool isVoter() const;
-  std::vector<settings::Endpoint> missingSeeds() const;
+  std::vector<settings::Endpoint> missingDaemons(base::TimePoint now);
+  void noteDeparted(const schema::View& before, const schema::View& next, base::TimePoint now);
   void announce(base::TimePoint now, net::Outbox& out);
   void passContactsOn(const settings::Endpoint& to, net::Outbox& out) const;
   void rememberContact(const settings::Endpoint& address, bool announcedItself, base::TimePoint now);
@@ -179,6 +180,8 @@
   std::map<std::string, base::TimePoint> barred_;  // joiners that did not acknowledge, until when they wait
   std::vector<settings::Endpoint> lastKnown_;
   std::map<settings::Endpoint, Contact> contacts_;
+  std::map<settings::Endpoint, base::TimePoint> departedAt_;  // addresses of failed members, and when they failed
+  settings::Endpoint lastDepartedTold_;
   std::vector<Delivered> delivered_;
   base::TimePoint leaseUntil_{}, helloAt_{}, joinAt_{}, viewlessSince_{}, pendingAt_{};
   base::TimePoint installedAt_{}, announcedAt_{}, soughtAt_{};
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -71,3 +71,52 @@
     }
   } while (std::next_permutation(order.begin(), order.end()));
 }
+
+// The same seeds are lost for good while everything else runs on. Who starts again knows nobody else, and is told by
+// those that had it in their view.
+Test(discovery, a_daemon_whose_seeds_are_all_gone_is_told_where_the_group_is, .timeout = 600) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    sim::World world(withRelays(seed));
+    Operator op{world};
+    bringUp(world, op);
+    world.seedNodes = relayNodes();
+    for (const auto i : relayNodes()) world.powerOff(i);
+    for (const auto i : routerNodes()) world.kill(i);
+    world.run(Millis(200 + 1000 * (seed % 4)));
+    start(world, routerNodes());
+    const auto informed = [&] {
+      return std::ranges::all_of(routerNodes(), [&](auto i) {
+        const auto& router = *world.node(i).follower;
+        return router.informed() && router.group().leaseHeld(world.now());
+      });
+    };
+    cr_assert(world.runUntil(Millis(8000), informed), "seed %lu%s", seed, world.describe().c_str());
+    holds(world);
+  }
+}
+
+// A member is cut off while every daemon that it watches is exchanged for one at another address: what it shows its old
+// view to is gone. It is a router in one half of the worlds and a relay in the other.
+Test(discovery, a_member_that_was_cut_off_while_all_it_watched_moved_is_found, .timeout = 600) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    sim::World world(withRelays(seed));
+    Operator op{world};
+    bringUp(world, op);
+    const auto lonely = seed % 2 == 0 ? routerNodes().front() : relayNodes().front();
+    std::set<std::size_t> all;
+    for (std::size_t i = 0; i < world.size(); ++i) all.insert(i);
+    world.cutOff(lonely, all, true);
+    // The lonely one keeps the settings that it started with.
+    for (std::size_t i = 0; i < world.size(); ++i) {
+      if (i == lonely) continue;
+      if (i < world.controllers()) {
+        world.replace(i);
+        world.run(Millis(300));
+        world.start(i);
+        world.run(Millis(9000));
+      }
+    }
+    world.cutOff(lonely, all, false);
+    comesTogether(world, Millis(9000), seed, "after the cut");
+  }
+}
