--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -476,10 +476,17 @@
 
 std::string World::describe() const {
   std::string out;
-  for (const auto& n : nodes_)
-    if (n->alive)
-      out += fmt::format("\n{}: {}", n->name,
-                         (n->isController ? n->controller->group() : n->follower->group()).describe(now_));
+  for (const auto& n : nodes_) {
+    if (!n->alive) continue;
+    out += fmt::format("\n{}{}: {}", n->name, n->frozen ? " (frozen)" : "",
+                       (n->isController ? n->controller->group() : n->follower->group()).describe(now_));
+    if (!n->isController) continue;
+    const auto& replica = n->controller->replica();
+    if (const auto& record = replica.record())
+      out += fmt::format("; voter {}{}, record {}: primary {}, backups {}, voters {}", replica.voterId(),
+                         replica.active() ? " acts" : "", record->epoch, record->primary,
+                         fmt::join(record->backups, " "), fmt::join(record->voters, " "));
+  }
   return out;
 }
 
