--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -86,7 +86,7 @@
 // Shows the number of the own view to a daemon that is not in it. If that daemon holds a lease and this one is not in
 // its view, it says so; if this one has missed a view, it is told that view.
 void Group::showView(const settings::Endpoint& to, base::TimePoint now, net::Outbox& out) const {
-  out.push_back({to, schema::Heartbeat{incarnation_, view_->number, base::toMs(now), 0, false, 0, {}}});
+  out.push_back({to, schema::Heartbeat{incarnation_, view_->number, base::toMs(now), 0, 0, false, 0, {}}});
 }
 
 void Group::on(const schema::Contacts& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t kReminders = 3;
 // Numbers set aside at each founding. Far more than the views and incarnations of one life of the whole group.
 constexpr std::uint64_t kFoundingBlock = 1u << 20;
+constexpr std::uint32_t kBarDoublings = 3;  // a joiner that never acknowledges waits at most 2^3 times the first time
+constexpr int kBarMemory = 4;               // time-outs after a wait in which a further failure doubles the next
 
 // Over all that a view holds: two daemons that agree on it have the same view.
 std::uint64_t digestOf(const schema::View& view) {
@@ -130,7 +132,10 @@
     watchedNow.insert(m->incarnation);
     const auto since = watchedSince_.try_emplace(m->incarnation, now).first->second;
     const auto heard = heardAt_.find(m->incarnation);
-    const auto last = heard == heardAt_.end() ? since : std::max(since, heard->second);
+    auto last = heard == heardAt_.end() ? since : std::max(since, heard->second);
+    // One that is heard and hears nothing (a cut of one direction) could acknowledge no view: it counts as silent too.
+    if (const auto heardBy = heardByAt_.find(m->incarnation); heardBy != heardByAt_.end())
+      last = std::min(last, std::max(since, heardBy->second));
     // Not heard within the time-out: suspected. Heard again: no longer, as long as no proposal rests on it.
     if (now - last > times_.suspect)
       suspected_.insert(m->incarnation);
@@ -143,7 +148,7 @@
 void Group::tick(base::TimePoint now, net::Outbox& out) {
   if (viewlessSince_ == base::TimePoint{}) viewlessSince_ = now;
   std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 5 * times_.join; });
-  std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second.until + kBarMemory * times_.suspect; });
   std::erase_if(contacts_, [&](const auto& entry) { return now - entry.second.heardAt > 2 * times_.suspect; });
   tryDelivery(now);
   if (!view_) {
@@ -162,7 +167,7 @@
   if (round_) {
     // A founder that does not get everybody's word gives up and starts again with those it still hears.
     if (round_->proposal.founding && now - round_->startedAt > times_.suspect)
-      round_.reset();
+      giveUpFounding(now);
     else if (now - round_->sentAt >= times_.resend)
       propose(now, out);
   }
@@ -178,6 +183,8 @@
   hello.stampMs = base::toMs(now);
   hello.wanted = wanted;
   if (const auto found = stampOf_.find(to.incarnation); found != stampOf_.end()) hello.echoMs = found->second;
+  if (const auto found = heardStampOf_.find(to.incarnation); found != heardStampOf_.end())
+    hello.heardMs = found->second;
   if (knownEpoch_ > view_->epoch) {
     hello.epoch = knownEpoch_;
     hello.voters = knownVoters_;
@@ -208,17 +215,20 @@
   view.epoch = knownEpoch_;
   view.voters = knownVoters_;
   auto base = floor_;
-  std::string first = self_.voterId;
+  std::int64_t votersBefore = 0;
   for (const auto& [id, joiner] : joiners_) {
     base = std::max(base, joiner.floor);
     // The controllers alone: their few acknowledgements come within moments whatever the size of the fleet, and the
     // routers are taken in together by the first extension.
-    if (joiner.member.role != static_cast<std::uint8_t>(Role::Controller)) continue;
+    if (joiner.member.role != static_cast<std::uint8_t>(Role::Controller) || isBarred(id, now)) continue;
     view.members.push_back(joiner.member);
     const auto& voter = joiner.member.voterId;
-    if (base::contains(knownVoters_, voter)) first = std::min(first, voter);
+    if (base::contains(knownVoters_, voter) && voter < self_.voterId) ++votersBefore;
   }
-  if (!quorum(view, knownVoters_) || first != self_.voterId) return;
+  if (!quorum(view, knownVoters_)) return;
+  // The first founds. One that is heard and hears nothing never does: the next waits a time-out for each before it, in
+  // which it has seen no founding.
+  if (votersBefore > 0 && now - std::max(viewlessSince_, pendingAt_) < votersBefore * times_.suspect) return;
   // When every voter is here there is nobody to wait for. Otherwise one may be about to show itself.
   if (votersIn(view, knownVoters_) < knownVoters_.size() && now - viewlessSince_ < times_.found) return;
   // Voters first, so that the oldest are daemons that keep what must last; then by id, as the paper's ties are broken.
@@ -248,10 +258,29 @@
   for (const auto& m : round_->proposal.result.members)
     if (!in(*view_, m.incarnation) && !round_->acked.contains(m.incarnation)) {
       suspected_.insert(m.incarnation);
-      barred_[m.id] = now + 2 * times_.suspect;
+      bar(m.id, now);
     }
 }
 
+// Each time longer: one that stays deaf would hold up every view that it comes along with.
+void Group::bar(const std::string& id, base::TimePoint now) {
+  auto& entry = barred_[id];
+  entry.until = now + (2 * times_.suspect) * (1 << std::min(entry.times, kBarDoublings));
+  ++entry.times;
+}
+
+bool Group::isBarred(const std::string& id, base::TimePoint now) const {
+  const auto found = barred_.find(id);
+  return found != barred_.end() && now < found->second.until;
+}
+
+// A founding that not everybody acknowledged: the next is without those that did not.
+void Group::giveUpFounding(base::TimePoint now) {
+  for (const auto& member : round_->proposal.result.members)
+    if (!round_->acked.contains(member.incarnation)) bar(member.id, now);
+  round_.reset();
+}
+
 // A commit that was lost would be noticed by the next hello; told again at once, the view is everywhere sooner.
 void Group::remind(base::TimePoint now, net::Outbox& out) {
   if (unshown_.empty() || now - deliveredAt_ < times_.resend || waiting_) return;
@@ -286,7 +315,7 @@
   for (const auto& [id, joiner] : joiners_) {
     const bool there = std::any_of(result.members.begin(), result.members.end(),
                                    [&](const auto& m) { return m.id == joiner.member.id; });
-    if (there || id == self_.id || barred_.contains(id) || now - joiner.heardAt > 4 * times_.join) continue;
+    if (there || id == self_.id || isBarred(id, now) || now - joiner.heardAt > 4 * times_.join) continue;
     auto m = joiner.member;
     m.incarnation = ++next;
     result.members.push_back(m);
@@ -485,6 +514,8 @@
   std::erase_if(heardAt_, absent);
   std::erase_if(stampOf_, absent);
   std::erase_if(echoAt_, absent);
+  std::erase_if(heardStampOf_, absent);
+  std::erase_if(heardByAt_, absent);
   std::erase_if(suspected_, [&](auto i) { return !in(next, i); });
   std::erase_if(leaving_, [&](auto i) { return !in(next, i); });
   for (const auto& m : next.members) {
@@ -513,6 +544,8 @@
   heardAt_.clear();
   stampOf_.clear();
   echoAt_.clear();
+  heardStampOf_.clear();
+  heardByAt_.clear();
   suspected_.clear();
   leaving_.clear();
   watchedSince_.clear();
@@ -556,6 +589,15 @@
       message);
 }
 
+// What the sender has heard of this daemon, and what is to be told of that in return.
+void Group::noteHeardBy(const schema::Heartbeat& heartbeat, base::TimePoint now) {
+  heardStampOf_[heartbeat.incarnation] = std::max(heardStampOf_[heartbeat.incarnation], heartbeat.stampMs);
+  const base::TimePoint heard{base::Millis(heartbeat.heardMs)};
+  if (heartbeat.heardMs == 0 || heard > now) return;
+  auto& newest = heardByAt_[heartbeat.incarnation];
+  newest = std::max(newest, heard);
+}
+
 void Group::on(const schema::Heartbeat& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if (!view_) {
     // The view that this daemon has acknowledged is in place at others: its own commit was lost.
@@ -585,6 +627,7 @@
     return;
   }
   heardAt_[m.incarnation] = now;
+  noteHeardBy(m, now);
   if (m.view >= view_->number) unshown_.erase(m.incarnation);
   if (m.view < view_->number) {
     // Stale: rejected, and the newer view is sent again.
@@ -702,6 +745,7 @@
   if (sender == nullptr || sender->bootId != m.bootId) return;
   round_->acked.insert(m.incarnation);
   round_->ackedAt = now;
+  heardByAt_[m.incarnation] = now;
   heardAt_[m.incarnation] = now;
   if (m.held > round_->flushed) {
     round_->flushed = m.held;
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -123,6 +123,10 @@
   void rebase(const schema::Propose& old, schema::Propose& proposal) const;
   bool extend(schema::View& result, schema::ViewChange& step, bool joinsAlone, base::TimePoint now) const;
   void dropSilentJoiners(base::TimePoint now);
+  void bar(const std::string& id, base::TimePoint now);
+  bool isBarred(const std::string& id, base::TimePoint now) const;
+  void giveUpFounding(base::TimePoint now);
+  void noteHeardBy(const schema::Heartbeat& heartbeat, base::TimePoint now);
   void remind(base::TimePoint now, net::Outbox& out);
   std::optional<schema::ProposeChanges> changesOf(const schema::Propose& proposal) const;
   bool stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
@@ -177,7 +181,14 @@
   std::set<std::uint64_t> leaving_;
   std::uint64_t successor_ = 0;
   std::map<std::string, Joiner> joiners_;
-  std::map<std::string, base::TimePoint> barred_;  // joiners that did not acknowledge, until when they wait
+  // Daemons that did not acknowledge a view that was to take them in: how often, and until when they wait.
+  struct Bar {
+    std::uint32_t times = 0;
+    base::TimePoint until;
+  };
+  std::map<std::string, Bar> barred_;
+  std::map<std::uint64_t, std::int64_t> heardStampOf_;  // the newest stamp of each member, under whatever view
+  std::map<std::uint64_t, base::TimePoint> heardByAt_;  // this daemon's own stamp that each member heard last
   std::vector<settings::Endpoint> lastKnown_;
   std::map<settings::Endpoint, Contact> contacts_;
   std::map<settings::Endpoint, base::TimePoint> departedAt_;  // addresses of failed members, and when they failed
--- a/tests/test_world.cpp
+++ b/tests/test_world.cpp
@@ -277,7 +277,7 @@
     return {view, {}, 0};
   }
   void hello(std::int64_t echoMs) {
-    group.receive(schema::Heartbeat{50, 100, 1, echoMs, false, 0, {}}, {2, 2}, now, out);
+    group.receive(schema::Heartbeat{50, 100, 1, echoMs, echoMs, false, 0, {}}, {2, 2}, now, out);
   }
 };
 
@@ -327,7 +327,7 @@
   Pair p;
   p.group.receive(p.commit(), {2, 2}, p.now, p.out);
   p.out.clear();
-  p.group.receive(schema::Heartbeat{50, 90, 1, 0, true, 0, {}}, {2, 2}, p.now, p.out);
+  p.group.receive(schema::Heartbeat{50, 90, 1, 0, 0, true, 0, {}}, {2, 2}, p.now, p.out);
   cr_assert_eq(p.out.size(), 1u);
   cr_assert_eq(std::get<schema::CommitChanges>(p.out[0].message).number, 100u);
   p.out.clear();
@@ -337,7 +337,7 @@
   // A failed incarnation is told so, by one that holds the lease.
   p.hello(indigohill::base::toMs(p.now));
   p.out.clear();
-  p.group.receive(schema::Heartbeat{49, 90, 1, 0, true, 0, {}}, {3, 3}, p.now, p.out);
+  p.group.receive(schema::Heartbeat{49, 90, 1, 0, 0, true, 0, {}}, {3, 3}, p.now, p.out);
   cr_assert(p.out.size() == 1 && std::get<schema::YouAreDead>(p.out[0].message).incarnation == 49);
 }
 
