--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -2,6 +2,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <csignal>
+#include <thread>
 
 #include "cli/process.hpp"
 #include "cli/roles.hpp"
@@ -19,17 +20,60 @@
 namespace {
 
 constexpr Millis kTick{100}, kRelayTick{250};
+constexpr Millis kDiskRetry{250};     // between tries to open a disk that refuses
+constexpr int kDiskTriesLogged = 40;  // of the tries that fail one in so many is logged
+constexpr std::uint64_t kMebibyte = 1u << 20;
+
+// A controller's store, and who its contents say that it is. A relay has neither.
+struct Disk {
+  std::unique_ptr<store::Store> store;
+  control::Identity identity;
+};
+
+// Calls `attempt` until it returns true.
+void retryDisk(const std::function<bool()>& attempt) {
+  while (!attempt()) std::this_thread::sleep_for(kDiskRetry);
+}
+
+// Room for each of the two snapshot files; LMDB wants about three times what it holds.
+std::uint64_t mapBytes(const settings::Settings& s) {
+  return std::clamp(s.diskMb * kMebibyte / 4, 4 * kMebibyte, 32 * kMebibyte);
+}
+
+// Opens the store, and has the identity on the disk before anything is said under it. A disk that refuses (full, or
+// with I/O errors) is no lost one, and ending the process would not mend it: it is tried until it works. A daemon that
+// waits here does not listen yet, so callers go on to another one at once.
+Disk openDisk(const settings::Settings& s) {
+  // No disk, or one whose loss does not count: nothing is kept there.
+  if (s.dataDirectory.empty() || !s.quorumMember) return {};
+  Disk out;
+  int tries = 0;
+  retryDisk([&] {
+    auto opened = store::Store::open(s.dataDirectory, mapBytes(s));
+    if (const auto* bad = base::errorIn(opened)) {
+      if (tries++ % kDiskTriesLogged == 0) spdlog::error("store does not open, it is tried again: {}", bad->what);
+      return false;
+    }
+    out.store = std::get<0>(std::move(opened));
+    return true;
+  });
+  std::vector<control::DiskWrite> writes;
+  out.identity =
+      control::identify([&](control::Slot slot) { return out.store->read(slot); }, s.bootstrap && !out.store->wasLost(),
+                        s.seedNodes, s.controlPlane, randomSeed(), writes);
+  if (!writes.empty()) retryDisk([&] { return out.store->writeAndWait(writes); });
+  return out;
+}
 
 class Process {
  public:
-  Process(const settings::Settings& settings, const std::string& path, std::unique_ptr<store::Store> store)
+  Process(const settings::Settings& settings, const std::string& path, Disk disk)
       : watch_(path, "controller", settings),
-        seed_(randomSeed()),
-        store_(std::move(store)),
+        store_(std::move(disk.store)),
         io_(1),
         executor_(io_.get_executor()),
-        core_({settings.nodeName, settings.zone, cohortAddress(settings, true)}, identity(settings),
-              seedAddresses(settings), tuningOf(settings), seed_),
+        core_({settings.nodeName, settings.zone, cohortAddress(settings, true)}, std::move(disk.identity),
+              seedAddresses(settings), tuningOf(settings), randomSeed()),
         control_(executor_, settings.controlPlane, {},
                  [this](http::Request request, settings::Endpoint) { return call(std::move(request)); }),
         link_(executor_, cohortAddress(settings, true),
@@ -74,15 +118,6 @@
     return tuning;
   }
 
-  control::Identity identity(const settings::Settings& s) {
-    if (!store_) return {};
-    std::vector<control::DiskWrite> writes;
-    auto out = control::identify([this](control::Slot slot) { return store_->read(slot); },
-                                 s.bootstrap && !store_->wasLost(), s.seedNodes, s.controlPlane, seed_, writes);
-    for (auto& write : writes) store_->write(std::move(write), {});
-    return out;
-  }
-
   asio::awaitable<http::Response> call(http::Request request) {
     const auto found = control::findCall({request.method_string().data(), request.method_string().size()},
                                          {request.target().data(), request.target().size()});
@@ -219,7 +254,6 @@
   }
 
   SettingsWatch watch_;
-  std::uint64_t seed_;
   std::unique_ptr<store::Store> store_;
   asio::io_context io_;
   asio::any_io_executor executor_;
@@ -237,17 +271,8 @@
 
 int runController(const settings::Settings& settings, const std::string& settingsPath) {
   std::signal(SIGPIPE, SIG_IGN);
-  // No disk, or one whose loss does not count: nothing is kept there.
-  if (settings.dataDirectory.empty() || !settings.quorumMember) return Process(settings, settingsPath, nullptr).run();
-  const auto mapBytes =
-      std::max<std::uint64_t>(4u << 20, std::min<std::uint64_t>(32u << 20, settings.diskMb * (1u << 19)));
-  auto opened = store::Store::open(settings.dataDirectory, mapBytes);
-  if (const auto* bad = base::errorIn(opened)) {
-    spdlog::critical("store: {}", bad->what);
-    return 1;
-  }
-  Process process(settings, settingsPath, std::get<0>(std::move(opened)));
-  return process.run();
+  std::signal(SIGHUP, SIG_IGN);  // until the event loop takes it; the default would end the process
+  return Process(settings, settingsPath, openDisk(settings)).run();
 }
 
 }  // namespace indigohill::cli
--- a/src/control/identity.cpp
+++ b/src/control/identity.cpp
@@ -9,32 +9,70 @@
 
 namespace indigohill::control {
 
-Identity identify(const std::function<std::optional<std::string>(Slot)>& read, bool bootstrap,
-                  const std::vector<settings::Endpoint>& seeds, const settings::Endpoint& controlPlane,
-                  std::uint64_t seed, std::vector<DiskWrite>& writes) {
+namespace {
+
+using SlotReader = std::function<std::optional<std::string>(Slot)>;
+
+constexpr Slot kAllSlots[] = {Slot::Identity, Slot::Record, Slot::Vote, Slot::State, Slot::Floor};
+
+bool isEmpty(const SlotReader& read) {
+  for (const auto slot : kAllSlots)
+    if (read(slot)) return false;
+  return true;
+}
+
+// Decodes one slot into `into`. An empty slot, where that is allowed, means that there is none yet.
+template <class T, class Decode>
+bool decodeSlot(const SlotReader& read, Slot slot, Decode decode, bool mayBeEmpty, std::optional<T>& into) {
+  const auto bytes = read(slot);
+  if (!bytes) return false;
+  if (bytes->empty()) return mayBeEmpty;
+  auto decoded = decode(*bytes);
+  if (base::errorIn(decoded) != nullptr) return false;
+  into = std::get<0>(std::move(decoded));
+  return true;
+}
+
+bool decodeFloor(const SlotReader& read, std::uint64_t& floor) {
+  const auto text = read(Slot::Floor);
+  if (!text) return false;
+  const auto* end = text->data() + text->size();
+  const auto [stop, error] = std::from_chars(text->data(), end, floor);
+  return error == std::errc{} && stop == end;
+}
+
+// The identity that the disk holds, or nothing unless every slot is there and can be read.
+std::optional<Identity> load(const SlotReader& read) {
   Identity out;
-  if (auto id = read(Slot::Identity)) {
-    out.voterId = *id;
-    const auto load = [&](Slot slot, auto decode, auto& into) {
-      if (auto bytes = read(slot))
-        if (auto r = decode(*bytes); !base::errorIn(r)) into = std::get<0>(std::move(r));
-    };
-    load(Slot::Record, net::decodeRecord, out.loaded.record);
-    load(Slot::Vote, net::decodeVote, out.loaded.vote);
-    load(Slot::State, net::decodeControlState, out.loaded.state);
-    if (auto bytes = read(Slot::Floor)) std::from_chars(bytes->data(), bytes->data() + bytes->size(), out.floor);
-    return out;
-  }
+  const auto id = read(Slot::Identity);
+  if (!id || id->empty()) return std::nullopt;
+  out.voterId = *id;
+  const bool whole = decodeSlot(read, Slot::Record, net::decodeRecord, true, out.loaded.record) &&
+                     decodeSlot(read, Slot::Vote, net::decodeVote, false, out.loaded.vote) &&
+                     decodeSlot(read, Slot::State, net::decodeControlState, true, out.loaded.state) &&
+                     decodeFloor(read, out.floor);
+  if (!whole) return std::nullopt;
+  return out;
+}
+
+}  // namespace
+
+Identity identify(const SlotReader& read, bool bootstrap, const std::vector<settings::Endpoint>& seeds,
+                  const settings::Endpoint& controlPlane, std::uint64_t seed, std::vector<DiskWrite>& writes) {
+  if (auto kept = load(read)) return *std::move(kept);
   std::vector<std::string> voters;
   for (const auto& s : seeds) voters.push_back(settings::text(s));
   const auto own = settings::text(controlPlane);
-  const bool first = bootstrap && base::contains(voters, own);
-  out.voterId = first ? own : fmt::format("{}/{:016x}", own, seed);
+  const bool founder = bootstrap && isEmpty(read) && base::contains(voters, own);
+  Identity out;
+  out.voterId = founder ? own : fmt::format("{}/{:016x}", own, seed);
+  if (founder) out.loaded.record = Replica::firstRecord(voters);
+  out.loaded.vote = schema::Vote{};
   writes.push_back({0, Slot::Identity, out.voterId});
-  if (first) {
-    out.loaded.record = Replica::firstRecord(voters);
-    writes.push_back({0, Slot::Record, net::encodeRecord(*out.loaded.record)});
-  }
+  writes.push_back({0, Slot::Record, founder ? net::encodeRecord(*out.loaded.record) : std::string()});
+  writes.push_back({0, Slot::Vote, net::encodeVote(*out.loaded.vote)});
+  writes.push_back({0, Slot::State, std::string()});
+  writes.push_back({0, Slot::Floor, std::to_string(out.floor)});
   return out;
 }
 
--- a/src/control/identity.hpp
+++ b/src/control/identity.hpp
@@ -19,9 +19,16 @@
   std::uint64_t floor = 0;
 };
 
-// The seeds of the very first start are the voters and know each other by their control addresses. An empty disk at
-// any other time is a newcomer under a new name, never the voter that was here before. What is new is to be written.
-// All names begin with the address, so the others see that the voter of this machine is gone for good.
+// Reads the identity from disk, or makes a new one.
+//
+// An identity is kept only if all slots are there and can be read: a voter that kept its name but lost its vote could
+// promise the same ballot twice. Otherwise the disk counts as lost and the controller is a newcomer under a new name,
+// which has no vote until an epoch record names it. `writes` then holds all slots, to be written in one transaction and
+// synced before the controller says anything. A record or a state that does not exist yet is an empty slot, so that a
+// slot that is absent is always one that was damaged.
+//
+// The seeds of the very first start (`bootstrap`, and nothing on disk) are the first voters and know each other by
+// their control addresses. All names begin with the address, so the others see that the voter of this machine is gone.
 Identity identify(const std::function<std::optional<std::string>(Slot)>& read, bool bootstrap,
                   const std::vector<settings::Endpoint>& seeds, const settings::Endpoint& controlPlane,
                   std::uint64_t seed, std::vector<DiskWrite>& writes);
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -2,6 +2,7 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -10,38 +11,43 @@
 
 #include "base/result.hpp"
 #include "control/replica.hpp"
+#include "store/snapshots.hpp"
 
+// A controller's disk, written by a thread of its own.
 namespace indigohill::store {
 
-// What a controller keeps on disk, in LMDB. Writes are made by a thread of their own, so that a disk that hangs holds
-// up nothing but what waits for it; all that is waiting goes into one transaction.
+// Writes are made in the order in which they were asked for, so that a disk that hangs holds up nothing but what waits
+// for it; all that is waiting goes into one commit.
 class Store {
  public:
   using Done = std::function<void(std::uint64_t token, bool ok)>;
 
-  // Opens or makes the store. One that fails its checks is set aside and counts as a lost disk.
+  // Opens or makes the store; what is damaged counts as a lost disk. The error is that of a system that refuses (no
+  // space or memory, I/O): nothing was changed, and the store may open later.
   static base::Result<std::unique_ptr<Store>> open(const std::string& folder, std::uint64_t mapBytes);
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
+  // What the disk held at the start. Only to be called before the first write.
   std::optional<std::string> read(control::Slot slot) const;
-  // `done` is called on the disk thread.
+  bool wasLost() const { return snapshots_.wasLost(); }
+
+  // `done` is called on the disk thread. Not ok: the write may be on the disk all the same, or come there later.
   void write(control::DiskWrite write, Done done);
-  bool wasLost() const { return lost_; }
+  // Makes all the writes in one commit and waits for it; whether they are on the disk.
+  bool writeAndWait(std::vector<control::DiskWrite> writes);
 
  private:
-  struct Handles;
   struct Job {
-    control::DiskWrite write;
-    Done done;
+    std::vector<control::DiskWrite> writes;
+    std::function<void(bool ok)> done;
   };
-  explicit Store(std::unique_ptr<Handles> handles);
+  Store(const std::string& folder, std::uint64_t mapBytes);
+  void enqueue(Job job);
   void run();
-  bool commit(const std::vector<Job>& jobs);
 
-  std::unique_ptr<Handles> handles_;
-  bool lost_ = false;
+  Snapshots snapshots_;
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;
