--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -6,7 +6,7 @@
 
 #include "base/hash.hpp"
 #include "membership/group.hpp"
-#include "routing/table.hpp"
+#include "routing/bounds.hpp"
 
 namespace indigohill::routing {
 
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -450,7 +450,7 @@
   }
   cr_assert_eq(c.table.indexState().rankings, 1u, "asked again, not ranked again");
   cr_assert_eq(std::set<std::string>(order.begin(), order.end()).size(), order.size(), "each another runner");
-  for (std::size_t i = 1; i < ranked.size(); ++i) cr_assert_leq(ranked[i - 1].logit, ranked[i].logit);
+  for (std::size_t i = 1; i < ranked.size(); ++i) cr_assert_leq(ranked[i - 1].cost, ranked[i].cost);
   // The home, the place it spills to, then by load.
   for (std::size_t i = 0; i < 2; ++i) cr_assert_eq(order[i], "e" + std::to_string(ranked[i].runner));
 }
