Confirm configurations by age instead of a flag that lasts

A controller answered polls with a flag set at its last tick: after a freeze, polls that lay in its socket were confirmed with an old lease and an old configuration. Routers counted a confirmation, and the age of the list of runners, from when they handled an answer, which may have lain in their own socket. And a primary that was removed from the view vouched until its lease ran out, although its successor takes over at once.

Answers now carry how long ago what they bring was certainly the newest; askers count it from when they sent the poll and how long it was held. The primary knows the moment from rounds in which a majority of the voters says it has accepted no later record. Ages are passed on, so controllers cannot confirm each other. A controller whose confirmation runs out tells its askers at once, and they turn to the next; the spans derive from bounds.configApplyMs.

In test_parts, the poll that must wait now asks a confirmed publisher, as an unconfirmed one answers at once by design.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr Millis kTick{100}, kRelayTick{250};
-
 class Process {
  public:
   Process(const settings::Settings& settings, const std::string& path, std::unique_ptr<store::Store> store)
@@ -39,7 +37,8 @@
   int run() {
     control_.start();
     link_.start();
-    asio::co_spawn(io_, every(executor_, store_ ? kTick : kRelayTick, [this] { return tick(); }), asio::detached);
+    asio::co_spawn(io_, every(executor_, store_ ? kControllerTick : kRelayTick, [this] { return tick(); }),
+                   asio::detached);
     asio::co_spawn(io_,
                    onSignals(
                        executor_, [this] { leave(); }, [this] { reread(true); }),
@@ -63,6 +62,7 @@
   static control::Controller::Tuning tuningOf(const settings::Settings& s) {
     control::Controller::Tuning tuning;
     tuning.group = groupTimes(s);
+    tuning.feed = feedTimes(s);
     tuning.listPeriod = runners::listPeriod(s, 1);
     tuning.grace = s.gracePeriodS;
     // Each zone may be lost with the copy and the vote that it holds; voters and copies are spread over zones.
--- a/src/cli/process.hpp
+++ b/src/cli/process.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/log.hpp"
+#include "feed/publisher.hpp"
 #include "http/types.hpp"
 #include "membership/group.hpp"
 #include "runners/reader.hpp"
@@ -31,6 +32,18 @@
   return times;
 }
 
+// How often a controller looks at the clock: with a disk, and without one.
+constexpr base::Millis kControllerTick{100}, kRelayTick{250};
+
+// Times of the news, within the bound on applying a configuration.
+inline feed::Times feedTimes(const settings::Settings& s) {
+  const auto times = feed::Times::within(s.configApplyMs);
+  if (times.appliedAfter(kRelayTick) > s.configApplyMs)
+    spdlog::warn("bounds.configApplyMs: {} ms is less than a configuration may take to reach all",
+                 s.configApplyMs.count());
+  return times;
+}
+
 // The cohort addresses of the controllers that the operator has listed.
 inline std::vector<settings::Endpoint> seedAddresses(const settings::Settings& s) {
   std::vector<settings::Endpoint> out;
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -42,7 +42,7 @@
         io_(static_cast<int>(workers_)),
         cohort_(asio::make_strand(io_)),
         core_({settings.nodeName, settings.zone, cohortAddress(settings, false)}, seedAddresses(settings),
-              groupTimes(settings), feed::Times{}, settings.drainTimeoutMs, seed_, base::Clock::now()),
+              groupTimes(settings), feedTimes(settings), settings.drainTimeoutMs, seed_, base::Clock::now()),
         journal_(routing::fold),
         table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()),
         executor_(io_.get_executor(), table_),
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -10,8 +10,7 @@
 namespace indigohill::control {
 
 namespace {
-constexpr std::uint64_t kFloorStep = 1u << 19;          // half of what each founding sets aside
-constexpr schema::StateVersion kNothing{~0ULL, ~0ULL};  // asks for nothing of this kind
+constexpr std::uint64_t kFloorStep = 1u << 19;  // half of what each founding sets aside
 }  // namespace
 
 Controller::Controller(Self self, Identity identity, std::vector<settings::Endpoint> seeds, Tuning tuning,
@@ -21,9 +20,10 @@
       group_({self_.nodeName + "/controller", identity.voterId, self_.zone, membership::Role::Controller, self_.cohort},
              seeds, tuning.group, seed),
       replica_({identity.voterId, self_.cohort, tuning.faultTolerance}, identity.loaded, tuning.replica, seed + 1),
+      leadership_(tuning.replica.beat),
       publisher_(tuning.feed),
-      stateSubscriber_(tuning.feed, seed),
-      runnerSubscriber_(tuning.feed, ~seed) {
+      stateSubscriber_(tuning.feed, seed, feed::Subscriber::Rotate::WhenSilent),
+      runnerSubscriber_(tuning.feed, ~seed, feed::Subscriber::Rotate::WhenSilent) {
   group_.setSeeds(known(seeds));
   group_.setFloor(identity.floor);
   floorKept_ = identity.floor;
@@ -68,21 +68,50 @@
     publisher_.receive(*ask, from, now, effects.out);
     return;
   }
-  if (const auto* news = std::get_if<schema::Update>(&message)) {
-    const bool ofState = stateSubscriber_.receive(*news, from, now);
-    const bool ofRunners = runnerSubscriber_.receive(*news, from, now);
-    const auto content = feed::contentOf(*news);
-    for (const auto& state : content.states)
-      if (!replica_.active(now) && publisher_.setState(state)) group_.setHeld(state.version);
-    if (ofState && !replica_.active(now)) publisher_.compare(*news);
-    publisher_.takeRunners(*news, content, ofRunners ? now - base::Millis(news->runnersAgeMs) : base::TimePoint{});
+  if (const auto* update = std::get_if<schema::Update>(&message)) {
+    receiveUpdate(*update, now);
   } else {
+    if (const auto* confirmed = std::get_if<schema::EpochConfirmed>(&message); confirmed && replica_.record()) {
+      leadership_.confirm(confirmed->from, confirmed->token, confirmed->epoch, replica_.record()->voters);
+      publisher_.confirmAt(leadership_.confirmedAt());
+    }
     group_.receive(message, from, now, effects.out);
     replica_.receive(message, from, now, effects);
   }
   settle(now, effects);
 }
 
+void Controller::receiveUpdate(const schema::Update& update, base::TimePoint now) {
+  const auto stateAnsweredAt = stateSubscriber_.receive(update, now);
+  const auto runnersAnsweredAt = runnerSubscriber_.receive(update, now);
+  const auto content = feed::contentOf(update);
+  if (!replica_.active(now)) {
+    for (const auto& state : content.states)
+      if (publisher_.setState(state)) group_.setHeld(state.version);
+    if (stateAnsweredAt) publisher_.compare(update);
+    // The answerer's age is carried on, so daemons that ask each other confirm nothing among themselves.
+    if (stateAnsweredAt && update.stateAgeMs < feed::kUnknownAgeMs && stateVersion() >= update.stateVersion)
+      publisher_.confirmAt(*stateAnsweredAt - base::Millis(update.stateAgeMs));
+  }
+  const auto listedAt = runnersAnsweredAt ? *runnersAnsweredAt - base::Millis(update.runnersAgeMs) : base::TimePoint{};
+  publisher_.takeRunners(update, content, listedAt);
+}
+
+// What is published here was the newest at the moment until which nobody else led. A round begins only once all that
+// was acknowledged here is published.
+void Controller::checkLeadership(base::TimePoint now, net::Outbox& out) {
+  if (!replica_.active(now) || !group_.view()) return;
+  if (!replica_.published() || stateVersion() < replica_.published()->version) return;
+  const auto& record = *replica_.record();
+  const auto round = leadership_.nextRound(record.epoch, now);
+  if (!round) return;
+  if (replica_.accepts(record.epoch)) leadership_.confirm(replica_.voterId(), *round, record.epoch, record.voters);
+  for (const auto& member : group_.view()->members)
+    if (member.voterId != replica_.voterId() && base::contains(record.voters, member.voterId))
+      out.push_back({{member.ip, member.port}, schema::ConfirmEpoch{replica_.voterId(), *round, record.epoch}});
+  publisher_.confirmAt(leadership_.confirmedAt());
+}
+
 void Controller::synced(std::uint64_t token, bool ok, base::TimePoint now, Effects& effects) {
   if (!ok) effects.notes.push_back("the disk refuses to write");
   replica_.synced(token, ok, now, effects);
@@ -100,11 +129,11 @@
 // Frames come from the primary, runners from the holder of that duty.
 void Controller::askForNews(base::TimePoint now, net::Outbox& out) {
   if (const auto primary = replica_.primaryAddress(); primary && !replica_.active(now))
-    stateSubscriber_.tick(now, {*primary}, stateVersion(), kNothing, out);
+    stateSubscriber_.tick(now, {*primary}, stateVersion(), feed::kNothingWanted, out);
   if (group_.view() && !group_.isLister())
     for (const auto& m : group_.view()->members)
       if (m.incarnation == group_.view()->lister)
-        runnerSubscriber_.tick(now, {{m.ip, m.port}}, kNothing, publisher_.askRunners(), out);
+        runnerSubscriber_.tick(now, {{m.ip, m.port}}, feed::kNothingWanted, publisher_.askRunners(), out);
 }
 
 // After anything that may have moved the group or the control state: what is in force goes to those that ask.
@@ -137,11 +166,8 @@
     }
   }
   if (const auto holder = group_.flushFrom())
-    effects.out.push_back({*holder, schema::Poll{0, stateVersion(), kNothing}});
-  // A relay vouches for what it has only while it is in touch with the primary and has all that is in force there.
-  const bool fresh = replica_.active(now) ||
-                     (replica_.primaryFresh(now) && publisher_.state() && stateVersion() >= replica_.primaryVersion());
-  publisher_.setConfirmed(fresh && !publisher_.digestMismatch() && group_.leaseHeld(now));
+    effects.out.push_back({*holder, schema::Poll{0, stateVersion(), feed::kNothingWanted}});
+  checkLeadership(now, effects.out);
   publisher_.publish(now, effects.out);
   askForNews(now, effects.out);
 }
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "control/identity.hpp"
+#include "control/leadership_check.hpp"
 #include "control/replica.hpp"
 #include "feed/publisher.hpp"
 #include "membership/group.hpp"
@@ -51,6 +52,8 @@
  private:
   std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
   ClusterView around() const;
+  void receiveUpdate(const schema::Update& update, base::TimePoint now);
+  void checkLeadership(base::TimePoint now, net::Outbox& out);
   void askForNews(base::TimePoint now, net::Outbox& out);
   void settle(base::TimePoint now, Effects& effects);
   schema::StateVersion stateVersion() const {
@@ -61,6 +64,7 @@
   Tuning tuning_;
   membership::Group group_;
   Replica replica_;
+  LeadershipCheck leadership_;
   feed::Publisher publisher_;
   feed::Subscriber stateSubscriber_, runnerSubscriber_;
   std::uint64_t floorKept_ = 0, notedEpoch_ = 0;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -95,6 +95,8 @@
   std::optional<settings::Endpoint> primaryAddress() const;
   schema::StateVersion primaryVersion() const { return announcedVersion_; }
   const std::string& voterId() const { return self_.voterId; }
+  // Whether this voter has accepted no record after that of `epoch`.
+  bool accepts(std::uint64_t epoch) const;
 
  private:
   enum class Phase { Idle, Campaigning, Activating, Active };
@@ -136,7 +138,6 @@
   void askForConfirmation(base::TimePoint now, Effects& effects);
   void considerAnswering(base::TimePoint now, Effects& effects);
   void requeue();
-  bool accepts(std::uint64_t epoch) const;
   const schema::Member* controller(const std::string& voterId) const;
   std::optional<settings::Endpoint> addressOf(const std::string& voterId) const;
   void send(const std::string& to, schema::Message message, Effects& effects);
--- a/src/feed/follower.cpp
+++ b/src/feed/follower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "base/lists.hpp"
 #include "rollout/orders.hpp"
 
 namespace indigohill::feed {
@@ -18,7 +19,7 @@
       group_({self_.nodeName + "/router", "", self_.zone, membership::Role::Router, self_.cohort}, std::move(seeds),
              group, seed),
       publisher_(times),
-      subscriber_(times, seed),
+      subscriber_(times, seed, Subscriber::Rotate::WhenUnconfirmed),
       times_(times),
       startedAt_(startedAt) {}
 
@@ -31,7 +32,7 @@
 }
 
 std::optional<Millis> Follower::staleFor(base::TimePoint now) const {
-  const auto since = std::chrono::duration_cast<Millis>(now - std::max(startedAt_, subscriber_.confirmedAt()));
+  const auto since = std::chrono::duration_cast<Millis>(now - std::max(startedAt_, publisher_.confirmedAt()));
   // An answer that is held, one that is lost and the next daemon's: all that is usual.
   if (since < 2 * (times_.hold + times_.again)) return std::nullopt;
   return since;
@@ -54,9 +55,9 @@
   } else if (const auto* news = std::get_if<schema::Update>(&message)) {
     // Taken from any member and also when not asked for just now: only what is in force is ever sent, and versions
     // only rise.
-    const bool asked = subscriber_.receive(*news, from, now);
-    take(*news, asked, now, effects);
-    if (asked) askForNews(now, effects.out);
+    const auto answeredAt = subscriber_.receive(*news, now);
+    take(*news, answeredAt, now, effects);
+    if (answeredAt) askForNews(now, effects.out);
   } else if (const auto* demand = std::get_if<schema::LoadNotice>(&message)) {
     effects.demands.push_back(*demand);
     return;
@@ -69,7 +70,8 @@
   settle(effects);
 }
 
-void Follower::take(const schema::Update& news, bool asked, base::TimePoint now, FollowerEffects& effects) {
+void Follower::take(const schema::Update& news, std::optional<base::TimePoint> answeredAt, base::TimePoint now,
+                    FollowerEffects& effects) {
   const auto content = contentOf(news);
   for (const auto& state : content.states) {
     if (state.version <= stateVersion()) continue;
@@ -97,12 +99,15 @@
         routing::StateReceived{state.version, std::move(configuration), state.evacuated, std::move(rollouts)});
   }
   const bool digestMismatch = publisher_.digestMismatch();
-  if (asked) publisher_.compare(news);
+  if (answeredAt) {
+    publisher_.compare(news);
+    confirm(news, *answeredAt, now);
+  }
   if (publisher_.digestMismatch() && !digestMismatch)
     effects.notes.push_back(fmt::format("what is held of configuration {} is not what is in force; fetched whole again",
                                         publisher_.state()->revision));
   // How old the list is counts only in the answer to an ask under way: other news may have lain in a buffer.
-  const auto listedAt = asked ? now - Millis(news.runnersAgeMs) : base::TimePoint{};
+  const auto listedAt = answeredAt ? *answeredAt - Millis(news.runnersAgeMs) : base::TimePoint{};
   const bool first = !publisher_.hasRunners();
   if (!publisher_.takeRunners(news, content, listedAt)) return;
   effects.events.push_back(
@@ -110,7 +115,17 @@
   if (first) effects.notes.push_back(fmt::format("list of runners: {} of them", publisher_.runners().size()));
 }
 
-// The controllers of the view, the own zone first; without a view, wherever the group may be found.
+// What is held here was the newest at that moment. Ready is who has seen that within the bound on applying it: then a
+// request is handled as the newest configuration allows, or as one acknowledged within the bound replaced.
+void Follower::confirm(const schema::Update& news, base::TimePoint answeredAt, base::TimePoint now) {
+  if (news.stateAgeMs >= kUnknownAgeMs || stateVersion() < news.stateVersion || publisher_.digestMismatch()) return;
+  const auto confirmedAt = answeredAt - Millis(news.stateAgeMs);
+  publisher_.confirmAt(confirmedAt);
+  if (now - confirmedAt <= times_.applyWithin) everConfirmed_ = true;
+}
+
+// The controllers of the view, those of the own zone first; then wherever else the group may be found, as all
+// whom an old view names may be gone.
 void Follower::askForNews(base::TimePoint now, net::Outbox& out) {
   std::vector<settings::Endpoint> own, others;
   if (group_.view())
@@ -120,7 +135,9 @@
   if (!others.empty())
     std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(seed_ % others.size()), others.end());
   own.insert(own.end(), others.begin(), others.end());
-  subscriber_.tick(now, own.empty() ? group_.contacts() : own, stateVersion(), publisher_.askRunners(), out);
+  for (const auto& contact : group_.contacts())
+    if (!base::contains(own, contact)) own.push_back(contact);
+  subscriber_.tick(now, own, stateVersion(), publisher_.askRunners(), out);
 }
 
 void Follower::settle(FollowerEffects& effects) {
@@ -133,7 +150,7 @@
   auto proposed = group_.pending() ? routing::routersOf(group_.pending()->result) : routing::Routers{};
   if (proposed != proposed_) effects.events.push_back(routing::ProposalReceived{proposed_ = std::move(proposed)});
   if (const auto holder = group_.flushFrom())
-    effects.out.push_back({*holder, schema::Poll{0, stateVersion(), {~0ULL, ~0ULL}}});
+    effects.out.push_back({*holder, schema::Poll{0, stateVersion(), kNothingWanted}});
 }
 
 void Follower::tell(const schema::Message& message, net::Outbox& out) const {
--- a/src/feed/follower.hpp
+++ b/src/feed/follower.hpp
@@ -44,8 +44,8 @@
 
   // A configuration that was confirmed as the newest within this life, and runners to send to.
   bool informed() const {
-    return subscriber_.everConfirmed() && publisher_.state() && publisher_.state()->revision > 0 &&
-           publisher_.hasRunners() && !publisher_.digestMismatch();
+    return everConfirmed_ && publisher_.state() && publisher_.state()->revision > 0 && publisher_.hasRunners() &&
+           !publisher_.digestMismatch();
   }
   // How long no controller has vouched for the configuration held here; nothing while that is usual.
   std::optional<base::Millis> staleFor(base::TimePoint now) const;
@@ -54,7 +54,10 @@
 
  private:
   void noteStaleness(base::TimePoint now, FollowerEffects& effects);
-  void take(const schema::Update& news, bool asked, base::TimePoint now, FollowerEffects& effects);
+  // `answeredAt`: if the news answers a poll of this router, what its ages are counted from.
+  void take(const schema::Update& news, std::optional<base::TimePoint> answeredAt, base::TimePoint now,
+            FollowerEffects& effects);
+  void confirm(const schema::Update& news, base::TimePoint answeredAt, base::TimePoint now);
   void askForNews(base::TimePoint now, net::Outbox& out);
   void settle(FollowerEffects& effects);
   schema::StateVersion stateVersion() const {
@@ -69,7 +72,7 @@
   Subscriber subscriber_;
   routing::Routers proposed_;
   Times times_;
-  bool staleNoted_ = false;
+  bool staleNoted_ = false, everConfirmed_ = false;
   base::TimePoint startedAt_, readAt_{};
 };
 
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -27,6 +27,11 @@
   return sum;
 }
 
+std::uint32_t ageMs(base::TimePoint since, base::TimePoint now) {
+  const auto age = std::chrono::duration_cast<base::Millis>(now - since).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, kUnknownAgeMs));
+}
+
 // Of all but the digests of orders, which the primary keeps to itself.
 std::uint64_t digestOf(schema::ControlState state) {
   state.takenOrders.clear();
@@ -44,7 +49,7 @@
 }
 
 void Publisher::compare(const schema::Update& news) {
-  if (news.confirmed && state_ && news.stateVersion == state_->version && news.stateDigest != frameDigest_)
+  if (confirms(news) && state_ && news.stateVersion == state_->version && news.stateDigest != frameDigest_)
     digestMismatch_ = true;
 }
 
@@ -157,55 +162,75 @@
   return (state_ && state_->version > ask.state) || (hasRunners_ && runnersStamp_ > ask.runners);
 }
 
-void Publisher::answer(const settings::Endpoint& to, const schema::Poll& ask, base::TimePoint now,
-                       net::Outbox& out) const {
+std::uint32_t Publisher::stateAgeMs(base::TimePoint now) const {
+  if (!state_ || digestMismatch_ || confirmedAt_ == base::TimePoint{}) return kUnknownAgeMs;
+  return ageMs(confirmedAt_, now);
+}
+
+void Publisher::answer(const settings::Endpoint& to, Asker& asker, base::TimePoint now, net::Outbox& out) const {
+  asker.open = false;
+  asker.answeredAt = now;
+  asker.staleToldAt = confirmed(now) ? base::TimePoint{} : now;
   schema::Update news;
-  news.token = ask.token;
-  news.confirmed = confirmed_;
+  news.token = asker.ask.token;
+  news.heldMs = ageMs(asker.at, now);
+  news.stateAgeMs = stateAgeMs(now);
   if (state_) {
     news.stateVersion = state_->version;
     news.stateDigest = frameDigest_;
   }
   news.runnersVersion = runnersStamp_;
-  const auto age = hasRunners_ ? std::chrono::duration_cast<base::Millis>(now - listedAt_).count() : 1'000'000;
-  news.runnersAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, 1'000'000));
-  news.content = content(ask);
+  news.runnersAgeMs = hasRunners_ ? ageMs(listedAt_, now) : kUnknownAgeMs;
+  news.content = content(asker.ask);
   out.push_back({to, std::move(news)});
 }
 
-void Publisher::setConfirmed(bool confirmed) {
-  // Those that were told of something unconfirmed, or that wait, learn at once that it is.
-  if (confirmed && !confirmed_)
-    for (auto& [key, asker] : askers_)
-      if (asker.open) asker.at -= times_.hold;
-  confirmed_ = confirmed;
+// Whether a poll has waited long enough. A controller's last poll is answered again and again: each answer counts from
+// the time of that poll and how long ago it came, so that neither a lost answer nor a lost poll costs a confirmation.
+bool Publisher::pollDue(const Asker& asker, base::TimePoint now) const {
+  const bool relay = asker.ask.token != 0 && asker.ask.runners == kNothingWanted;
+  if (relay) return now - std::max(asker.at, asker.answeredAt) >= times_.relayHold;
+  return asker.open && now - asker.at >= times_.hold;
+}
+
+// An asker learns at once that nothing is confirmed here any more, so that it turns to another controller, and at once
+// that it is confirmed again. One that was told so lately waits: with nobody to confirm anything it would ask in turn
+// without a pause.
+bool Publisher::confirmationChanged(const Asker& asker, base::TimePoint now) const {
+  if (!state_ || asker.ask.token == 0 || asker.ask.state == kNothingWanted) return false;
+  if (confirmed(now)) return asker.staleToldAt != base::TimePoint{};
+  return asker.open && now - asker.staleToldAt >= 2 * times_.hold;
+}
+
+// Whether an asker that lacks something is to be told now: at once of what it was not sent yet, after a while again.
+bool Publisher::newsDue(Asker& asker, base::TimePoint now) const {
+  const bool newer = (state_ && state_->version > asker.state && state_->version > asker.ask.state) ||
+                     (hasRunners_ && runnersStamp_ > asker.runners && runnersStamp_ > asker.ask.runners);
+  if (newer) asker.tries = 0;
+  if (asker.tries >= kTellTries) return false;
+  if (asker.tries > 0 && now - asker.sentAt < times_.repeat * (1 << (asker.tries - 1))) return false;
+  ++asker.tries;
+  asker.sentAt = now;
+  if (state_) asker.state = state_->version;
+  if (hasRunners_) asker.runners = runnersStamp_;
+  return true;
 }
 
-// Tells an asker what it lacks: at once what it was not sent yet, after a while what it does not show to have.
 void Publisher::consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const {
-  if (hasNews(asker.ask)) {
-    const bool newer = (state_ && state_->version > asker.state && state_->version > asker.ask.state) ||
-                       (hasRunners_ && runnersStamp_ > asker.runners && runnersStamp_ > asker.ask.runners);
-    if (newer) asker.tries = 0;
-    if (asker.tries >= kTellTries || (asker.tries > 0 && now - asker.sentAt < times_.repeat * (1 << (asker.tries - 1))))
-      return;
-    ++asker.tries;
-    asker.sentAt = now;
-    if (state_) asker.state = state_->version;
-    if (hasRunners_) asker.runners = runnersStamp_;
-  } else if (!asker.open || now - asker.at < times_.hold) {
-    return;
-  }
-  asker.open = false;
-  answer(key.from, asker.ask, now, out);
+  const bool due = hasNews(asker.ask) ? newsDue(asker, now) : pollDue(asker, now);
+  if (due || confirmationChanged(asker, now)) answer(key.from, asker, now, out);
 }
 
 void Publisher::receive(const schema::Poll& ask, const settings::Endpoint& from, base::TimePoint now,
                         net::Outbox& out) {
-  constexpr schema::StateVersion nothing{~0ULL, ~0ULL};
-  const Key key{from, static_cast<std::uint8_t>((ask.state == nothing ? 1 : 0) | (ask.runners == nothing ? 2 : 0) |
-                                                (ask.token == 0 ? 4 : 0))};
-  auto& asker = askers_[key] = Asker{ask, now, {}, true, 0, {}, {}};
+  const Key key{from, static_cast<std::uint8_t>((ask.state == kNothingWanted ? 1 : 0) |
+                                                (ask.runners == kNothingWanted ? 2 : 0) | (ask.token == 0 ? 4 : 0))};
+  auto& asker = askers_[key];
+  const auto staleToldAt = asker.staleToldAt;
+  asker = Asker{};
+  asker.ask = ask;
+  asker.at = now;
+  asker.staleToldAt = staleToldAt;
   consider(key, asker, now, out);
 }
 
@@ -215,6 +240,7 @@
     givenUpAt_ = now;
     floor_ = state_->version;
     state_.reset();
+    confirmedAt_ = {};
     contents_.clear();
   }
   publish(now, out);
@@ -235,21 +261,21 @@
   rotate_ = false;
   waiting_ = true;
   askedAt_ = now;
-  recent_.emplace_back(token_ + 1, now);
-  out.push_back({targets[target_ % targets.size()], schema::Poll{++token_, state, runners}});
+  ++token_;
+  recent_.push_back({token_, now});
+  out.push_back({targets[target_ % targets.size()], schema::Poll{token_, state, runners}});
 }
 
-bool Subscriber::receive(const schema::Update& news, const settings::Endpoint&, base::TimePoint now) {
-  while (!recent_.empty() && now - recent_.front().second > 2 * times_.again) recent_.pop_front();
-  const auto asked = [&](const auto& ask) { return ask.first == news.token; };
-  if (std::none_of(recent_.begin(), recent_.end(), asked)) return false;
+std::optional<base::TimePoint> Subscriber::receive(const schema::Update& news, base::TimePoint now) {
+  while (!recent_.empty() && now - recent_.front().sentAt > 2 * times_.again) recent_.pop_front();
+  const auto poll =
+      std::find_if(recent_.begin(), recent_.end(), [&](const SentPoll& sent) { return sent.token == news.token; });
+  if (poll == recent_.end()) return std::nullopt;
   waiting_ = false;
   answeredAt_ = now;
-  if (news.confirmed)
-    confirmedAt_ = now;
-  else if (news.token == token_)
-    rotate_ = true;
-  return true;
+  const bool unconfirmed = base::Millis(news.stateAgeMs) >= times_.confirmedFor;
+  if (rotateWhen_ == Rotate::WhenUnconfirmed && unconfirmed && news.token == token_) rotate_ = true;
+  return std::min(now, poll->sentAt + base::Millis(news.heldMs));
 }
 
 }  // namespace indigohill::feed
--- a/src/feed/publisher.hpp
+++ b/src/feed/publisher.hpp
@@ -17,12 +17,41 @@
 namespace indigohill::feed {
 
 struct Times {
-  base::Millis hold{700};    // an ask without news is answered after this
-  base::Millis again{1000};  // an ask without an answer is sent again after this, to another daemon
-  base::Millis first{150};   // the same as long as nothing has ever been answered: the other side may just start too
-  base::Millis repeat{150};  // news that nobody shows to have is told again after this, twice this, and so on
+  base::Millis hold{700};       // an ask without news is answered after this
+  base::Millis again{1000};     // an ask without an answer is sent again after this, to another daemon
+  base::Millis first{150};      // the same as long as nothing has ever been answered: the other side may just start too
+  base::Millis repeat{150};     // news that nobody shows to have is told again after this, twice this, and so on
+  base::Millis relayHold{350};  // a controller that follows the primary's state is answered at this pace
+  // A configuration confirmed longer ago than this counts as unconfirmed; its holder is asked no further.
+  base::Millis confirmedFor{1400};
+  // A machine in touch applies a configuration within this (bounds.configApplyMs).
+  base::Millis applyWithin{2000};
+
+  // The same proportions for another bound on applying a configuration.
+  static constexpr Times within(base::Millis configApply);
+  // The longest time after an acknowledgement at which a machine in touch still has the version before it, if the
+  // controller that it asks has just lost the primary: that controller's confirmation runs out, its next tick tells
+  // the machine, and the next controller is asked, both exchanges lost once.
+  constexpr base::Millis appliedAfter(base::Millis controllerTick) const {
+    return confirmedFor + controllerTick + 2 * repeat;
+  }
 };
 
+constexpr Times Times::within(base::Millis configApply) {
+  Times times;
+  const auto usual = times.applyWithin;
+  if (configApply >= usual) return times;
+  for (auto* span : {&times.hold, &times.again, &times.first, &times.repeat, &times.relayHold, &times.confirmedFor,
+                     &times.applyWithin})
+    *span = *span * configApply.count() / usual.count();
+  return times;
+}
+
+// The age of what was never confirmed, or never read.
+constexpr std::uint32_t kUnknownAgeMs = 1'000'000;
+// The version with which nothing of a kind is asked for.
+constexpr schema::StateVersion kNothingWanted{~0ULL, ~0ULL};
+
 // Holds the newest of everything and the asks that wait for newer.
 class Publisher {
  public:
@@ -33,6 +62,14 @@
   // Looks whether what is held under a version is what the answering daemon holds under it. What is digestMismatch is
   // given up before long and so fetched whole again; until then, and until it has come, the daemon is not ready.
   void compare(const schema::Update& news);
+  // What is held here was the newest acknowledged configuration at this moment. The primary says so while it holds its
+  // lease; everybody else concludes it from an answer, by the time of the poll. Nothing is said about later: each
+  // answer carries the age, so that a process that stood still cannot confirm what it knew before.
+  void confirmAt(base::TimePoint at) { confirmedAt_ = std::max(confirmedAt_, at); }
+  base::TimePoint confirmedAt() const { return confirmedAt_; }
+  std::uint32_t stateAgeMs(base::TimePoint now) const;
+  // Whether a confirmation of this age still counts.
+  bool confirms(const schema::Update& news) const { return base::Millis(news.stateAgeMs) < times_.confirmedFor; }
   void doubt() { digestMismatch_ = true; }
   bool digestMismatch() const { return digestMismatch_; }
   bool setRunners(const schema::StateVersion& version, std::vector<schema::RunnerEntry> runners,
@@ -40,7 +77,6 @@
   // The same from another's news, whole or as changes. Changes of a version that is not held here, or that don't give
   // the list they should, are not taken; the whole is asked for next.
   bool takeRunners(const schema::Update& news, const schema::UpdateContent& content, base::TimePoint listedAt);
-  void setConfirmed(bool confirmed);
 
   void receive(const schema::Poll& ask, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void tick(base::TimePoint now, net::Outbox& out);
@@ -58,7 +94,8 @@
  private:
   struct Asker {
     schema::Poll ask;
-    base::TimePoint at, sentAt{};
+    base::TimePoint at, sentAt{}, answeredAt{};
+    base::TimePoint staleToldAt{};        // when it was told that nothing is confirmed here; none once it is again
     bool open = true;                     // not answered yet
     std::uint32_t tries = 0;              // how often the newest was sent
     schema::StateVersion state, runners;  // what was sent
@@ -75,8 +112,12 @@
     std::vector<std::string> ids;
   };
   bool hasNews(const schema::Poll& ask) const;
+  bool pollDue(const Asker& asker, base::TimePoint now) const;
+  bool confirmed(base::TimePoint now) const { return base::Millis(stateAgeMs(now)) < times_.confirmedFor; }
+  bool confirmationChanged(const Asker& asker, base::TimePoint now) const;
+  bool newsDue(Asker& asker, base::TimePoint now) const;
   void consider(const Key& key, Asker& asker, base::TimePoint now, net::Outbox& out) const;
-  void answer(const settings::Endpoint& to, const schema::Poll& ask, base::TimePoint now, net::Outbox& out) const;
+  void answer(const settings::Endpoint& to, Asker& asker, base::TimePoint now, net::Outbox& out) const;
   const std::string& content(const schema::Poll& ask) const;
   void putRunners(const schema::StateVersion& base, schema::UpdateContent& content) const;
 
@@ -84,8 +125,8 @@
   std::optional<schema::ControlState> state_;
   schema::StateVersion runnersStamp_;
   std::vector<schema::RunnerEntry> runners_;
-  base::TimePoint listedAt_{};
-  bool hasRunners_ = false, confirmed_ = false, wholeWanted_ = false, digestMismatch_ = false;
+  base::TimePoint listedAt_{}, confirmedAt_{};
+  bool hasRunners_ = false, wholeWanted_ = false, digestMismatch_ = false;
   std::uint64_t frameDigest_ = 0, runnersDigest_ = 0;
   schema::StateVersion floor_;  // of what was given up: nothing older is taken
   base::TimePoint givenUpAt_{};
@@ -101,24 +142,30 @@
 // Asks one daemon after the other.
 class Subscriber {
  public:
-  explicit Subscriber(Times times, std::uint64_t seed) : times_(times), token_(seed) {}
+  // When another daemon is asked: only after silence, or also after an answer that confirms no configuration.
+  enum class Rotate { WhenSilent, WhenUnconfirmed };
+  Subscriber(Times times, std::uint64_t seed, Rotate rotate) : times_(times), token_(seed), rotateWhen_(rotate) {}
 
   void tick(base::TimePoint now, const std::vector<settings::Endpoint>& targets, const schema::StateVersion& state,
             const schema::StateVersion& runners, net::Outbox& out);
-  // True when the news answers one of the last asks, and is as young as that says; the next may then be sent.
-  bool receive(const schema::Update& news, const settings::Endpoint& from, base::TimePoint now);
-
-  // Within this life, a configuration was once confirmed as the newest; and when last.
-  bool everConfirmed() const { return confirmedAt_ != base::TimePoint{}; }
-  base::TimePoint confirmedAt() const { return confirmedAt_; }
+  // When the news answers one of the last polls: a moment that its ages may be counted from. That is when the poll was
+  // sent and the time that it was held, not when the answer is handled: it may have lain in the socket of a process
+  // that stood still. The next poll may then be sent.
+  std::optional<base::TimePoint> receive(const schema::Update& news, base::TimePoint now);
 
  private:
+  struct SentPoll {
+    std::uint64_t token;
+    base::TimePoint sentAt;
+  };
+
   Times times_;
   std::uint64_t token_;
+  Rotate rotateWhen_;
   std::size_t target_ = 0;
-  std::deque<std::pair<std::uint64_t, base::TimePoint>> recent_;  // tokens of the last asks, and when
+  std::deque<SentPoll> recent_;
   bool waiting_ = false, rotate_ = false;
-  base::TimePoint askedAt_{}, answeredAt_{}, confirmedAt_{};
+  base::TimePoint askedAt_{}, answeredAt_{};
 };
 
 }  // namespace indigohill::feed
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -470,6 +470,7 @@
   cr_assert(out.empty());
   schema::ControlState state{{1, 1}, 3, "{}", {{2, 77}}, {}};
   cr_assert(source.setState(state));
+  source.confirmAt(now);
   source.publish(now, out);
   cr_assert_eq(out.size(), 1u);
   const auto news = feed::contentOf(std::get<schema::Update>(out[0].message));
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -862,7 +862,6 @@
   schema::ControlState state{{1, 5}, 1, tests::document(1), {}, {}, {{"plain", 1, 0, record(1)}}};
   truth.setState(state);
   truth.setRunners({1, 1}, {runner("good")}, now);
-  truth.setConfirmed(true);
   feed::Follower follower({"r", "z0", {2, 2}}, {source}, membership::Times{}, feed::Times{}, Millis(3000), 1, now);
   routing::RoutingSnapshot picture;
   // Carries asks to the source and its answers back, as `spoil` leaves them.
@@ -874,6 +873,7 @@
     for (const auto& item : effects.out)
       if (const auto* ask = std::get_if<schema::Poll>(&item.message)) {
         net::Outbox out;
+        truth.confirmAt(at);
         truth.receive(*ask, {2, 2}, at, out);
         truth.tick(at + Millis(700), out);
         for (auto& answer : out) {
