--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr Millis kTick{100}, kRelayTick{250};
 constexpr Millis kDiskRetry{250};     // between tries to open a disk that refuses
 constexpr int kDiskTriesLogged = 40;  // of the tries that fail one in so many is logged
 constexpr std::uint64_t kMebibyte = 1u << 20;
@@ -83,7 +82,8 @@
   int run() {
     control_.start();
     link_.start();
-    asio::co_spawn(io_, every(executor_, store_ ? kTick : kRelayTick, [this] { return tick(); }), asio::detached);
+    asio::co_spawn(io_, every(executor_, store_ ? kControllerTick : kRelayTick, [this] { return tick(); }),
+                   asio::detached);
     asio::co_spawn(io_,
                    onSignals(
                        executor_, [this] { leave(); }, [this] { reread(true); }),
@@ -107,6 +107,7 @@
   static control::Controller::Tuning tuningOf(const settings::Settings& s) {
     control::Controller::Tuning tuning;
     tuning.group = groupTimes(s);
+    tuning.feed = feedTimes(s);
     tuning.listPeriod = runners::listPeriod(s, 1);
     tuning.grace = s.gracePeriodS;
     // Each zone may be lost with the copy and the vote that it holds; voters and copies are spread over zones.
