Add a model checker that runs the control state's own code

The control state was tested by seeded simulations alone, which meet rare interleavings by luck. src/model explores them: a generic explicit-state explorer (all interleavings up to a depth, all schedules with up to k deviations from the usual one, random walks; counterexamples are shortened and printed) and a model whose states hold a real control::Replica for each machine, with disk, network, operator and view as the schedule likes.

Replica gets a fingerprint, in a file of its own, for telling states apart.

--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -95,6 +95,8 @@
   std::optional<settings::Endpoint> primaryAddress() const;
   schema::StateVersion primaryVersion() const { return announcedVersion_; }
   const std::string& voterId() const { return self_.voterId; }
+  // The same for two replicas that will act alike from `now` on; for the model checker.
+  std::uint64_t fingerprint(base::TimePoint now) const;
 
  private:
   enum class Phase { Idle, Campaigning, Activating, Active };
--- /dev/null
+++ b/src/model/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace indigohill::model {
+struct Bounds;
+struct Statistics;
+class ReplicaModel;
+}  // namespace indigohill::model
