--- a/src/control/pending_answers.hpp
+++ b/src/control/pending_answers.hpp
@@ -15,6 +15,10 @@
 // Confirmations are asked for in numbered rounds. A voter's word for a round also counts for all answers that were
 // waiting when an earlier round was sent, so one round serves every answer that was waiting when it went out. Rounds
 // belong to one epoch: with the next record the orders are judged again.
+namespace indigohill::base {
+class Fingerprint;
+}
+
 namespace indigohill::control {
 
 class PendingAnswers {
@@ -35,6 +39,7 @@
   std::vector<QueuedOrder> takeAll();
   void forget(std::uint64_t call);
   std::size_t size() const { return waiting_.size(); }
+  void addTo(base::Fingerprint& out, base::TimePoint now) const;
 
  private:
   struct Waiting {
--- a/src/model/ledger.cpp
+++ b/src/model/ledger.cpp
@@ -172,14 +172,14 @@
 }
 
 void Ledger::fingerprint(base::Fingerprint& out) const {
-  out& orders_.size();
+  out.add(orders_.size());
   for (const auto& entry : orders_)
-    out& entry.kind& entry.issued& entry.acknowledged& entry.refused& entry.inForce& entry.baseVersion& entry
-        .revision& entry.holders;
-  out& calls_.size();
+    out.add(entry.kind, entry.issued, entry.acknowledged, entry.refused, entry.inForce, entry.baseVersion,
+            entry.revision, entry.holders);
+  out.add(calls_.size());
   for (const auto& call : calls_)
-    out& call.id& call.read& call.order& call.machine& call.satisfied& call.revisionWhenIssued;
-  out& nextCall_& records_& inForce_;
+    out.add(call.id, call.read, call.order, call.machine, call.satisfied, call.revisionWhenIssued);
+  out.add(nextCall_, records_, inForce_);
 }
 
 }  // namespace indigohill::model
--- a/src/model/replicas.cpp
+++ b/src/model/replicas.cpp
@@ -21,6 +21,7 @@
 constexpr base::TimePoint kStart{std::chrono::hours(1)};
 constexpr Millis kTick{250};
 constexpr Millis kLongTick{7000};   // longer than every time-out
+constexpr Millis kLease{3000};      // renewed by each tick for as long as the schedule likes
 constexpr Millis kFreeze{4000};     // how long a frozen machine was away
 constexpr std::size_t kWindow = 4;  // of the oldest messages, those that may overtake in a search by deviations
 constexpr std::size_t kStartSteps = 2000;
@@ -170,7 +171,6 @@
     view.controllers.push_back(member);
   }
   view.voters = state.ledger.newestRecord().voters;
-  view.lease = true;
   return view;
 }
 
@@ -184,7 +184,7 @@
   const auto& orders = state.ledger.orders();
   std::optional<std::uint8_t> active;
   for (std::uint8_t i = 0; i < state.machines.size(); ++i)
-    if (state.machines[i]->reachable() && state.machines[i]->replica->active() && !active) active = i;
+    if (state.machines[i]->reachable() && state.machines[i]->active() && !active) active = i;
   if (!active) return std::nullopt;
   for (std::uint8_t order = 0; order < orders.size(); ++order) {
     const auto& entry = orders[order];
@@ -325,7 +325,7 @@
   }
   if (machine.lease && left(used.leaseLosses, quotas.leaseLosses)) offer(Kind::LeaseLoss);
   if (machine.reachable() && viewIsOld(state, i)) offer(Kind::View);
-  if (left(used.transfers, quotas.transfers) && machine.replica->active()) offer(Kind::Transfer);
+  if (left(used.transfers, quotas.transfers) && machine.active()) offer(Kind::Transfer);
   if (left(used.longTicks, quotas.longTicks)) offer(Kind::LongTick);
   if (settings_.everyInterleaving) offer(Kind::Tick);
 }
@@ -383,7 +383,7 @@
       return machine.runs() && action.order < state.ledger.orders().size() &&
              !state.ledger.waitsAt(action.order, action.machine);
     case Kind::Transfer:
-      return machine.runs() && machine.replica->active();
+      return machine.runs() && machine.active();
     case Kind::Tick:
     case Kind::LongTick:
     case Kind::LeaseLoss:
@@ -413,7 +413,7 @@
   const bool reading = action.kind == Kind::Read;
   auto order = reading ? state.ledger.read(index) : state.ledger.issue(action.order, index);
   const auto& published = machine.replica->published();
-  if (machine.replica->active() && published) {
+  if (machine.active() && published) {
     if (settings_.mutation == Mutation::ReadsUnconfirmed && reading) {
       effects.answers.push_back({order.call, 200, published->document, {}});
       return;
@@ -439,7 +439,7 @@
   const auto tick = [&](Millis passed) {
     machine.now += passed;
     auto view = machine.view;
-    view.lease = machine.lease;
+    if (machine.lease) view.leaseUntil = machine.now + kLease;
     machine.replica->tick(machine.now, view, effects);
   };
   const auto stop = [&] {
@@ -588,7 +588,7 @@
     const auto to = static_cast<std::uint8_t>(outgoing.to.ip - 1);
     if (to >= state.machines.size() || machine.cut || state.machines[to]->cut) continue;
     base::Fingerprint fingerprint;
-    fingerprint& index& to& outgoing.message;
+    fingerprint.add(index, to, outgoing.message);
     state.network.push_back(
         {index, to, std::make_shared<const schema::Message>(std::move(outgoing.message)), fingerprint.value()});
   }
@@ -596,43 +596,43 @@
     const auto& replica = *machine.replica;
     if (replica.record() && !(before.replica && before.replica->record() == replica.record()))
       state.ledger.adopted(*replica.record());
-    const bool publishes = replica.active() && replica.published();
-    const bool sameAsBefore = before.replica && before.replica->active() && before.replica->published() && publishes &&
+    const bool publishes = machine.active() && replica.published();
+    const bool sameAsBefore = publishes && before.active() && before.replica->published() &&
                               before.replica->published()->version == replica.published()->version;
     if (publishes && !sameAsBefore) state.ledger.published(*replica.published());
   }
   for (const auto& answer : effects.answers) state.ledger.answered(answer);
   base::Fingerprint fingerprint;
-  fingerprint& machine.voterId& machine.disk& machine.pending.size();
-  for (const auto& write : machine.pending) fingerprint& write.token& write.slot& write.bytes;
-  fingerprint& machine.view.controllers& machine.view.voters& machine.lease& machine.cut& machine.frozen& machine
-      .hung& machine.wipes& machine.restarts& machine.replica.has_value();
-  if (machine.replica) fingerprint& machine.replica->fingerprint(machine.now);
+  fingerprint.add(machine.voterId, machine.disk, machine.pending.size());
+  for (const auto& write : machine.pending) fingerprint.add(write.token, write.slot, write.bytes);
+  fingerprint.add(machine.view.controllers, machine.view.voters, machine.lease, machine.cut, machine.frozen,
+                  machine.hung, machine.wipes, machine.restarts, machine.replica.has_value());
+  if (machine.replica) fingerprint.add(machine.replica->fingerprint(machine.now));
   machine.fingerprint = fingerprint.value();
   state.machines[index] = std::make_shared<const Machine>(std::move(machine));
 }
 
 std::uint64_t ReplicaModel::fingerprint(const State& state) const {
   base::Fingerprint out;
-  for (const auto& machine : state.machines) out & machine->fingerprint;
+  for (const auto& machine : state.machines) out.add(machine->fingerprint);
   const auto unordered = [&](const std::vector<InFlight>& messages) {
     std::vector<std::uint64_t> all;
     for (const auto& message : messages) all.push_back(message.fingerprint);
     std::sort(all.begin(), all.end());
-    out& all;
+    out.add(all);
   };
   if (settings_.everyInterleaving) {
     unordered(state.network);
   } else {
-    out& state.network.size();
-    for (const auto& message : state.network) out& message.fingerprint;
-    out& state.turn;
+    out.add(state.network.size());
+    for (const auto& message : state.network) out.add(message.fingerprint);
+    out.add(state.turn);
   }
   unordered(state.held);
   state.ledger.fingerprint(out);
   const auto& u = state.used;
-  out& u.crashes& u.wipes& u.holds& u.repeats& u.cuts& u.freezes& u.hangs& u.diskErrors& u.leaseLosses& u.transfers& u
-      .resends& u.strayOrders& u.reads& u.longTicks& u.reorders;
+  out.add(u.crashes, u.wipes, u.holds, u.repeats, u.cuts, u.freezes, u.hangs, u.diskErrors, u.leaseLosses, u.transfers,
+          u.resends, u.strayOrders, u.reads, u.longTicks, u.reorders);
   return out.value();
 }
 
@@ -662,7 +662,7 @@
   std::string where;
   for (const auto& machine : state.machines)
     if (machine->replica)
-      where += fmt::format("; {} {}{}", machine->voterId, machine->replica->active() ? "active in " : "",
+      where += fmt::format("; {} {}{}", machine->voterId, machine->active() ? "active in " : "",
                            machine->replica->record() ? describe(*machine->replica->record()) : "no record");
   return fmt::format("no progress: an order is not acknowledged within {} steps although nothing fails{}", steps,
                      where);
--- a/src/model/replicas.hpp
+++ b/src/model/replicas.hpp
@@ -99,6 +99,7 @@
     std::uint8_t wipes = 0, restarts = 0;
     std::uint64_t fingerprint = 0;
 
+    bool active() const { return replica && replica->active(now); }
     bool runs() const { return replica && !frozen; }
     bool reachable() const { return runs() && !cut; }
   };
--- a/tests/test_model.cpp
+++ b/tests/test_model.cpp
@@ -43,7 +43,7 @@
   }
   std::uint64_t fingerprint(const State& state) const {
     indigohill::base::Fingerprint out;
-    out& state.counter& state.step[0] & state.step[1] & state.seen[0] & state.seen[1];
+    out.add(state.counter, state.step[0], state.step[1], state.seen[0], state.seen[1]);
     return out.value();
   }
   std::optional<std::string> violation(const State& state) const {
