Exchange a leaving or replaced machine before it is gone, and tell decided records on

Cause: a controller was gone 0.3 s after SIGTERM whatever it held, and others found out by its silence. A voter whose machine was replaced by an empty one at another address was exchanged 3 s after it had left the view, later than the newcomer's catch-up time allows for the next loss. A decided record was told once: if its backup missed that and its primary was lost, nobody who could stand knew of it, and no order was acknowledged again.

Change: a leaver announces itself as retiring, hands leadership over, and leaves the group once neither the record nor the view's voters count on it; at the latest after half of the grace period, and at once where nobody can take its place. Whoever a record names repeats it to the others it names until its primary is heard of.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr Millis kTick{100}, kRelayTick{250};
+// How long the agreement on a record takes, with room for a candidacy that has to start again; and how long a voter has
+// to be missing from the view at least.
+constexpr Millis kAgreement{1000}, kShortestExchange{300};
 
 class Process {
  public:
@@ -71,6 +74,11 @@
     tuning.replica.writeStuck = std::min(tuning.replica.writeStuck, s.ackTimeoutMs * 3 / 10);
     tuning.replica.gather = std::min(tuning.replica.gather, s.ackTimeoutMs * 3 / 8);
     tuning.replica.orderLife = std::min(tuning.replica.orderLife, s.ackTimeoutMs * 7 / 8);
+    // A machine that was replaced by an empty one counts as lost only for `catchUpS` after the newcomer's start: by
+    // then the voter that is gone must have been suspected, exchanged, and the record agreed on.
+    tuning.replica.exchange =
+        std::clamp(s.catchUpS - tuning.group.suspect - kAgreement, kShortestExchange, tuning.replica.exchange);
+    tuning.replica.replacement = tuning.group.suspect + kAgreement;
     return tuning;
   }
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -59,6 +59,7 @@
   group_.tick(now, effects.out);
   replica_.tick(now, around(), effects);
   publisher_.tick(now, effects.out);
+  considerLeaving(now, effects);
   settle(now, effects);
 }
 
@@ -147,7 +148,7 @@
 }
 
 bool Controller::readingDue(base::TimePoint now) {
-  if (!group_.isLister() || !group_.leaseHeld(now) || leaving_ || now - readAt_ < tuning_.listPeriod) return false;
+  if (!group_.isLister() || !group_.leaseHeld(now) || leftGroup_ || now - readAt_ < tuning_.listPeriod) return false;
   readAt_ = now;
   return true;
 }
@@ -170,17 +171,22 @@
 void Controller::leave(base::TimePoint now, Effects& effects) {
   if (leaving_) return;
   leaving_ = true;
-  leftAt_ = now;
-  replica_.transferLeadership(effects.out);
-  group_.leave(effects.out);
+  leavingSince_ = now;
+  replica_.retire(now, effects);
   effects.notes.push_back("leaving in order");
+  considerLeaving(now, effects);
 }
 
-// Gone once somebody else leads, or after a while in any case.
-bool Controller::left(base::TimePoint now) const {
-  if (!leaving_) return false;
-  const bool leads = replica_.record() && replica_.record()->primary == replica_.voterId();
-  return now - leftAt_ >= base::Millis(300) && (!leads || now - leftAt_ >= tuning_.grace / 4);
+void Controller::considerLeaving(base::TimePoint now, Effects& effects) {
+  if (!leaving_ || leftGroup_) return;
+  if (!replica_.mayLeave(now) && now - leavingSince_ < tuning_.grace / 2) return;
+  leftGroup_ = true;
+  leftAt_ = now;
+  group_.leave(effects.out);
+  effects.notes.push_back(replica_.mayLeave(now) ? "left the group" : "left the group, and nobody has taken its place");
 }
 
+// The others are given time to hear of it.
+bool Controller::left(base::TimePoint now) const { return leftGroup_ && now - leftAt_ >= base::Millis(300); }
+
 }  // namespace indigohill::control
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -40,7 +40,8 @@
   void setListPeriod(base::Millis period) { tuning_.listPeriod = period; }
   void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Effects& effects);
 
-  // Leaves in order; `left` says when the process may end.
+  // Leaves in order; `left` says when the process may end. A member that votes or holds a copy stays until others have
+  // taken its place, for at most half of the grace period.
   void leave(base::TimePoint now, Effects& effects);
   bool left(base::TimePoint now) const;
 
@@ -52,6 +53,7 @@
   std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
   ClusterView around() const;
   void askForNews(base::TimePoint now, net::Outbox& out);
+  void considerLeaving(base::TimePoint now, Effects& effects);
   void settle(base::TimePoint now, Effects& effects);
   schema::StateVersion stateVersion() const {
     return publisher_.state() ? publisher_.state()->version : schema::StateVersion{};
@@ -64,8 +66,8 @@
   feed::Publisher publisher_;
   feed::Subscriber stateSubscriber_, runnerSubscriber_;
   std::uint64_t floorKept_ = 0, notedEpoch_ = 0;
-  bool leaving_ = false;
-  base::TimePoint leftAt_{}, readAt_{};
+  bool leaving_ = false, leftGroup_ = false;
+  base::TimePoint leavingSince_{}, leftAt_{}, readAt_{};
 };
 
 }  // namespace indigohill::control
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -13,8 +13,9 @@
 constexpr std::size_t kOrdersWaiting = 64;
 constexpr base::Millis kDiskRest{3000};  // how long a controller whose disk failed does not stand
 
-constexpr base::Millis kSilence{5000};  // how long a backup that did not answer is taken only if there is no other
-constexpr base::Millis kSpread{5000};   // how often, at most, copies that all lie in one zone are moved
+constexpr base::Millis kSilence{5000};   // how long a backup that did not answer is taken only if there is no other
+constexpr base::Millis kRetiring{1500};  // a member that has not said so again for so long is not leaving any more
+constexpr base::Millis kSpread{5000};    // how often, at most, copies that all lie in one zone are moved
 
 // The machine that a voter's name tells of.
 std::string_view machine(std::string_view voterId) { return voterId.substr(0, voterId.find('/')); }
@@ -68,6 +69,50 @@
   return std::any_of(record_->backups.begin(), record_->backups.end(), [&](const auto& b) { return silent(b, now); });
 }
 
+bool Replica::retiring(const std::string& voterId, base::TimePoint now) const {
+  if (voterId == self_.voterId) return retiringSelf_;
+  const auto found = retiringAt_.find(voterId);
+  return found != retiringAt_.end() && now - found->second < kRetiring;
+}
+
+bool Replica::anyRetiring(base::TimePoint now) const {
+  return std::any_of(record_->backups.begin(), record_->backups.end(), [&](const auto& b) { return retiring(b, now); });
+}
+
+// To all that may lead or take the place, so that each also knows who cannot.
+void Replica::announceRetiring(base::TimePoint now, Effects& effects) {
+  announcedAt_ = now;
+  for (const auto* m : storageNodes(false)) effects.out.push_back({{m->ip, m->port}, schema::Retiring{self_.voterId}});
+  transferLeadership(effects.out);
+}
+
+void Replica::on(const schema::Retiring& m, base::TimePoint now, Effects&) { retiringAt_[m.from] = now; }
+
+void Replica::retire(base::TimePoint now, Effects& effects) {
+  if (relay()) return;
+  retiringSelf_ = true;
+  announceRetiring(now, effects);
+}
+
+bool Replica::mayLeave(base::TimePoint now) const {
+  if (relay() || !record_) return true;
+  auto pool = storageNodes(false);
+  std::erase_if(pool, [&](const auto* m) { return retiring(m->voterId, now); });
+  if (record_->primary == self_.voterId) return pool.empty();
+  if (isBackup()) {
+    const auto others =
+        std::count_if(pool.begin(), pool.end(), [&](const auto* m) { return m->voterId != record_->primary; });
+    if (static_cast<std::size_t>(others) >= record_->backups.size()) return false;
+  }
+  if (base::contains(record_->voters, self_.voterId)) {
+    auto without = *record_;
+    chooseVoters(without, now);
+    return base::contains(without.voters, self_.voterId);
+  }
+  // The group's views must not rest on this voter any more.
+  return !base::contains(cluster_.voters, self_.voterId);
+}
+
 bool Replica::silent(const std::string& voterId, base::TimePoint now) const {
   const auto found = silentAt_.find(voterId);
   return found != silentAt_.end() && now - found->second < kSilence;
@@ -116,13 +161,15 @@
 
 void Replica::transferLeadership(net::Outbox& out) {
   if (!record_ || record_->primary != self_.voterId) return;
-  // One alone is asked, as two that stand at once hold each other up: best one that has the write under way.
+  // One alone is asked, as two that stand at once hold each other up: best one that stays, and that has the write under
+  // way.
+  const auto preference = [&](const std::string& backup) {
+    return std::pair(!retiringAt_.contains(backup), current_ && current_->copied.contains(backup));
+  };
   const std::string* successor = nullptr;
   for (const auto& backup : record_->backups) {
     if (controller(backup) == nullptr) continue;
-    if (successor == nullptr ||
-        (current_ && current_->copied.contains(backup) && !current_->copied.contains(*successor)))
-      successor = &backup;
+    if (successor == nullptr || preference(backup) > preference(*successor)) successor = &backup;
   }
   if (successor == nullptr) return;
   if (const auto address = addressOf(*successor))
@@ -193,10 +240,11 @@
   const auto rank = [&](const schema::Member& m) {
     // A primary that is being replaced is in trouble or leaves.
     const bool doubtful = among == nullptr && (silent(m.voterId, now) || m.voterId == record_->primary);
+    const int doubt = retiring(m.voterId, now) ? 2 : doubtful ? 1 : 0;
     const int kind = leads && base::contains(record_->backups, m.voterId) ? 0
                      : base::contains(record_->voters, m.voterId)         ? 1
                                                                           : 2;
-    return std::tuple(doubtful, copies[m.zone], kind);
+    return std::tuple(doubt, copies[m.zone], kind);
   };
   std::vector<std::string> out;
   while (out.size() < count && !pool.empty()) {
@@ -238,7 +286,8 @@
       return std::tuple(silent(m.voterId, now), m.zone != zone, held[m.zone], m.voterId);
     };
     for (const auto* m : pool)
-      if (!base::contains(voters, m->voterId) && held[m->zone] < most && (best == nullptr || rank(*m) < rank(*best)))
+      if (!base::contains(voters, m->voterId) && !retiring(m->voterId, now) && held[m->zone] < most &&
+          (best == nullptr || rank(*m) < rank(*best)))
         best = m;
     return best;
   };
@@ -247,16 +296,24 @@
     ++held[by.zone];
     voter = by.voterId;
   };
+  // Each machine that came stands for one that is lost.
+  auto newcomers = pool;
+  std::erase_if(newcomers, [&](const auto* m) { return base::contains(voters, m->voterId); });
   for (auto& voter : voters) {
+    const bool leaves = retiring(voter, now);
     const auto missing = missingSince_.find(voter);
-    if (missing == missingSince_.end()) continue;
+    if (missing == missingSince_.end() && !leaves) continue;
     // On the voter's own machine there is now a newcomer: its disk is gone, and nothing is to be waited for.
     const auto* newcomer = static_cast<const schema::Member*>(nullptr);
     for (const auto* m : pool)
-      if (machine(m->voterId) == machine(voter)) newcomer = m;
+      if (m->voterId != voter && machine(m->voterId) == machine(voter)) newcomer = m;
     const bool wiped = newcomer != nullptr;
+    const auto replacement =
+        std::find_if(newcomers.begin(), newcomers.end(), [&](const auto* m) { return newcomerFor(voter, *m); });
+    const bool replaced = !leaves && !wiped && replacement != newcomers.end();
+    if (replaced) newcomers.erase(replacement);
     const auto zone = wiped ? newcomer->zone : zoneOf(voter);
-    if (!wiped && now - missing->second < times_.exchange) continue;
+    if (!wiped && !leaves && !replaced && now - missing->second < times_.exchange) continue;
     --held[zoneOf(voter)];
     const auto* by = successor(zone);
     ++held[zoneOf(voter)];
@@ -300,7 +357,11 @@
   if (record_->primary == self_.voterId && record_->backups.size() == count && !inOneZone(record_->backups) &&
       std::all_of(record_->backups.begin(), record_->backups.end(),
                   [&](const auto& b) { return controller(b) != nullptr; }) &&
-      !anySilent(now))
+      !anySilent(now) && !anyRetiring(now))
+    target.backups = record_->backups;
+  // The same ones in another order are no change.
+  if (std::is_permutation(target.backups.begin(), target.backups.end(), record_->backups.begin(),
+                          record_->backups.end()))
     target.backups = record_->backups;
   return true;
 }
@@ -403,11 +464,11 @@
     schema::EpochRecord target;
     if (phase_ == Phase::Idle) {
       campaign(now, effects);
-    } else if (chooseNextRecord(target, now) &&
-               (target.backups != record_->backups || (active(now) && target.voters != record_->voters))) {
+    } else if (chooseNextRecord(target, now) && (target.backups != record_->backups ||
+                                                 (active(now) && !retiringSelf_ && target.voters != record_->voters))) {
       // Without all backups nothing can be acknowledged, and the machine may be the next to be lost: new ones at once.
       // Missing voters are exchanged; and that copies are spread over zones is worth an epoch too, now and then.
-      if (inOneZone(record_->backups) && target.voters == record_->voters && !anySilent(now)) {
+      if (inOneZone(record_->backups) && target.voters == record_->voters && !anySilent(now) && !anyRetiring(now)) {
         if (now - spreadAt_ < kSpread) return;
         spreadAt_ = now;
       }
@@ -437,7 +498,33 @@
   }
 }
 
+// Whether a machine came about when this voter went: its successor on new hardware. It may have joined before the
+// voter was suspected. What was there when this replica got its first view, or a voter that it has never seen, tells
+// nothing.
+bool Replica::newcomerFor(const std::string& voter, const schema::Member& candidate) const {
+  const auto seen = firstSeen_.find(candidate.voterId);
+  const auto missing = missingSince_.find(voter);
+  if (seen == firstSeen_.end() || missing == missingSince_.end() || !seenIn_.contains(voter)) return false;
+  return seen->second != base::TimePoint{} && seen->second + times_.replacement >= missing->second;
+}
+
+// A record that was decided is told on until its primary is heard of. Those whom it makes primary or backup may have
+// missed it, and nobody else may stand.
+void Replica::spreadRecord(base::TimePoint now, Effects& effects) {
+  if (primaryFresh(now) || now - recordSentAt_ < times_.beat) return;
+  recordSentAt_ = now;
+  std::set<std::string> concerned(record_->voters.begin(), record_->voters.end());
+  concerned.insert(record_->backups.begin(), record_->backups.end());
+  concerned.insert(record_->primary);
+  if (!concerned.contains(self_.voterId)) return;
+  for (const auto& one : concerned)
+    if (one != self_.voterId) send(one, schema::Decided{*record_}, effects);
+}
+
 void Replica::watchVoters(base::TimePoint now) {
+  const bool firstView = firstSeen_.empty();
+  for (const auto* m : storageNodes(true)) firstSeen_.try_emplace(m->voterId, firstView ? base::TimePoint{} : now);
+  std::erase_if(firstSeen_, [&](const auto& entry) { return controller(entry.first) == nullptr; });
   for (const auto& voter : record_->voters) {
     if (const auto* m = controller(voter)) {
       missingSince_.erase(voter);
@@ -456,8 +543,11 @@
   cluster_ = around;
   // Leadership rests on the view: without a lease there may be another primary by now.
   if (!leaseHeld(now) && phase_ != Phase::Idle) stepDown(effects);
+  std::erase_if(retiringAt_, [&](const auto& entry) { return now - entry.second >= kRetiring; });
+  if (retiringSelf_ && now - announcedAt_ >= times_.resend) announceRetiring(now, effects);
   if (record_ && !relay()) {
     watchVoters(now);
+    spreadRecord(now, effects);
     considerCampaign(now, effects);
   }
   if (current_) {
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -46,11 +46,12 @@
 struct ReplicaTimes {
   base::Millis beat{400};
   base::Millis resend{250};
-  base::Millis retry{900};       // a candidacy without an outcome starts again after this and a random part
-  base::Millis quiet{2000};      // a primary in the view that shows no beat for so long is taken over
-  base::Millis writeStuck{900};  // a write that a backup or the disk does not finish in this time
-  base::Millis orderLife{3500};  // an order not finished by then is answered 503
-  base::Millis exchange{3000};   // a voter missing for so long is exchanged
+  base::Millis retry{900};         // a candidacy without an outcome starts again after this and a random part
+  base::Millis quiet{2000};        // a primary in the view that shows no beat for so long is taken over
+  base::Millis writeStuck{900};    // a write that a backup or the disk does not finish in this time
+  base::Millis orderLife{3500};    // an order not finished by then is answered 503
+  base::Millis exchange{3000};     // a voter missing for so long is exchanged
+  base::Millis replacement{3000};  // a machine that came no longer than this before a voter was missed replaces it
   base::Millis turn{500};     // of several backups that would take over, each waits so much longer than the one before
   base::Millis gather{1500};  // an order waits so long for the machines that faultTolerance calls for
 };
@@ -81,6 +82,10 @@
   void order(Order order, base::TimePoint now, Effects& effects);
   // The caller has gone: its order is not carried out if that has not begun.
   void forget(std::uint64_t call);
+  // Leaving in order: asks, with each tick, to be exchanged as primary, backup and voter.
+  void retire(base::TimePoint now, Effects& effects);
+  // Whether the process may end without costing a copy or a vote: it has neither, or nobody can take its place.
+  bool mayLeave(base::TimePoint now) const;
   // Leaving in order, or a disk in trouble: a backup that answers is asked to take over.
   void transferLeadership(net::Outbox& out);
 
@@ -127,6 +132,9 @@
   std::vector<const schema::Member*> storageNodes(bool self) const;
   bool silent(const std::string& voterId, base::TimePoint now) const;
   bool anySilent(base::TimePoint now) const;
+  bool retiring(const std::string& voterId, base::TimePoint now) const;
+  bool anyRetiring(base::TimePoint now) const;
+  void announceRetiring(base::TimePoint now, Effects& effects);
   bool inOneZone(const std::vector<std::string>& copies) const;
   void chooseVoters(schema::EpochRecord& target, base::TimePoint now) const;
   std::vector<std::string> chooseBackups(std::size_t count, const std::set<std::string>* among,
@@ -150,6 +158,8 @@
   void push(base::TimePoint now, Effects& effects);
   void considerCampaign(base::TimePoint now, Effects& effects);
   void watchVoters(base::TimePoint now);
+  bool newcomerFor(const std::string& voter, const schema::Member& candidate) const;
+  void spreadRecord(base::TimePoint now, Effects& effects);
   void startWrite(schema::ControlState state, std::optional<QueuedOrder> order, base::TimePoint now, Effects& effects);
   void sendCopies(base::TimePoint now, Effects& effects);
   void beat(base::TimePoint now, Effects& effects);
@@ -172,6 +182,7 @@
   void on(const schema::ConfirmEpoch& m, base::TimePoint now, Effects& effects);
   void on(const schema::EpochConfirmed& m, base::TimePoint now, Effects& effects);
   void on(const schema::PrimaryHeartbeat& m, base::TimePoint now, Effects& effects);
+  void on(const schema::Retiring& m, base::TimePoint now, Effects& effects);
   void on(const schema::TransferLeadership& m, base::TimePoint now, Effects& effects);
 
   Self self_;
@@ -183,8 +194,10 @@
   std::optional<schema::ControlState> state_, published_;
   std::map<std::string, settings::Endpoint> lastAddress_;
   std::map<std::string, base::TimePoint> missingSince_;
-  std::map<std::string, std::string> seenIn_;        // the zone in which each voter was last seen
-  std::map<std::string, base::TimePoint> silentAt_;  // when a backup last failed to answer in time
+  std::map<std::string, base::TimePoint> firstSeen_;   // the machines with a disk that this view or one before showed
+  std::map<std::string, std::string> seenIn_;          // the zone in which each voter was last seen
+  std::map<std::string, base::TimePoint> silentAt_;    // when a backup last failed to answer in time
+  std::map<std::string, base::TimePoint> retiringAt_;  // when a member last said that it is leaving
 
   Phase phase_ = Phase::Idle;
   std::optional<Candidacy> candidacy_;
@@ -196,8 +209,8 @@
   std::uint64_t nextToken_ = 1;
   schema::StateVersion announcedVersion_;
   base::TimePoint beatAt_{}, beatSentAt_{}, campaignAfter_{}, leaseSince_{}, primaryGoneAt_{}, activeSince_{},
-      spreadAt_{};
-  bool beatSeen_ = false, transferRequested_ = false, diskBad_ = false, primaryGone_ = false;
+      spreadAt_{}, announcedAt_{}, recordSentAt_{};
+  bool beatSeen_ = false, transferRequested_ = false, diskBad_ = false, primaryGone_ = false, retiringSelf_ = false;
 };
 
 }  // namespace indigohill::control
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -10,6 +10,7 @@
 #include <queue>
 #include <set>
 
+#include "base/lists.hpp"
 #include "control/replica.hpp"
 #include "control/taken_orders.hpp"
 #include "documents.hpp"
@@ -129,6 +130,7 @@
     return out;
   }
 
+  std::function<bool(std::size_t to, const schema::Message&)> drops = [](auto, const auto&) { return false; };
   std::function<void(const schema::ControlState&)> onPublished = [](const auto&) {};
   std::map<std::string, std::size_t> sent;  // messages by kind
   std::map<std::uint64_t, Done> callers_;
@@ -216,7 +218,9 @@
     for (auto& outgoing : out) {
       const std::size_t to = outgoing.to.ip - 1;
       if (std::holds_alternative<schema::ConfirmEpoch>(outgoing.message)) ++sent["ConfirmEpoch"];
-      const int copies = chance(conditions_.loss) ? 0 : chance(conditions_.repeated) ? 2 : 1;
+      const int copies = chance(conditions_.loss) || drops(to, outgoing.message) ? 0
+                         : chance(conditions_.repeated)                          ? 2
+                                                                                 : 1;
       for (int copy = 0; copy < copies; ++copy) {
         const Millis delay(1 + draw(chance(conditions_.delayed) ? 3000 : 20));
         after(delay, [this, from, to, life = nodes_[to].life, message = outgoing.message] {
@@ -563,6 +567,28 @@
   cr_assert(net::encodeControlState(*cluster.replica(leader).published()).size() < 10'000 + document(1, 1000).size());
 }
 
+// Its backup missed the record and its primary is lost: nobody else may stand, so somebody has to tell it.
+Test(records, a_record_is_told_on_until_its_primary_is_heard_of) {
+  Cluster cluster({});
+  const auto old = cluster.activate();
+  const auto epoch = cluster.replica(old).record()->epoch;
+  const auto& backups = cluster.replica(old).record()->backups;
+  std::size_t next = 0, third = 0;
+  for (std::size_t i = 0; i < cluster.size(); ++i)
+    if (i != old) (base::contains(backups, cluster.replica(i).voterId()) ? next : third) = i;
+  cluster.drops = [&](std::size_t to, const schema::Message& message) {
+    return to == third && !std::holds_alternative<schema::ReplicateState>(message);
+  };
+  cluster.transfer(old);
+  while (cluster.replica(next).record()->epoch == epoch || cluster.replica(old).record()->epoch == epoch)
+    cluster.run(Millis(1));
+  cr_assert_eq(cluster.replica(third).record()->epoch, epoch);
+  cluster.cutOff(next, true);
+  cluster.drops = [](auto, const auto&) { return false; };
+  cluster.run(Millis(10'000));
+  cr_assert(cluster.active() && *cluster.active() != next, "nobody leads");
+}
+
 Test(orders, a_caller_that_has_gone_is_forgotten) {
   Cluster cluster({});
   const auto leader = cluster.activate();
--- a/tests/test_losses.cpp
+++ b/tests/test_losses.cpp
@@ -337,6 +337,91 @@
   }
 }
 
+namespace {
+const indigohill::schema::EpochRecord& recordInForce(sim::World& world) {
+  return *world.node(*world.active()).controller->replica().record();
+}
+}  // namespace
+
+// A member that is told to leave stays until its copy lies elsewhere and its vote is another's.
+Test(losses, a_member_that_leaves_in_order_is_exchanged_before_it_goes, .timeout = 3000) {
+  const auto [first, last] = seeds(12);
+  for (auto seed = first; seed <= last; ++seed) {
+    sim::World world({.controllers = 6, .routers = 2, .seed = seed, .faultTolerance = 1 + seed % 2, .zones = 3});
+    Operator op{world};
+    bringUp(world, op);
+    cr_assert(world.runUntil(Millis(8000), [&] { return complete(world); }), "seed %lu", seed);
+    // The primary, a backup, or a voter.
+    const auto copies = world.copies();
+    std::size_t leaving = copies.at(seed % 3 == 0 ? 0 : 1);
+    if (seed % 3 == 2)
+      for (std::size_t i = 0; i < world.controllers(); ++i)
+        if (!indigohill::base::contains(copies, i) &&
+            indigohill::base::contains(recordInForce(world).voters, world.node(i).controller->replica().voterId()))
+          leaving = i;
+    const auto id = world.node(leaving).controller->replica().voterId();
+    const auto begun = world.now();
+    world.term(leaving);
+    const auto free = [&] {
+      const auto& record = recordInForce(world);
+      return record.primary != id && !indigohill::base::contains(record.backups, id) &&
+             !indigohill::base::contains(record.voters, id);
+    };
+    cr_assert(world.runUntil(Millis(4000), [&] { return !world.node(leaving).alive; }), "seed %lu: stays", seed);
+    cr_assert(world.runUntil(Millis(1), [&] { return world.active().has_value(); }), "seed %lu: nobody leads", seed);
+    cr_assert(free(), "seed %lu: gone while the record counts on it", seed);
+    cr_assert(world.now() - begun < Millis(3000), "seed %lu: took long", seed);
+    holds(world);
+    world.start(leaving);
+    comesBack(world, op, seed);
+  }
+}
+
+// Of three machines a voter has no successor, so there is nothing to wait for; a copy moves first.
+Test(losses, a_member_that_nobody_can_replace_leaves_soon, .timeout = 3000) {
+  const auto [first, last] = seeds(12);
+  for (auto seed = first; seed <= last; ++seed) {
+    sim::World world({.controllers = 3, .routers = 2, .seed = seed});
+    Operator op{world};
+    bringUp(world, op);
+    const auto copies = world.copies();
+    const auto leaving = seed % 2 == 0 ? copies.at(1) : 3 - copies.at(0) - copies.at(1);
+    world.term(leaving);
+    cr_assert(world.runUntil(Millis(2000), [&] { return !world.node(leaving).alive; }), "seed %lu: stays", seed);
+    cr_assert(!indigohill::base::contains(world.copies(), leaving), "seed %lu: its copy was not moved", seed);
+    holds(world);
+    world.start(leaving);
+    comesBack(world, op, seed);
+  }
+}
+
+// An empty machine at another address takes the place of one that is gone: well before it counts as caught up, so that
+// the next loss finds the voters whole.
+Test(losses, a_machine_that_is_replaced_is_exchanged_at_once, .timeout = 3000) {
+  const auto [first, last] = seeds(12);
+  for (auto seed = first; seed <= last; ++seed) {
+    sim::World world({.controllers = 6, .routers = 2, .seed = seed, .faultTolerance = 1 + seed % 2, .zones = 3});
+    Operator op{world};
+    bringUp(world, op);
+    cr_assert(world.runUntil(Millis(8000), [&] { return complete(world); }), "seed %lu", seed);
+    std::vector<std::size_t> voters;
+    for (std::size_t i = 0; i < world.controllers(); ++i)
+      if (indigohill::base::contains(recordInForce(world).voters, world.node(i).controller->replica().voterId()))
+        voters.push_back(i);
+    const auto gone = voters[world.random() % voters.size()];
+    const auto id = world.node(gone).controller->replica().voterId();
+    world.replace(gone);
+    world.run(Millis(1000));
+    world.start(gone);
+    cr_assert(
+        world.runUntil(Millis(3000),
+                       [&] { return world.active() && !indigohill::base::contains(recordInForce(world).voters, id); }),
+        "seed %lu: still a voter", seed);
+    holds(world);
+    comesBack(world, op, seed);
+  }
+}
+
 Test(losses, machines_are_replaced_one_after_the_other_by_empty_ones, .timeout = 3000) {
   const auto [first, last] = seeds(12);
   for (auto seed = first; seed <= last; ++seed) {
