--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -97,6 +97,8 @@
   const std::string& voterId() const { return self_.voterId; }
   // Whether this voter has accepted no record after that of `epoch`.
   bool accepts(std::uint64_t epoch) const;
+  // The same for two replicas that will act alike from `now` on; for the model checker.
+  std::uint64_t fingerprint(base::TimePoint now) const;
 
  private:
   enum class Phase { Idle, Campaigning, Activating, Active };
--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -281,6 +281,8 @@
   while (!recent_.empty() && now - recent_.front().sentAt > 2 * times_.again) recent_.pop_front();
   const auto poll =
       std::find_if(recent_.begin(), recent_.end(), [&](const SentPoll& sent) { return sent.token == news.token; });
+  // Also by an update that was not asked for: a controller is up, holds polls, and must be given the time to answer.
+  answeredAt_ = now;
   if (poll == recent_.end()) return std::nullopt;
   waiting_ = false;
   const bool unconfirmed = base::Millis(news.stateAgeMs) >= times_.confirmedFor;
