Fingerprint the members by which a leaver or a newcomer is known

The model checker would have merged states that differ in who retires, who is new, and when a record was last told on. The file compiles; nothing else changes.

--- a/src/control/replica_fingerprint.cpp
+++ b/src/control/replica_fingerprint.cpp
@@ -45,6 +45,8 @@
   for (const auto& [name, address] : lastAddress_) out.add(name, address.ip, address.port);
   addTimes(out, missingSince_, now);
   addTimes(out, silentAt_, now);
+  addTimes(out, firstSeen_, now);
+  addTimes(out, retiringAt_, now);
   out.add(phase_, candidacy_.has_value());
   if (candidacy_) {
     const auto& c = *candidacy_;
@@ -66,9 +68,10 @@
   out.add(replies_.size());
   for (const auto& [token, reply] : replies_) out.add(token, reply.to, reply.message);
   out.add(nextToken_, announcedVersion_);
-  for (const auto at : {beatAt_, beatSentAt_, campaignAfter_, leaseSince_, primaryGoneAt_, activeSince_, spreadAt_})
+  for (const auto at : {beatAt_, beatSentAt_, campaignAfter_, leaseSince_, primaryGoneAt_, activeSince_, spreadAt_,
+                        announcedAt_, recordSentAt_})
     age(at);
-  out.add(beatSeen_, transferRequested_, diskBad_, primaryGone_);
+  out.add(beatSeen_, transferRequested_, diskBad_, primaryGone_, retiringSelf_);
   return out.value();
 }
 
