--- a/src/import/envoy.cpp
+++ b/src/import/envoy.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -32,7 +33,7 @@
   void leftOver(const YAML::Node& table, const std::string& where, const std::set<std::string>& known) {
     for (const auto& item : table) {
       const auto name = item.first.as<std::string>();
-      if (!known.contains(name)) note(item.first, where + "." + name + ": not carried over");
+      if (!known.contains(name)) note(item.first, fmt::format("{}.{}: not carried over", where, name));
     }
   }
 
@@ -54,7 +55,7 @@
     const auto* end = text.data() + text.size() - 1;
     const auto [stop, error] = std::from_chars(text.data(), end, value);
     if (error != std::errc{} || stop != end || value < 0 || value > 86400) return std::nullopt;
-    return static_cast<std::uint64_t>(value * 1000 + 0.5);
+    return static_cast<std::uint64_t>(std::llround(value * 1000));
   }
 
   json::object cluster(const YAML::Node& node) {
@@ -135,7 +136,7 @@
     for (const auto& domain : domains) {
       auto name = domain.as<std::string>();
       if (name.find('*') != std::string::npos) {
-        note(domain, where + ": not carried over for domain '" + name + "'; we have no wildcards");
+        note(domain, fmt::format("{}: not carried over for domain '{}'; we have no wildcards", where, name));
         continue;
       }
       name = name.substr(0, name.find(':'));
--- a/src/kvindex/fwd.hpp
+++ b/src/kvindex/fwd.hpp
@@ -5,4 +5,5 @@
 class SharedPool;
 class Tiers;
 struct Overlap;
+struct PromptPart;
 }  // namespace indigohill::kvindex
--- a/src/kvindex/index.cpp
+++ b/src/kvindex/index.cpp
@@ -52,7 +52,7 @@
 }
 
 // The node of the whole prompt, or none.
-NodeId Index::walk(std::uint64_t model, Chain prompt) const {
+NodeId Index::walk(std::uint64_t model, PromptView prompt) const {
   auto node = find(kNone, model);
   for (const auto& [part, tokens] : prompt) {
     if (node == kNone) break;
@@ -183,7 +183,7 @@
   noRoom_ = full && liveBlocks_ == 0;
 }
 
-void Index::store(RunnerId runner, std::uint64_t model, Chain prompt, Tier tier) {
+void Index::store(RunnerId runner, std::uint64_t model, PromptView prompt, Tier tier) {
   if (prompt.empty()) return;
   std::vector<NodeId> nodes;
   nodes.reserve(prompt.size());
@@ -193,12 +193,12 @@
     nodes.push_back(node);
     apply(BlockStored{runner, tier, node});
   }
-  for (auto it = nodes.rbegin(); it != nodes.rend(); ++it) touch(*it, runner);
+  std::for_each(nodes.rbegin(), nodes.rend(), [&](NodeId kept) { touch(kept, runner); });
   fit(runner);
   fitBound();
 }
 
-void Index::move(RunnerId runner, std::uint64_t model, Chain prompt, Tier from, Tier to) {
+void Index::move(RunnerId runner, std::uint64_t model, PromptView prompt, Tier from, Tier to) {
   const auto node = walk(model, prompt);
   if (node == kNone || prompt.empty()) return;
   const auto id = blockAt(node, runner);
@@ -208,7 +208,7 @@
   fit(runner);
 }
 
-void Index::remove(RunnerId runner, std::uint64_t model, Chain prompt, Tier tier) {
+void Index::remove(RunnerId runner, std::uint64_t model, PromptView prompt, Tier tier) {
   if (const auto node = walk(model, prompt); node != kNone && !prompt.empty()) apply(BlockRemoved{runner, tier, node});
 }
 
@@ -240,7 +240,7 @@
   runners_[runner].revisions.clear();
 }
 
-Overlap Index::overlap(RunnerId runner, std::uint64_t model, Chain prompt) const {
+Overlap Index::overlap(RunnerId runner, std::uint64_t model, PromptView prompt) const {
   Overlap out{runner};
   auto node = find(kNone, model);
   for (const auto& [part, tokens] : prompt) {
@@ -254,7 +254,7 @@
   return out;
 }
 
-base::Result<std::vector<Overlap>> Index::match(std::uint64_t model, Chain prompt, std::size_t most) const {
+base::Result<std::vector<Overlap>> Index::match(std::uint64_t model, PromptView prompt, std::size_t most) const {
   if (noRoom_) return base::Error{base::Verdict::NotRun, "the index has no room for a prompt"};
   std::vector<Overlap> out;
   std::vector<NodeId> nodes;
--- a/src/kvindex/index.hpp
+++ b/src/kvindex/index.hpp
@@ -60,19 +60,19 @@
 
   // The runner keeps the whole prompt on this tier: a store for each part that was not there, then removes until what
   // it keeps fits again.
-  void store(RunnerId runner, std::uint64_t model, Chain prompt, Tier tier = Tier::Gpu);
+  void store(RunnerId runner, std::uint64_t model, PromptView prompt, Tier tier = Tier::Gpu);
   // From one tier to another: stored in the new one before it is removed from the old, so that no look-up misses it.
-  void move(RunnerId runner, std::uint64_t model, Chain prompt, Tier from, Tier to);
+  void move(RunnerId runner, std::uint64_t model, PromptView prompt, Tier from, Tier to);
   // The last part of the prompt has left this tier.
-  void remove(RunnerId runner, std::uint64_t model, Chain prompt, Tier tier);
+  void remove(RunnerId runner, std::uint64_t model, PromptView prompt, Tier tier);
   // The one place where a block comes or goes.
   void apply(const Event& event);
 
   // The runners that keep the most of a prompt, at most `most` of them, the longest overlap first. A fault if the
   // bound leaves no room for any prompt. The number of steps does not depend on the number of runners.
-  base::Result<std::vector<Overlap>> match(std::uint64_t model, Chain prompt, std::size_t most) const;
+  base::Result<std::vector<Overlap>> match(std::uint64_t model, PromptView prompt, std::size_t most) const;
   // What one runner keeps.
-  Overlap overlap(RunnerId runner, std::uint64_t model, Chain prompt) const;
+  Overlap overlap(RunnerId runner, std::uint64_t model, PromptView prompt) const;
 
   const Counters& counters() const { return counters_; }
   std::size_t blocks() const { return liveBlocks_; }
@@ -129,7 +129,7 @@
 
   NodeId find(NodeId parent, std::uint64_t part) const;
   NodeId findOrAdd(NodeId parent, std::uint64_t part, std::uint32_t tokens);
-  NodeId walk(std::uint64_t model, Chain prompt) const;
+  NodeId walk(std::uint64_t model, PromptView prompt) const;
   BlockId blockAt(NodeId node, RunnerId runner) const;
   Runner& at(RunnerId runner);
   Ends& ends(List list, const Block& block);
--- a/src/kvindex/logit.hpp
+++ b/src/kvindex/logit.hpp
@@ -1,23 +1,19 @@
 #pragma once
 #include <algorithm>
 #include <cstdint>
-#include <span>
-#include <utility>
 
 #include "base/result.hpp"
+#include "kvindex/prompt.hpp"
 
 namespace indigohill::kvindex {
 
-// A prompt as its parts in order: id, tokens.
-using Chain = std::span<const std::pair<std::uint64_t, std::uint32_t>>;
-
 // A pool of blocks that every runner can fetch from. This system has none; where there is one, it is asked beside the
 // index, and a fault or an exception leaves the scoring to the index alone.
 class SharedPool {
  public:
   virtual ~SharedPool() = default;
   // How many tokens of the prompt, from its first, the pool holds.
-  virtual base::Result<std::uint64_t> held(std::uint64_t model, Chain prompt) = 0;
+  virtual base::Result<std::uint64_t> held(std::uint64_t model, PromptView prompt) = 0;
 };
 
 // What the score of one runner is made of. Tokens are prompt tokens; blocks are of `blockTokens` tokens each.
--- a/src/plan/plan.cpp
+++ b/src/plan/plan.cpp
@@ -80,16 +80,18 @@
   for (const auto& old : from.configuration->routes) {
     const auto* now = find(*to.configuration, old.name);
     if (now == nullptr) {
-      plan.routes.push_back({old.name, "removed", aims(old), "", 1});
+      plan.routes.push_back({old.name, RouteChangeKind::Removed, aims(old), "", 1});
       continue;
     }
     if (old.split != now->split)
-      plan.routes.push_back({old.name, "re-aimed", aims(old), aims(*now), movedRequests(old, *now, samples)});
+      plan.routes.push_back(
+          {old.name, RouteChangeKind::Retargeted, aims(old), aims(*now), movedRequests(old, *now, samples)});
     if (const auto names = fields(old, *now); !names.empty())
-      plan.routes.push_back({old.name, "changed", names, "", 0});
+      plan.routes.push_back({old.name, RouteChangeKind::Changed, names, "", 0});
   }
   for (const auto& now : to.configuration->routes)
-    if (find(*from.configuration, now.name) == nullptr) plan.routes.push_back({now.name, "added", "", aims(now), 0});
+    if (find(*from.configuration, now.name) == nullptr)
+      plan.routes.push_back({now.name, RouteChangeKind::Added, "", aims(now), 0});
 }
 
 void compareServices(const Side& from, const Side& to, std::size_t samples, Plan& plan) {
@@ -104,17 +106,17 @@
     change.runnersTo = usable(to, name);
     const auto* a = from.configuration->service(name);
     const auto* b = to.configuration->service(name);
-    if (a != nullptr) change.warmRateFrom = routing::slowStartRate(*a, from.daemons.bounds, from.daemons.routers);
-    if (b != nullptr) change.warmRateTo = routing::slowStartRate(*b, to.daemons.bounds, to.daemons.routers);
+    if (a != nullptr) change.slowStartRateFrom = routing::slowStartRate(*a, from.daemons.bounds, from.daemons.routers);
+    if (b != nullptr) change.slowStartRateTo = routing::slowStartRate(*b, to.daemons.bounds, to.daemons.routers);
     std::size_t moved = 0;
     for (std::size_t i = 0; i < samples; ++i) {
       // Two parts, of which the last is the request's own.
-      const std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt{{base::hash(std::to_string(i)), 1}, {0, 1}};
+      const kvindex::PromptParts prompt{{base::hash(std::to_string(i)), 1}, {0, 1}};
       moved += before->home(name, prompt) != after->home(name, prompt);
     }
     change.prefixesMoved = static_cast<double>(moved) / static_cast<double>(samples);
     if (a == nullptr || b == nullptr || change.runnersFrom != change.runnersTo || moved > 0 ||
-        change.warmRateFrom != change.warmRateTo)
+        change.slowStartRateFrom != change.slowStartRateTo)
       plan.services.push_back(change);
     if (b != nullptr && change.runnersTo == 0 && !to.runners.empty())
       plan.invalid.push_back("services '" + name + "': no runner is left for it");
@@ -123,6 +125,20 @@
 
 }  // namespace
 
+std::string_view name(RouteChangeKind kind) {
+  switch (kind) {
+    case RouteChangeKind::Added:
+      return "added";
+    case RouteChangeKind::Removed:
+      return "removed";
+    case RouteChangeKind::Retargeted:
+      return "re-aimed";
+    case RouteChangeKind::Changed:
+      return "changed";
+  }
+  return "";
+}
+
 bool Plan::moves() const {
   return !routes.empty() || !services.empty() || !heldBack.empty() || routersFrom != routersTo ||
          controllersFrom != controllersTo;
@@ -143,7 +159,7 @@
   // than a majority of them stops orders.
   const auto voters = std::min(2 * from.daemons.faultTolerance + 1, from.daemons.controllers);
   if (from.daemons.controllers > 0 && 2 * to.daemons.controllers <= voters)
-    plan.invalid.push_back("daemons: fewer than a majority of the voters would be left");
+    plan.invalid.emplace_back("daemons: fewer than a majority of the voters would be left");
   compareRoutes(from, to, std::max<std::size_t>(1, samples), plan);
   compareServices(from, to, std::max<std::size_t>(1, samples), plan);
   for (const auto& held : rollout::heldBack(to.rollouts, to.runners))
@@ -158,18 +174,18 @@
   std::string out;
   for (const auto& w : p.invalid) out += "invalid: " + w + "\n";
   for (const auto& r : p.routes) {
-    if (r.what == "re-aimed")
+    if (r.kind == RouteChangeKind::Retargeted)
       out += fmt::format("route {}: re-aimed from {} to {}; {:.1f}% of its requests move\n", r.name, r.from, r.to,
                          100 * r.moved);
     else
-      out += fmt::format("route {}: {}{}\n", r.name, r.what,
+      out += fmt::format("route {}: {}{}\n", r.name, name(r.kind),
                          r.from.empty() && r.to.empty() ? "" : ": " + (r.from.empty() ? r.to : r.from));
   }
   for (const auto& s : p.services)
     out += fmt::format(
         "service {}: {} -> {} runners; {:.1f}% of prompt prefixes move; to a cold runner {:.2f} -> {:.2f} a second "
         "from each router that holds a part\n",
-        s.name, s.runnersFrom, s.runnersTo, 100 * s.prefixesMoved, s.warmRateFrom, s.warmRateTo);
+        s.name, s.runnersFrom, s.runnersTo, 100 * s.prefixesMoved, s.slowStartRateFrom, s.slowStartRateTo);
   for (const auto& h : p.heldBack)
     out += fmt::format("runner {} of {}: held back, {}\n", h.instanceId, h.service, h.why);
   if (p.routersFrom != p.routersTo)
@@ -185,14 +201,14 @@
   for (const auto& h : p.heldBack)
     held.push_back({{"service", h.service}, {"instanceId", h.instanceId}, {"why", h.why}});
   for (const auto& r : p.routes)
-    routes.push_back({{"name", r.name}, {"what", r.what}, {"from", r.from}, {"to", r.to}, {"moved", r.moved}});
+    routes.push_back({{"name", r.name}, {"what", name(r.kind)}, {"from", r.from}, {"to", r.to}, {"moved", r.moved}});
   for (const auto& s : p.services)
     services.push_back({{"name", s.name},
                         {"runnersFrom", s.runnersFrom},
                         {"runnersTo", s.runnersTo},
                         {"prefixesMoved", s.prefixesMoved},
-                        {"warmRateFrom", s.warmRateFrom},
-                        {"warmRateTo", s.warmRateTo}});
+                        {"warmRateFrom", s.slowStartRateFrom},
+                        {"warmRateTo", s.slowStartRateTo}});
   return json::serialize(json::object{{"invalid", json::value_from(p.invalid)},
                                       {"moves", p.moves()},
                                       {"routes", std::move(routes)},
--- a/src/plan/plan.hpp
+++ b/src/plan/plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/result.hpp"
@@ -27,16 +28,21 @@
   Daemons daemons;
 };
 
+enum class RouteChangeKind { Added, Removed, Retargeted, Changed };
+// As plans show it.
+std::string_view name(RouteChangeKind kind);
+
 struct RouteChange {
-  std::string name, what;  // added, removed, re-aimed, changed
-  std::string from, to;    // services with weights, or the fields that differ
-  double moved = 0;        // share of its requests that go to another service
+  std::string name;
+  RouteChangeKind kind = RouteChangeKind::Changed;
+  std::string from, to;  // services with weights, or the fields that differ
+  double moved = 0;      // share of its requests that go to another service
 };
 struct ServiceChange {
   std::string name;
   std::size_t runnersFrom = 0, runnersTo = 0;
-  double prefixesMoved = 0;                 // share of prompt prefixes whose parts are expected at another runner
-  double warmRateFrom = 0, warmRateTo = 0;  // requests a second that one router may send to a cold runner
+  double prefixesMoved = 0;  // share of prompt prefixes whose parts are expected at another runner
+  double slowStartRateFrom = 0, slowStartRateTo = 0;  // requests a second that one router may send to a cold runner
 };
 
 struct HeldBack {
--- a/src/proxy/prompt.cpp
+++ b/src/proxy/prompt.cpp
@@ -4,8 +4,8 @@
 
 namespace indigohill::proxy {
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> parsePrompt(std::string_view text) {
-  std::vector<std::pair<std::uint64_t, std::uint32_t>> out;
+kvindex::PromptParts parsePrompt(std::string_view text) {
+  kvindex::PromptParts out;
   while (!text.empty() && out.size() < 64) {
     const auto comma = text.find(',');
     auto part = text.substr(0, comma);
@@ -19,7 +19,7 @@
     const auto [at, error] = std::from_chars(hex.data(), hex.data() + hex.size(), id, 16);
     if (error != std::errc{} || at != hex.data() + hex.size()) continue;
     std::from_chars(count.data(), count.data() + count.size(), tokens);
-    out.emplace_back(id, tokens);
+    out.push_back({id, tokens});
   }
   return out;
 }
--- a/src/replay/fleet.cpp
+++ b/src/replay/fleet.cpp
@@ -26,7 +26,7 @@
   std::uint64_t routerLife = 0;
   base::TimePoint arrivedAt, deadline, sentAt;
   const control::Route* route = nullptr;
-  std::unique_ptr<routing::RoutingPolicy> conduct;
+  std::unique_ptr<routing::RoutingPolicy> policy;
   std::optional<routing::Admission> admission;
   std::string runner;         // the one that has it
   std::uint64_t sending = 0;  // counts the sends, so that what belongs to an earlier one is told apart
@@ -34,10 +34,10 @@
   bool started = false, done = false;
 };
 
-Fleet::Fleet(const Model& model, std::shared_ptr<const control::Configuration> configuration,
-             std::shared_ptr<const control::Configuration> judge, const settings::Policy& policy, std::uint64_t seed)
-    : model_(model), configuration_(std::move(configuration)), now_(kStart) {
-  routing::fold(judge_, routing::StateReceived{{1, 1}, std::move(judge), {}});
+Fleet::Fleet(Model model, std::shared_ptr<const control::Configuration> configuration,
+             std::shared_ptr<const control::Configuration> inForce, const settings::Policy& policy, std::uint64_t seed)
+    : model_(std::move(model)), configuration_(std::move(configuration)), now_(kStart) {
+  routing::fold(inForce_, routing::StateReceived{{1, 1}, std::move(inForce), {}});
   for (const auto& g : model_.groups)
     for (std::uint32_t n = 0; n < g.count; ++n) {
       auto r = std::make_unique<Runner>();
@@ -68,10 +68,10 @@
     routing::fold(*router.snapshot, routing::StateReceived{{1, 1}, configuration_, {}});
     routing::fold(*router.snapshot, routing::ViewReceived{view, i + 1});
     router.table->setSnapshot(std::make_shared<const routing::RoutingSnapshot>(*router.snapshot), past);
-    router.table->setTell([this, i](const schema::LoadNotice& demand) {
-      after(kHop, [this, i, demand] {
+    router.table->setTell([this, i](const schema::LoadNotice& notice) {
+      after(kHop, [this, i, notice] {
         for (std::uint32_t other = 0; other < routers_.size(); ++other)
-          if (other != i && routers_[other].up) routers_[other].table->heard(demand, now_);
+          if (other != i && routers_[other].up) routers_[other].table->heard(notice, now_);
       });
     });
     routers_.push_back(std::move(router));
@@ -145,19 +145,19 @@
   if (comma != std::string::npos)
     std::from_chars(r.tokens.data() + comma + 1, r.tokens.data() + r.tokens.size(), job->outTokens);
   job->workMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, r.total.count()));
-  job->conduct = std::make_unique<routing::RoutingPolicy>(*router.table, *job->route, r.id, now_, job->deadline);
-  job->conduct->asked().prompt = proxy::parsePrompt(r.prompt);
-  job->conduct->asked().promptTokens = promptTokens;
-  job->conduct->arrived(now_);
-  const auto* judged = judge_.route(r.host, r.path);
-  outcome.allowed = (judged != nullptr ? judged : job->route)->repeatable() ? 0 : clientTry + 1;
+  job->policy = std::make_unique<routing::RoutingPolicy>(*router.table, *job->route, r.id, now_, job->deadline);
+  job->policy->asked().prompt = proxy::parsePrompt(r.prompt);
+  job->policy->asked().promptTokens = promptTokens;
+  job->policy->arrived(now_);
+  const auto* inForceRoute = inForce_.route(r.host, r.path);
+  outcome.allowed = (inForceRoute != nullptr ? inForceRoute : job->route)->repeatable() ? 0 : clientTry + 1;
   open_.push_back(job);
   step(job);
 }
 
 void Fleet::step(std::shared_ptr<Job> job) {
   if (job->done) return;
-  auto next = job->conduct->next(now_);
+  auto next = job->policy->next(now_);
   if (const auto* end = std::get_if<routing::Ending>(&next)) {
     ended(job, *end);
   } else if (const auto* wait = std::get_if<routing::Wait>(&next)) {
@@ -177,7 +177,7 @@
       std::find_if(runners_.begin(), runners_.end(), [&](const auto& r) { return r->instanceId == to.instanceId; });
   if (found == runners_.end() || !(*found)->up) {
     // Nobody listens there any more.
-    after(kHop, [this, job] { broken(job, {Verdict::NotRun, "no connection"}); });
+    after(kHop, [this, job] { broken(job, AttemptEnd::NoConnection); });
     return;
   }
   auto& runner = **found;
@@ -187,22 +187,22 @@
   });
   // The client's time ends the try wherever it is.
   after(std::chrono::ceil<Millis>(job->deadline - now_), [this, job, sending] {
-    if (!job->done && job->sending == sending) broken(job, {Verdict::MayHaveRun, "out of time"});
+    if (!job->done && job->sending == sending) broken(job, AttemptEnd::OutOfTime);
   });
 }
 
 void Fleet::accept(std::shared_ptr<Job> job, Runner& runner) {
   if (!runner.up || runner.instanceId != job->runner) {
-    broken(job, {Verdict::MayHaveRun, "connection broken"});
+    broken(job, AttemptEnd::ConnectionBroken);
     return;
   }
   if (runner.running >= runner.group->slots) {
     if (runner.queue.size() >= runner.group->queue) {
       routers_[job->router].table->recordResult(runner.instanceId, routing::AttemptResult::Rejected, now_);
-      broken(job, {Verdict::NotRun, "turned away"});
+      broken(job, AttemptEnd::Rejected);
       return;
     }
-    runner.queue.push_back([this, job, &runner, sending = job->sending] {
+    runner.queue.emplace_back([this, job, &runner, sending = job->sending] {
       if (job->done || job->sending != sending)
         leaveSlot(runner);
       else
@@ -222,7 +222,7 @@
     const auto kept = runner.keptAt.find(id);
     if (kept == runner.keptAt.end()) {
       chain = false;
-      runner.kept.emplace_front(id, tokens);
+      runner.kept.push_front({id, tokens});
       runner.keptAt[id] = runner.kept.begin();
       runner.keptTokens += tokens;
     } else {
@@ -234,8 +234,8 @@
   }
   if (asked.prompt.empty()) toRead = asked.promptTokens;
   while (runner.keptTokens > runner.group->cacheTokens && !runner.kept.empty()) {
-    runner.keptTokens -= runner.kept.back().second;
-    runner.keptAt.erase(runner.kept.back().first);
+    runner.keptTokens -= runner.kept.back().tokens;
+    runner.keptAt.erase(runner.kept.back().id);
     runner.kept.pop_back();
   }
   const auto ms = runner.group->speed * static_cast<double>(toRead) / runner.group->promptTokensPerMs;
@@ -251,7 +251,7 @@
   const auto& g = *runner.group;
   Millis first, whole;
   if (g.promptTokensPerMs > 0) {
-    first = readPrompt(runner, job->conduct->asked(), outcome);
+    first = readPrompt(runner, job->policy->asked(), outcome);
     const double step = g.speed * (g.stepMs + g.stepMsPerSlot * runner.running);
     whole = first + Millis(static_cast<std::int64_t>(step * std::max(1u, job->outTokens)));
     // A stream that is taken up goes on behind what the client has.
@@ -301,16 +301,19 @@
   outcome.late = job->route->targetLatency.count() > 0 && outcome.took > job->route->targetLatency;
 }
 
-void Fleet::broken(std::shared_ptr<Job> job, base::Error fault) {
+void Fleet::broken(std::shared_ptr<Job> job, AttemptEnd why) {
   if (job->done) return;
   ++job->sending;
   job->admission.reset();
-  if (fault.what != "out of time" && fault.what != "turned away" && !job->runner.empty())
+  const bool ofRunner = why != AttemptEnd::OutOfTime && why != AttemptEnd::Rejected;
+  if (ofRunner && !job->runner.empty())
     routers_[job->router].table->recordResult(job->runner, routing::AttemptResult::Failure, now_);
-  if (job->conduct->again(fault, job->started, job->eventsSent > 0, now_))
+  const bool notRun = why == AttemptEnd::NoConnection || why == AttemptEnd::Rejected;
+  const base::Error error{notRun ? Verdict::NotRun : Verdict::MayHaveRun, "attempt ended"};
+  if (job->policy->again(error, job->started, job->eventsSent > 0, now_))
     step(job);
   else
-    ended(job, job->conduct->ending(now_));
+    ended(job, job->policy->ending(now_));
 }
 
 // The client tries again by itself as the protocol lets it: after a promise, or if the request may repeat.
@@ -352,7 +355,7 @@
     const auto gone = runner.instanceId;
     for (auto& weak : open_)
       if (auto job = weak.lock(); job && !job->done && job->runner == gone && job->admission)
-        broken(job, {Verdict::MayHaveRun, "runner crashed"});
+        broken(job, AttemptEnd::RunnerCrashed);
     after(model_.listLag, [this] { show(); });
     if (t.lasts.count() > 0)
       after(t.lasts, [this, &runner] {
--- a/src/replay/fleet.hpp
+++ b/src/replay/fleet.hpp
@@ -16,8 +16,8 @@
 #include "routing/table.hpp"
 
 // Recorded traffic played against modelled runners by the very code that decides in a router: each router of the
-// replayed fleet has a routing table of its own and conducts each request as the daemon does. Time is simulated, and
-// the same inputs give the same outcomes.
+// replayed fleet has a routing table of its own and takes each request through as the daemon does. Time is simulated,
+// and the same inputs give the same outcomes.
 namespace indigohill::replay {
 
 // What became of one recorded request, over all of its client's tries.
@@ -34,10 +34,10 @@
 
 class Fleet {
  public:
-  // `judge` says which requests may run more than once: the configuration in force, also where a changed one that
+  // `inForce` says which requests may run more than once: the configuration in force, also where a changed one that
   // calls a route repeatable is played. Otherwise a change could hide what it doubles.
-  Fleet(const Model& model, std::shared_ptr<const control::Configuration> configuration,
-        std::shared_ptr<const control::Configuration> judge, const settings::Policy& policy, std::uint64_t seed);
+  Fleet(Model model, std::shared_ptr<const control::Configuration> configuration,
+        std::shared_ptr<const control::Configuration> inForce, const settings::Policy& policy, std::uint64_t seed);
   std::vector<Outcome> play(const std::vector<Recorded>& traffic);
   std::uint64_t steps() const { return steps_; }
 
@@ -50,9 +50,9 @@
     std::uint64_t life = 0;
     std::uint32_t running = 0;
     std::list<std::function<void()>> queue;
-    base::TimePoint promptsReadAt{};                          // when the prompts accepted so far have been read
-    std::list<std::pair<std::uint64_t, std::uint32_t>> kept;  // parts, the latest used first
-    std::unordered_map<std::uint64_t, std::list<std::pair<std::uint64_t, std::uint32_t>>::iterator> keptAt;
+    base::TimePoint promptsReadAt{};      // when the prompts accepted so far have been read
+    std::list<kvindex::PromptPart> kept;  // the latest used first
+    std::unordered_map<std::uint64_t, std::list<kvindex::PromptPart>::iterator> keptAt;
     std::uint64_t keptTokens = 0;
   };
   struct Router {
@@ -77,7 +77,9 @@
   void send(std::shared_ptr<Job> job, routing::PassTo to);
   void accept(std::shared_ptr<Job> job, Runner& runner);
   void run(std::shared_ptr<Job> job, Runner& runner);
-  void broken(std::shared_ptr<Job> job, base::Error fault);
+  // Why an attempt at a runner ended without an answer.
+  enum class AttemptEnd { NoConnection, ConnectionBroken, RunnerCrashed, Rejected, OutOfTime };
+  void broken(std::shared_ptr<Job> job, AttemptEnd why);
   void answered(std::shared_ptr<Job> job);
   void ended(std::shared_ptr<Job> job, const routing::Ending& ending);
   void leaveSlot(Runner& runner);
@@ -86,7 +88,7 @@
 
   Model model_;
   std::shared_ptr<const control::Configuration> configuration_;
-  routing::RoutingSnapshot judge_;
+  routing::RoutingSnapshot inForce_;
   base::TimePoint now_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t order_ = 0, steps_ = 0, version_ = 0;
--- a/src/replay/recording.cpp
+++ b/src/replay/recording.cpp
@@ -101,7 +101,7 @@
   try {
     while (std::getline(in, line)) {
       ++number;
-      if (line.find("\"kind\":\"request\"") == std::string::npos) continue;
+      if (line.find(R"("kind":"request")") == std::string::npos) continue;
       json::error_code error;
       const auto value = json::parse(line, error);
       if (error) throw Wrong{"not readable as JSON: " + error.message()};
@@ -157,7 +157,7 @@
       for (const auto& g : m.groups)
         for (std::uint32_t n = 0; n < g.count; ++n) known |= name == fmt::format("{}/{}/{}", g.service, g.zone, n);
       for (std::uint32_t n = 0; n < m.routers; ++n) known |= name == fmt::format("router/{}", n);
-      if (!known) throw Wrong{where + "name: there is no '" + name + "' in this fleet"};
+      if (!known) throw Wrong{fmt::format("{}name: there is no '{}' in this fleet", where, name)};
     }
     return m;
   } catch (const Wrong& e) {
--- a/src/rollout/record.hpp
+++ b/src/rollout/record.hpp
@@ -15,7 +15,7 @@
 namespace indigohill::rollout {
 
 // What a runner's answers depend on: the revision of its software and, for each model, of the weights with the
-// adapters on them. (The control state's own snapshot is called a frame; see docs/style.md.)
+// adapters on them.
 struct Snapshot {
   std::string revision;
   std::vector<schema::ModelEntry> models;  // by name, adapters in order
--- a/src/routing/admission.hpp
+++ b/src/routing/admission.hpp
@@ -19,7 +19,7 @@
     std::uint32_t promptTokens = 0;
     std::uint64_t announcedAs = 0;  // under which number the other routers know of the prompt; 0: they do not
     std::uint64_t model = 0;
-    PromptParts parts;  // until they are recorded as kept
+    kvindex::PromptParts parts;  // until they are recorded as kept
   };
 
   Admission() = default;
--- a/src/routing/cached_prompts.cpp
+++ b/src/routing/cached_prompts.cpp
@@ -15,7 +15,7 @@
   if (std::exchange(spoilt_, false)) index_ = std::make_unique<kvindex::Index>(indexBytes);
 }
 
-void CachedPrompts::store(kvindex::RunnerId runner, std::uint64_t model, kvindex::Chain prompt) {
+void CachedPrompts::store(kvindex::RunnerId runner, std::uint64_t model, kvindex::PromptView prompt) {
   if (!index_) return;
   try {
     index_->store(runner, model, prompt);
@@ -27,7 +27,7 @@
   }
 }
 
-std::vector<kvindex::Overlap> CachedPrompts::overlaps(std::uint64_t model, kvindex::Chain prompt) {
+std::vector<kvindex::Overlap> CachedPrompts::overlaps(std::uint64_t model, kvindex::PromptView prompt) {
   try {
     if (!index_) throw std::runtime_error("the index is being built anew");
     auto found = index_->match(model, prompt, kOverlaps);
@@ -39,7 +39,7 @@
   }
 }
 
-double CachedPrompts::sharedPoolTokens(std::uint64_t model, kvindex::Chain prompt) {
+double CachedPrompts::sharedPoolTokens(std::uint64_t model, kvindex::PromptView prompt) {
   if (!sharedPool_) return 0;
   try {
     const auto held = sharedPool_->held(model, prompt);
--- a/src/routing/cached_prompts.hpp
+++ b/src/routing/cached_prompts.hpp
@@ -22,11 +22,11 @@
   const kvindex::Index* index() const { return index_.get(); }
 
   // The runner keeps this prompt now.
-  void store(kvindex::RunnerId runner, std::uint64_t model, kvindex::Chain prompt);
+  void store(kvindex::RunnerId runner, std::uint64_t model, kvindex::PromptView prompt);
   // The runners that keep the longest beginnings of a prompt.
-  std::vector<kvindex::Overlap> overlaps(std::uint64_t model, kvindex::Chain prompt);
+  std::vector<kvindex::Overlap> overlaps(std::uint64_t model, kvindex::PromptView prompt);
   // Prompt tokens that any runner can fetch from the shared pool.
-  double sharedPoolTokens(std::uint64_t model, kvindex::Chain prompt);
+  double sharedPoolTokens(std::uint64_t model, kvindex::PromptView prompt);
 
   std::uint64_t failures() const { return failures_; }
   std::uint64_t sharedPoolFailures() const { return sharedPoolFailures_; }
--- a/src/routing/health.hpp
+++ b/src/routing/health.hpp
@@ -9,8 +9,8 @@
 #include "base/time.hpp"
 #include "routing/slow_start.hpp"
 
-// What routers tell each other of ill runners. At 88 routers each sends a runner a request in ten seconds: alone it
-// finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health
+// What routers tell each other of unhealthy runners. At 88 routers each sends a runner a request in ten seconds: alone
+// it finds out too late. Evidence is what requests met (faults, first tokens that missed their aim), never a health
 // answer.
 namespace indigohill::routing {
 
@@ -41,7 +41,8 @@
   void told(const RouterId& reporter, base::TimePoint now);
   // For whom enough routers agree. For all: `needed` of them, two of which are outside the zone that most are of (one
   // is enough on probation). Else for the routers of that zone alone, when enough of it agree: a cut between two zones
-  // is no evidence for the others, nor is one router's own bad path, and a runner may be ill toward one zone only.
+  // is no evidence for the others, nor is one router's own bad path, and a runner may be unhealthy toward one zone
+  // only.
   std::optional<std::uint64_t> agreed(const Routers& routers, double expected, const Suspension& before,
                                       base::TimePoint now);
   void clear() { reporters_.clear(); }
--- a/src/routing/rendezvous.hpp
+++ b/src/routing/rendezvous.hpp
@@ -11,12 +11,12 @@
 namespace indigohill::routing {
 
 // The last part of a prompt is the request's own: what may be kept somewhere is named by the parts before it.
-inline kvindex::Chain sharedParts(kvindex::Chain prompt) {
+inline kvindex::PromptView sharedParts(kvindex::PromptView prompt) {
   return prompt.first(prompt.empty() ? 0 : prompt.size() - 1);
 }
 
 // A number for the shared parts of a prompt, in their order; 0: there are none.
-inline std::uint64_t sharedKey(kvindex::Chain prompt) {
+inline std::uint64_t sharedKey(kvindex::PromptView prompt) {
   std::uint64_t key = 0;
   for (const auto& [part, tokens] : sharedParts(prompt)) key = base::mix((key + 1) ^ base::mix(part)) | 1;
   return key;
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -3,7 +3,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "base/time.hpp"
@@ -14,9 +13,6 @@
 // What routing needs to know of a request, and the ranking of runners that is kept with it.
 namespace indigohill::routing {
 
-// Prompt parts in their order: id, tokens.
-using PromptParts = std::vector<std::pair<std::uint64_t, std::uint32_t>>;
-
 struct RankedRunner {
   kvindex::RunnerId runner = 0;
   std::uint64_t idHash = 0;  // tells whether the number is still that runner's
@@ -34,7 +30,7 @@
 struct RequestProfile {
   const control::Route* route = nullptr;
   std::string service;
-  PromptParts prompt;
+  kvindex::PromptParts prompt;
   std::uint64_t model = 0;  // the model's name, hashed
   std::uint32_t promptTokens = 0, outTokens = 0;
   std::uint32_t tries = 0;
--- a/src/routing/runner_chooser.hpp
+++ b/src/routing/runner_chooser.hpp
@@ -60,7 +60,7 @@
  private:
   // What is known of the prompt while runners are ranked for it.
   struct Prompt {
-    kvindex::Chain shared;  // all parts but the request's own
+    kvindex::PromptView shared;  // all parts but the request's own
     double sharedTokens = 0, ownTokens = 0, pooledTokens = 0;
   };
   struct CachedAt {
--- a/src/routing/runner_load.cpp
+++ b/src/routing/runner_load.cpp
@@ -5,7 +5,6 @@
 namespace indigohill::routing {
 
 namespace {
-constexpr base::Millis kReportLife{2000};
 // The notice that a prompt has been read may be lost: after this time it is taken to have been.
 constexpr base::Millis kAnnouncedLife{3000};
 constexpr std::size_t kAnnouncedMost = 256;
@@ -37,11 +36,6 @@
     announced_[id] = {promptTokens, now + kAnnouncedLife};
 }
 
-double RunnerLoad::requests(base::TimePoint now) const {
-  const double fresh = 1 - std::min(1.0, base::seconds(now - reportedAt_) / base::seconds(kReportLife));
-  return ownRequests_ + reported_ * std::max(0.0, fresh);
-}
-
 double RunnerLoad::unreadTokens(base::TimePoint now) {
   std::erase_if(announced_, [&](const auto& item) { return item.second.until <= now; });
   auto sum = static_cast<double>(ownUnreadTokens_);
--- a/src/routing/runner_load.hpp
+++ b/src/routing/runner_load.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <map>
 
@@ -21,13 +22,18 @@
   void announce(std::uint64_t id, std::uint32_t promptTokens, base::TimePoint now);
 
   // Requests there, running and waiting.
-  double requests(base::TimePoint now) const;
+  double requests(base::TimePoint now) const {
+    const double fresh = 1 - std::min(1.0, base::seconds(now - reportedAt_) / base::seconds(kReportLife));
+    return ownRequests_ + reported_ * std::max(0.0, fresh);
+  }
   // Prompt tokens sent there that have no first token yet, by this router and, as announced, by others.
   double unreadTokens(base::TimePoint now);
   std::uint32_t ownRequests() const { return ownRequests_; }
   std::uint64_t ownUnreadTokens() const { return ownUnreadTokens_; }
 
  private:
+  static constexpr base::Millis kReportLife{2000};
+
   struct Announced {
     std::uint32_t tokens = 0;
     base::TimePoint until;
--- a/src/routing/runner_set.cpp
+++ b/src/routing/runner_set.cpp
@@ -69,19 +69,9 @@
   return found == runners_.end() ? nullptr : &found->second;
 }
 
-Runner* RunnerSet::byNumber(kvindex::RunnerId number) const {
-  return number < byNumber_.size() ? byNumber_[number] : nullptr;
-}
-
 const RunnerSet::Candidates* RunnerSet::candidatesOf(const std::string& service) const {
   const auto found = candidates_.find(service);
   return found == candidates_.end() ? nullptr : &found->second;
 }
 
-bool RunnerSet::usable(const Runner& runner, const std::string& service) const {
-  const auto& entry = runner.entry;
-  return runner.listed && entry.service == service && !entry.draining && !snapshot_->evacuated.contains(entry.zone) &&
-         runner.version.heldBack().empty();
-}
-
 }  // namespace indigohill::routing
--- a/src/routing/runner_set.hpp
+++ b/src/routing/runner_set.hpp
@@ -57,10 +57,14 @@
   // Null if there is none.
   Runner* find(const std::string& instanceId);
   const Runner* find(const std::string& instanceId) const;
-  Runner* byNumber(kvindex::RunnerId number) const;
+  Runner* byNumber(kvindex::RunnerId number) const { return number < byNumber_.size() ? byNumber_[number] : nullptr; }
   const Candidates* candidatesOf(const std::string& service) const;
   // Whether requests for the service may go there at all; health and load aside.
-  bool usable(const Runner& runner, const std::string& service) const;
+  bool usable(const Runner& runner, const std::string& service) const {
+    const auto& entry = runner.entry;
+    return runner.listed && entry.service == service && !entry.draining && !snapshot_->evacuated.contains(entry.zone) &&
+           runner.version.heldBack().empty();
+  }
 
  private:
   void number(Runner& runner);
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -108,12 +108,12 @@
   if (runner != nullptr && cache_.index() != nullptr) cache_.index()->setRevision(runner->number, model, revision);
 }
 
-void Table::stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt) {
+void Table::stored(const std::string& instanceId, std::uint64_t model, kvindex::PromptView prompt) {
   const std::lock_guard lock(mutex_);
   if (const auto* runner = runners_.find(instanceId)) cache_.store(runner->number, model, prompt);
 }
 
-void Table::answered(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt) {
+void Table::answered(const std::string& instanceId, std::uint64_t model, kvindex::PromptView prompt) {
   const std::lock_guard lock(mutex_);
   const auto* runner = runners_.find(instanceId);
   if (runner == nullptr) return;
@@ -132,7 +132,7 @@
   tell_(notice);
 }
 
-std::string Table::home(const std::string& service, const PromptParts& prompt) const {
+std::string Table::home(const std::string& service, const kvindex::PromptParts& prompt) const {
   const std::lock_guard lock(mutex_);
   const auto* candidates = runners_.candidatesOf(service);
   if (candidates == nullptr) return {};
@@ -262,7 +262,8 @@
   const auto unread = choice.uncachedTokens != 0 ? choice.uncachedTokens : request.promptTokens;
   runner.load.admit(unread);
   runner.ejection.admitted(context.now);
-  Admission::Charge charge{entry.instanceId, unread, 0, request.model, context.engine ? request.prompt : PromptParts{}};
+  Admission::Charge charge{entry.instanceId, unread, 0, request.model,
+                           context.engine ? request.prompt : kvindex::PromptParts{}};
   if (context.engine && tell_ && unread >= bounds_.policy.tellTokens && noticeBudget_.take()) {
     charge.announcedAs = chooser_.random()() | 1;
     tell_({entry.instanceId, charge.announcedAs, unread, 0, {}});
@@ -292,8 +293,8 @@
     runner->load.announce(notice.id, notice.tokens, now);
     return;
   }
-  PromptParts parts;
-  for (const auto& part : notice.parts) parts.emplace_back(part.id, part.tokens);
+  kvindex::PromptParts parts;
+  for (const auto& part : notice.parts) parts.push_back({part.id, part.tokens});
   cache_.store(runner->number, notice.model, parts);
 }
 
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -89,11 +89,11 @@
   // --- Prompt parts kept at runners.
 
   // A runner has answered this prompt and keeps it now. Long shared parts that it did not keep before are announced.
-  void answered(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
+  void answered(const std::string& instanceId, std::uint64_t model, kvindex::PromptView prompt);
   // A runner keeps this prompt now.
-  void stored(const std::string& instanceId, std::uint64_t model, kvindex::Chain prompt);
+  void stored(const std::string& instanceId, std::uint64_t model, kvindex::PromptView prompt);
   // Where the shared parts of a prompt are expected to be kept; empty without a runner.
-  std::string home(const std::string& service, const PromptParts& prompt) const;
+  std::string home(const std::string& service, const kvindex::PromptParts& prompt) const;
   // A pool that every runner can fetch from; none here.
   void setSharedPool(std::shared_ptr<kvindex::SharedPool> pool);
   // Another index, empty or filled; none while one is built.
--- a/src/routing/version_gate.cpp
+++ b/src/routing/version_gate.cpp
@@ -37,11 +37,4 @@
   pausedUntil_ = now + first * (1u << std::min(rejections_++, kEjectionDoublings));
 }
 
-bool VersionGate::fits(const std::optional<rollout::Snapshot>& snapshot, std::optional<std::uint64_t> version,
-                       std::string_view model, base::TimePoint now) const {
-  if (pausedUntil_ > now) return false;
-  if (snapshot) return *snapshot == snapshot_;
-  return !version || snapshot_.version(model) == version;
-}
-
 }  // namespace indigohill::routing
--- a/src/routing/version_gate.hpp
+++ b/src/routing/version_gate.hpp
@@ -27,7 +27,11 @@
   const rollout::Snapshot& snapshot() const { return snapshot_; }
   // Whether a request that is bound to a snapshot, or to a version of the model, may go there now.
   bool fits(const std::optional<rollout::Snapshot>& snapshot, std::optional<std::uint64_t> version,
-            std::string_view model, base::TimePoint now) const;
+            std::string_view model, base::TimePoint now) const {
+    if (pausedUntil_ > now) return false;
+    if (snapshot) return *snapshot == snapshot_;
+    return !version || snapshot_.version(model) == version;
+  }
 
  private:
   rollout::Snapshot snapshot_;
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -1,5 +1,5 @@
-// Cold and ill runners, as many routers together see them. The tables of 90 routers before 90 runners, without sockets:
-// what one router is told by another is handed over by the test. Days are seeded.
+// Cold and unhealthy runners, as many routers together see them. The tables of 90 routers before 90 runners, without
+// sockets: what one router is told by another is handed over by the test. Days are seeded.
 #include <deque>
 #include <functional>
 #include <random>
@@ -72,14 +72,14 @@
     for (const auto& m : view.members) tables[m.incarnation - 1]->setLease(now + Millis(1500));
   }
   routing::RequestProfile ask(std::size_t router, std::uint64_t part) {
-    routing::RequestProfile asked;
-    asked.route = snapshots[router].route("a.example", "/text/1");
-    asked.service = "engine";
-    asked.prompt = {{part, 500}, {part * 7 + 1, 100}};
-    asked.promptTokens = 600;
-    asked.arrivedAt = now;
-    asked.deadline = now + Millis(3000);
-    return asked;
+    routing::RequestProfile request;
+    request.route = snapshots[router].route("a.example", "/text/1");
+    request.service = "engine";
+    request.prompt = {{part, 500}, {part * 7 + 1, 100}};
+    request.promptTokens = 600;
+    request.arrivedAt = now;
+    request.deadline = now + Millis(3000);
+    return request;
   }
 };
 
@@ -97,7 +97,7 @@
 
 }  // namespace
 
-Test(warm, ninety_routers_use_a_cold_runners_rate_and_keep_to_its_bound) {
+Test(slow_start, ninety_routers_use_a_cold_runners_rate_and_keep_to_its_bound) {
   Fleet fleet;
   std::mt19937_64 random(1);
   // A release has started nearly half of them anew.
@@ -126,7 +126,7 @@
   cr_assert(cold * 50 * 10 >= warm * 40, "%zu to cold runners, %zu to warm ones", cold, warm);
 }
 
-Test(warm, all_that_press_on_one_cold_runner_together_keep_to_its_bound_through_changes_of_the_group) {
+Test(slow_start, all_that_press_on_one_cold_runner_together_keep_to_its_bound_through_changes_of_the_group) {
   // Requests without end at every router, and only one runner: what is sent is what may be sent. Routers come and go;
   // views reach each daemon at another time, extensions are acknowledged before, one that is left out keeps its lease
   // for as long as it lasts.
@@ -202,7 +202,7 @@
   }
 }
 
-Test(warm, in_the_group_itself_the_rates_of_88_routers_stay_under_the_bound_and_are_held, .timeout = 300) {
+Test(slow_start, in_the_group_itself_the_rates_of_88_routers_stay_under_the_bound_and_are_held, .timeout = 300) {
   // The simulator adds the rates up after each step; here they are also seen to be in use, before and after losses.
   sim::Shape shape;
   shape.controllers = 3;
@@ -287,11 +287,11 @@
 Test(health, a_runner_that_fails_part_of_its_requests_is_left_out_by_all_on_the_word_of_a_few) {
   Fleet fleet;
   std::mt19937_64 random(3);
-  std::set<std::string> ill;
-  for (int i = 0; i < 10; ++i) ill.insert(fleet.runners[static_cast<std::size_t>(7 * i)].instanceId);
+  std::set<std::string> unhealthy;
+  for (int i = 0; i < 10; ++i) unhealthy.insert(fleet.runners[static_cast<std::size_t>(7 * i)].instanceId);
   play(fleet, random, 3000, [](auto, const auto&) { return false; });
   const auto bad =
-      play(fleet, random, 7000, [&](auto, const auto& id) { return ill.contains(id) && random() % 2 == 0; });
+      play(fleet, random, 7000, [&](auto, const auto& id) { return unhealthy.contains(id) && random() % 2 == 0; });
   // Left alone, a ninth of the requests go there and half of them fail.
   cr_assert(bad.hit * 40 < bad.sent, "%zu of %zu met trouble", bad.hit, bad.sent);
   // What each router hears for it stays under 1 KB a second.
@@ -300,7 +300,7 @@
   // They are tried again, and used as before when they are well.
   play(fleet, random, 12000, [](auto, const auto&) { return false; });
   const auto well = play(fleet, random, 7000, [](auto, const auto&) { return false; });
-  for (const auto& id : ill)
+  for (const auto& id : unhealthy)
     cr_assert(well.at.contains(id) && well.at.at(id) * 180 >= well.sent, "%s gets %zu of %zu", id.c_str(),
               well.at.contains(id) ? well.at.at(id) : 0, well.sent);
 }
@@ -322,7 +322,7 @@
   }
 }
 
-Test(health, a_runner_that_is_ill_toward_one_zone_is_left_out_there_alone) {
+Test(health, a_runner_that_is_unhealthy_toward_one_zone_is_left_out_there_alone) {
   Fleet fleet;
   std::mt19937_64 random(8);
   play(fleet, random, 3000, [](auto, const auto&) { return false; });
--- a/tests/test_kvindex.cpp
+++ b/tests/test_kvindex.cpp
@@ -12,14 +12,14 @@
 #include <criterion/criterion.h>
 
 using namespace indigohill;
-using kvindex::Chain;
 using kvindex::Index;
+using kvindex::PromptView;
 using kvindex::RunnerId;
 using kvindex::Tier;
 
 namespace {
 
-using Prompt = std::vector<std::pair<std::uint64_t, std::uint32_t>>;
+using Prompt = kvindex::PromptParts;
 constexpr std::size_t kRoomy = 64u << 20;
 constexpr std::uint64_t kModel = 1;
 
@@ -44,7 +44,7 @@
 
   static std::vector<std::uint64_t> path(const Prompt& prompt, std::size_t parts) {
     std::vector<std::uint64_t> out;
-    for (std::size_t i = 0; i < parts; ++i) out.push_back(prompt[i].first);
+    for (std::size_t i = 0; i < parts; ++i) out.push_back(prompt[i].id);
     return out;
   }
   std::list<Kept>::iterator at(RunnerId runner, std::uint64_t model, const std::vector<std::uint64_t>& path) {
@@ -71,7 +71,7 @@
     for (std::size_t parts = prompt.size(); parts > 0; --parts) {
       const auto p = path(prompt, parts);
       auto it = at(runner, model, p);
-      if (it == kept.end()) it = kept.insert(kept.begin(), {model, p, prompt[parts - 1].second, {}});
+      if (it == kept.end()) it = kept.insert(kept.begin(), {model, p, prompt[parts - 1].tokens, {}});
       it->tiers.insert(tier);
       kept.splice(kept.begin(), kept, it);
     }
@@ -313,18 +313,18 @@
     table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(snapshot), now);
   }
   routing::RequestProfile ask(std::uint64_t thing, std::uint64_t own = 1) {
-    routing::RequestProfile asked;
-    asked.route = snapshot.route("a.example", "/text/1");
-    asked.service = "engine";
-    asked.prompt = {{1, 500}, {thing, 4000}, {1'000'000 + own, 300}};
-    asked.promptTokens = 4800;
-    asked.arrivedAt = now;
-    asked.deadline = now + Millis(3000);
-    return asked;
+    routing::RequestProfile request;
+    request.route = snapshot.route("a.example", "/text/1");
+    request.service = "engine";
+    request.prompt = {{1, 500}, {thing, 4000}, {1'000'000 + own, 300}};
+    request.promptTokens = 4800;
+    request.arrivedAt = now;
+    request.deadline = now + Millis(3000);
+    return request;
   }
   // Passes and answers a request; where it went.
-  std::string serve(routing::RequestProfile asked) {
-    auto decision = table.decide(asked, now);
+  std::string serve(routing::RequestProfile request) {
+    auto decision = table.decide(request, now);
     cr_assert(std::holds_alternative<routing::PassTo>(decision), "not served");
     auto& to = std::get<routing::PassTo>(decision);
     to.admission.begun(Millis(50));
@@ -339,11 +339,11 @@
 };
 
 struct BadPool : kvindex::SharedPool {
-  base::Result<std::uint64_t> held(std::uint64_t, Chain) override {
-    if (++asked % 2 == 0) throw std::runtime_error("pool: connection refused");
+  base::Result<std::uint64_t> held(std::uint64_t, PromptView) override {
+    if (++request % 2 == 0) throw std::runtime_error("pool: connection refused");
     return base::Error{base::Verdict::NotRun, "pool: no answer"};
   }
-  int asked = 0;
+  int request = 0;
 };
 
 }  // namespace
@@ -376,8 +376,8 @@
   std::vector<routing::Decision> held;
   std::set<std::string> seen;
   for (std::uint64_t i = 0; i < 6; ++i) {
-    auto asked = c.ask(5, 10 + i);
-    held.push_back(c.table.decide(asked, c.now));
+    auto request = c.ask(5, 10 + i);
+    held.push_back(c.table.decide(request, c.now));
     seen.insert(std::get<routing::PassTo>(held.back()).instanceId);
   }
   cr_assert(seen == std::set<std::string>({other}), "%zu runners", seen.size());
@@ -419,7 +419,7 @@
   c.table.setIndex(std::make_unique<Index>(kRoomy));
   c.table.setSharedPool(bad);
   for (std::uint64_t i = 0; i < 5; ++i) c.serve(c.ask(i));
-  cr_assert(bad->asked == 5 && c.table.indexState().poolFailed == 5u);
+  cr_assert(bad->request == 5 && c.table.indexState().poolFailed == 5u);
   cr_assert_eq(c.table.indexState().failed, 9u, "the index itself goes on");
   cr_assert_gt(c.table.indexState().counters.stores, 0u);
   // A store that is broken off by an exception: the index is given up, requests go on, and the next snapshot has a new
@@ -436,15 +436,15 @@
 
 Test(choice, one_ranking_a_request_and_a_further_try_takes_the_next) {
   Chooser c(40);
-  auto asked = c.ask(5);
-  auto first = c.table.decide(asked, c.now);
-  const auto ranked = asked.ranking.order;
+  auto request = c.ask(5);
+  auto first = c.table.decide(request, c.now);
+  const auto ranked = request.ranking.order;
   cr_assert_eq(c.table.indexState().rankings, 1u);
   std::vector<std::string> order;
   order.push_back(std::get<routing::PassTo>(first).instanceId);
   for (int further = 0; further < 3; ++further) {
-    asked.tried.insert(order.back());
-    auto next = c.table.decide(asked, c.now + Millis(20));
+    request.tried.insert(order.back());
+    auto next = c.table.decide(request, c.now + Millis(20));
     order.push_back(std::get<routing::PassTo>(next).instanceId);
     std::get<routing::PassTo>(next).admission.release();
   }
@@ -457,23 +457,23 @@
 
 Test(choice, when_nobody_of_the_ranking_is_left_others_are_found) {
   Chooser c(120);
-  auto asked = c.ask(5);
-  { const auto first = c.table.decide(asked, c.now); }
-  cr_assert(!asked.ranking.all && asked.ranking.order.size() <= 32);
-  for (const auto& r : asked.ranking.order) c.list[r.runner].draining = true;
+  auto request = c.ask(5);
+  { const auto first = c.table.decide(request, c.now); }
+  cr_assert(!request.ranking.all && request.ranking.order.size() <= 32);
+  for (const auto& r : request.ranking.order) c.list[r.runner].draining = true;
   c.show();
-  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(asked, c.now)));
+  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(request, c.now)));
   cr_assert_eq(c.table.indexState().rankings, 2u);
 }
 
 Test(choice, new_lives_take_the_place_of_a_whole_ranking) {
   Chooser c(3);
-  auto asked = c.ask(5);
-  { const auto first = c.table.decide(asked, c.now); }
-  cr_assert(asked.ranking.all);
+  auto request = c.ask(5);
+  { const auto first = c.table.decide(request, c.now); }
+  cr_assert(request.ranking.all);
   for (auto& entry : c.list) entry.instanceId += "-again";
   c.show();
-  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(asked, c.now)));
+  cr_assert(std::holds_alternative<routing::PassTo>(c.table.decide(request, c.now)));
 }
 
 Test(choice, parts_that_one_engine_cannot_read_for_all_get_further_homes) {
@@ -481,10 +481,10 @@
   std::set<std::string> seen;
   for (std::uint64_t i = 0; i < 400; ++i) {
     c.now += Millis(1);
-    auto asked = c.ask(5, i);
-    asked.prompt.back().second = 9000;
-    asked.promptTokens = 13500;
-    seen.insert(c.serve(asked));
+    auto request = c.ask(5, i);
+    request.prompt.back().tokens = 9000;
+    request.promptTokens = 13500;
+    seen.insert(c.serve(request));
   }
   cr_assert_gt(seen.size(), 3u, "%zu", seen.size());
   cr_assert_leq(seen.size(), 16u, "and not all of them");
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -276,8 +276,8 @@
 Test(pass, prompts_are_read) {
   const auto parts = proxy::parsePrompt("5c1e07a2:800, 91bd3f06:410,zz:3,e4402b7d:250");
   cr_assert_eq(parts.size(), 3u);
-  cr_assert_eq(parts[0].first, 0x5c1e07a2u);
-  cr_assert_eq(parts[1].second, 410u);
+  cr_assert_eq(parts[0].id, 0x5c1e07a2u);
+  cr_assert_eq(parts[1].tokens, 410u);
 }
 
 namespace {
@@ -316,12 +316,12 @@
   }
   void apply() { table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(snapshot), now); }
   routing::RequestProfile ask(const char* path) {
-    routing::RequestProfile asked;
-    asked.route = snapshot.route("a.example", path);
-    asked.service = asked.route->split[0].first;
-    asked.arrivedAt = now;
-    asked.deadline = now + Millis(1000);
-    return asked;
+    routing::RequestProfile request;
+    request.route = snapshot.route("a.example", path);
+    request.service = request.route->split[0].first;
+    request.arrivedAt = now;
+    request.deadline = now + Millis(1000);
+    return request;
   }
   std::uint64_t version = 0;
 };
@@ -364,18 +364,18 @@
   Routed r;
   std::map<std::string, int> seen;
   for (std::uint64_t own = 0; own < 30; ++own) {
-    auto asked = r.ask("/text/1");
-    asked.prompt = {{1, 500}, {2, 4000}, {1000 + own, 100}};
-    auto d = r.table.decide(asked, r.now);
+    auto request = r.ask("/text/1");
+    request.prompt = {{1, 500}, {2, 4000}, {1000 + own, 100}};
+    auto d = r.table.decide(request, r.now);
     ++seen[std::get<routing::PassTo>(d).instanceId];
   }
   cr_assert_eq(seen.size(), 1u);
   // Other shared parts spread over all of them.
   seen.clear();
   for (std::uint64_t part = 0; part < 60; ++part) {
-    auto asked = r.ask("/text/1");
-    asked.prompt = {{1, 500}, {100 + part, 4000}, {7, 100}};
-    auto d = r.table.decide(asked, r.now);
+    auto request = r.ask("/text/1");
+    request.prompt = {{1, 500}, {100 + part, 4000}, {7, 100}};
+    auto d = r.table.decide(request, r.now);
     ++seen[std::get<routing::PassTo>(d).instanceId];
   }
   cr_assert_eq(seen.size(), 3u);
--- a/tests/test_plan.cpp
+++ b/tests/test_plan.cpp
@@ -34,9 +34,7 @@
   return out;
 }
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt(std::size_t i) {
-  return {{base::hash(std::to_string(i)), 1}, {0, 1}};
-}
+kvindex::PromptParts prompt(std::size_t i) { return {{base::hash(std::to_string(i)), 1}, {0, 1}}; }
 
 const plan::ServiceChange* of(const plan::Plan& p, const std::string& name) {
   for (const auto& s : p.services)
@@ -55,7 +53,7 @@
       asked.route = picture->route("a.example", "/text/1");
       asked.service = "engine";
       asked.prompt = prompt(i);
-      asked.prompt[0].second = 50000;  // long enough for its place to matter more than the draw of the demand
+      asked.prompt[0].tokens = 50000;  // long enough for its place to matter more than the draw of the demand
       asked.arrivedAt = world.now();
       asked.deadline = world.now() + Millis(1000);
       auto decision = n.table->decide(asked, world.now());
@@ -123,14 +121,15 @@
   const auto after = side(document, 4);
   const auto p = plan::make(before, after);
   std::map<std::string, plan::RouteChange> changes;
-  for (const auto& r : p.routes) changes[r.name + " " + r.what] = r;
+  for (const auto& r : p.routes) changes[fmt::format("{} {}", r.name, plan::name(r.kind))] = r;
   cr_assert(changes.contains("r-new added") && changes.contains("r-text changed") &&
             changes.contains("r-check re-aimed"));
   cr_assert_eq(changes["r-text changed"].from, "timeoutMs");
   cr_assert(std::abs(changes["r-check re-aimed"].moved - 0.25) < 0.03, "%f", changes["r-check re-aimed"].moved);
   // The other way round a route is removed, and the revision does not rise.
   const auto back = plan::make(after, before);
-  cr_assert(std::any_of(back.routes.begin(), back.routes.end(), [](const auto& r) { return r.what == "removed"; }));
+  cr_assert(std::any_of(back.routes.begin(), back.routes.end(),
+                        [](const auto& r) { return r.kind == plan::RouteChangeKind::Removed; }));
   cr_assert_eq(back.invalid.size(), 1u);
   cr_assert(back.invalid[0].starts_with("revision:"));
   cr_assert(plan::asJson(back).find("\"removed\"") != std::string::npos);
@@ -142,7 +141,7 @@
   after.daemons.routers = 10;
   const auto p = plan::make(before, after);
   cr_assert_float_eq(p.slackFrom, 2 * p.slackTo, 1e-9);
-  cr_assert(of(p, "engine")->warmRateTo < of(p, "engine")->warmRateFrom);
+  cr_assert(of(p, "engine")->slowStartRateTo < of(p, "engine")->slowStartRateFrom);
   after.daemons.controllers = 1;
   cr_assert_eq(plan::make(before, after).invalid.size(), 1u);
   // Of six controllers three vote where one may be lost, five where two may.
--- a/tools/benchchoice.cpp
+++ b/tools/benchchoice.cpp
@@ -21,7 +21,7 @@
     R"("engine":{"capacitySlots":24,"kvCacheTokens":437458}}],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
     R"("headerTimeoutMs":400,"idleTimeoutMs":2000}})";
 
-std::vector<std::pair<std::uint64_t, std::uint32_t>> prompt(std::uint64_t prefix, std::uint64_t own) {
+kvindex::PromptParts prompt(std::uint64_t prefix, std::uint64_t own) {
   return {{1 + prefix % 19, 400}, {1000 + prefix, 2000}, {1'000'000'000 + own, 3000}};
 }
 
@@ -49,23 +49,23 @@
   table.setSnapshot(shown, now);
   for (std::uint64_t i = 0; i < kPrefixes; ++i) {
     const auto parts = prompt(i, 0);
-    table.stored(table.home("engine", parts), 7, kvindex::Chain(parts).first(2));
+    table.stored(table.home("engine", parts), 7, kvindex::PromptView(parts).first(2));
   }
   std::mt19937_64 random(3);
   double choosing = 0, recording = 0;
   std::size_t served = 0;
   for (std::uint64_t i = 0; i < kRequests; ++i) {
     now += std::chrono::microseconds(1000);
-    routing::RequestProfile asked;
-    asked.route = &shown->configuration->routes.front();
-    asked.service = "engine";
-    asked.model = 7;
-    asked.prompt = prompt(random() % kPrefixes, 1 + i);
-    asked.promptTokens = 5400;
-    asked.arrivedAt = now;
-    asked.deadline = now + std::chrono::seconds(9);
+    routing::RequestProfile request;
+    request.route = &shown->configuration->routes.front();
+    request.service = "engine";
+    request.model = 7;
+    request.prompt = prompt(random() % kPrefixes, 1 + i);
+    request.promptTokens = 5400;
+    request.arrivedAt = now;
+    request.deadline = now + std::chrono::seconds(9);
     const auto start = cpuUs();
-    auto decision = table.decide(asked, now);
+    auto decision = table.decide(request, now);
     const auto chosen = cpuUs();
     if (auto* to = std::get_if<routing::PassTo>(&decision)) {
       to->admission.begun(base::Millis(60));
