Carry out no order whose caller has gone, and divide the controller process

Cause: an order that lay in the socket of a frozen machine was given to the core although its caller had closed the connection and gone on to another daemon, so an evacuation that was since taken back could come into force again.

Change: http::Server hands its handlers a Caller that can be asked whether the peer has closed; operator calls look at it right before the order is given to the core and with each tick while it waits (Replica::forget). A call that is not answered in time is forgotten too. The calls, the opening of the disk and the status report have files of their own.

Result: test_operator_calls (real connections: caller gone before and while the order waits, resend while the first is under way, late answer to a call that was dropped, base versions) passes, with test_store, test_parts and test_rollout.

--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -1,9 +1,9 @@
 #include <boost/asio/post.hpp>
-#include <boost/json.hpp>
-#include <charconv>
 #include <csignal>
-#include <thread>
 
+#include "cli/controller_disk.hpp"
+#include "cli/controller_status.hpp"
+#include "cli/operator_calls.hpp"
 #include "cli/process.hpp"
 #include "cli/roles.hpp"
 #include "control/calls.hpp"
@@ -20,62 +20,22 @@
 namespace {
 
 constexpr Millis kTick{100}, kRelayTick{250};
-constexpr Millis kDiskRetry{250};     // between tries to open a disk that refuses
-constexpr int kDiskTriesLogged = 40;  // of the tries that fail one in so many is logged
-constexpr std::uint64_t kMebibyte = 1u << 20;
-
-// A controller's store, and who its contents say that it is. A relay has neither.
-struct Disk {
-  std::unique_ptr<store::Store> store;
-  control::Identity identity;
-};
-
-// Calls `attempt` until it returns true.
-void retryDisk(const std::function<bool()>& attempt) {
-  while (!attempt()) std::this_thread::sleep_for(kDiskRetry);
-}
-
-// Room for each of the two snapshot files; LMDB wants about three times what it holds.
-std::uint64_t mapBytes(const settings::Settings& s) {
-  return std::clamp(s.diskMb * kMebibyte / 4, 4 * kMebibyte, 32 * kMebibyte);
-}
-
-// Opens the store, and has the identity on the disk before anything is said under it. A disk that refuses (full, or
-// with I/O errors) is no lost one, and ending the process would not mend it: it is tried until it works. A daemon that
-// waits here does not listen yet, so callers go on to another one at once.
-Disk openDisk(const settings::Settings& s) {
-  // No disk, or one whose loss does not count: nothing is kept there.
-  if (s.dataDirectory.empty() || !s.quorumMember) return {};
-  Disk out;
-  int tries = 0;
-  retryDisk([&] {
-    auto opened = store::Store::open(s.dataDirectory, mapBytes(s));
-    if (const auto* bad = base::errorIn(opened)) {
-      if (tries++ % kDiskTriesLogged == 0) spdlog::error("store does not open, it is tried again: {}", bad->what);
-      return false;
-    }
-    out.store = std::get<0>(std::move(opened));
-    return true;
-  });
-  std::vector<control::DiskWrite> writes;
-  out.identity =
-      control::identify([&](control::Slot slot) { return out.store->read(slot); }, s.bootstrap && !out.store->wasLost(),
-                        s.seedNodes, s.controlPlane, randomSeed(), writes);
-  if (!writes.empty()) retryDisk([&] { return out.store->writeAndWait(writes); });
-  return out;
-}
 
 class Process {
  public:
-  Process(const settings::Settings& settings, const std::string& path, Disk disk)
+  Process(const settings::Settings& settings, const std::string& path, ControllerDisk disk)
       : watch_(path, "controller", settings),
         store_(std::move(disk.store)),
         io_(1),
         executor_(io_.get_executor()),
         core_({settings.nodeName, settings.zone, cohortAddress(settings, true)}, std::move(disk.identity),
               seedAddresses(settings), tuningOf(settings), randomSeed()),
-        control_(executor_, settings.controlPlane, {},
-                 [this](http::Request request, settings::Endpoint) { return call(std::move(request)); }),
+        calls_(executor_,
+               {[this](control::Order order) { submit(std::move(order)); },
+                [this](std::uint64_t call) { core_.forget(call); }, [this] { return watch_.now().controlPlane.port; }}),
+        control_(
+            executor_, settings.controlPlane, {},
+            [this](http::Request request, http::Caller caller) { return call(std::move(request), std::move(caller)); }),
         link_(executor_, cohortAddress(settings, true),
               [this](const schema::Message& m, const settings::Endpoint& from) { receive(m, from); }),
         reader_(executor_, settings.address) {}
@@ -99,11 +59,6 @@
   }
 
  private:
-  struct Waiting {
-    std::shared_ptr<asio::steady_timer> timer;
-    std::optional<control::Answer> answer;
-  };
-
   static control::Controller::Tuning tuningOf(const settings::Settings& s) {
     control::Controller::Tuning tuning;
     tuning.group = groupTimes(s);
@@ -118,78 +73,20 @@
     return tuning;
   }
 
-  asio::awaitable<http::Response> call(http::Request request) {
-    const auto found = control::findCall({request.method_string().data(), request.method_string().size()},
-                                         {request.target().data(), request.target().size()});
+  asio::awaitable<http::Response> call(http::Request request, http::Caller caller) {
+    auto found = control::findCall({request.method_string().data(), request.method_string().size()},
+                                   {request.target().data(), request.target().size()});
     if (!found) co_return http::answer(request, 404, "no such call");
-    if (found->kind == control::Call::Kind::Status) co_return http::answer(request, 200, status(), "application/json");
-    control::Order order;
-    order.call = ++calls_;
-    order.kind = found->order;
-    const bool ofRollout = order.kind == control::OrderKind::DeclareRollout ||
-                           order.kind == control::OrderKind::AdvanceRollout ||
-                           order.kind == control::OrderKind::WithdrawRollout;
-    if (ofRollout) order.service = found->argument;
-    order.body = found->argument.empty() || ofRollout ? request.body() : found->argument;
-    const auto version = request["Indigohill-Base-Version"];
-    if (order.kind == control::OrderKind::Replace || order.kind == control::OrderKind::Update) {
-      const auto [at, error] = std::from_chars(version.data(), version.data() + version.size(), order.baseVersion);
-      if (!version.empty() && (error != std::errc{} || at != version.data() + version.size()))
-        co_return http::answer(request, 400, "Indigohill-Base-Version: a whole number is wanted");
-    }
-    auto timer = std::make_shared<asio::steady_timer>(executor_, std::chrono::seconds(10));
-    const auto id = order.call;
-    waiting_[id] = {timer, std::nullopt};
+    if (found->kind == control::Call::Kind::Status)
+      co_return http::answer(request, 200, controllerStatus(core_, link_.dropped(), base::Clock::now()),
+                             "application/json");
+    co_return co_await calls_.carryOut(std::move(*found), std::move(request), std::move(caller));
+  }
+
+  void submit(control::Order order) {
     control::Effects effects;
     core_.order(std::move(order), base::Clock::now(), effects);
     apply(effects);
-    if (!waiting_[id].answer) co_await timer->async_wait(http::kTuple);
-    const auto answer = waiting_[id].answer.value_or(control::Answer{id, 503, "not finished in time", {}});
-    waiting_.erase(id);
-    auto reply =
-        http::answer(request, answer.status, answer.body, answer.status == 200 ? "application/json" : "text/plain");
-    if (answer.status == 307) {
-      const settings::Endpoint primary{answer.redirect.ip, watch_.now().controlPlane.port};
-      reply.set(http::wire::field::location, "http://" + settings::text(primary) + std::string(request.target()));
-    }
-    if (answer.status == 503) reply.set(http::wire::field::retry_after, "0.2");
-    if (answer.status >= 400 && answer.status != 503 && answer.status != 404)
-      spdlog::info("{} answered {}: {}", std::string(request.target()), answer.status, answer.body);
-    co_return reply;
-  }
-
-  std::string status() const {
-    const auto& replica = core_.replica();
-    const auto& source = core_.source();
-    const auto& group = core_.group();
-    boost::json::object out;
-    out["voter"] = replica.voterId();
-    out["active"] = replica.active(base::Clock::now());
-    if (const auto& r = replica.record()) {
-      out["epoch"] = r->epoch;
-      out["primary"] = r->primary;
-      out["backups"] = boost::json::value_from(r->backups);
-      out["voters"] = boost::json::value_from(r->voters);
-    }
-    if (const auto& f = source.state()) {
-      out["revision"] = f->revision;
-      out["evacuated"] = boost::json::value_from(f->evacuated);
-      out["rollouts"] = boost::json::parse(rollout::status(f->rollouts, source.runners()));
-    }
-    out["runners"] = source.runners().size();
-    out["lease"] = group.leaseHeld(base::Clock::now());
-    if (const auto& v = group.view()) {
-      out["view"] = v->number;
-      out["lister"] = v->lister;
-      boost::json::array members;
-      for (const auto& m : v->members)
-        members.push_back({{"id", m.id}, {"zone", m.zone}, {"incarnation", m.incarnation}});
-      out["members"] = std::move(members);
-    }
-    out["rejectedMessages"] = group.rejected();
-    out["timesToldDead"] = group.deaths();
-    out["droppedMessages"] = link_.dropped();
-    return boost::json::serialize(out);
   }
 
   // Carries out what the core wants done.
@@ -203,11 +100,7 @@
           apply(after);
         });
       });
-    for (auto& answer : effects.answers)
-      if (const auto found = waiting_.find(answer.call); found != waiting_.end()) {
-        found->second.answer = std::move(answer);
-        found->second.timer->cancel();
-      }
+    for (auto& answer : effects.answers) calls_.answer(std::move(answer));
     link_.send(effects.out);
   }
 
@@ -219,6 +112,7 @@
 
   bool tick() {
     const auto now = base::Clock::now();
+    calls_.dropAbandoned();
     control::Effects effects;
     core_.tick(now, effects);
     if (!reading_ && core_.readingDue(now)) {
@@ -258,11 +152,10 @@
   asio::io_context io_;
   asio::any_io_executor executor_;
   control::Controller core_;
+  OperatorCalls calls_;
   http::Server control_;
   net::Link link_;
   runners::Reader reader_;
-  std::map<std::uint64_t, Waiting> waiting_;
-  std::uint64_t calls_ = 0;
   bool reading_ = false;
   base::TimePoint lookedAt_{};
 };
@@ -272,7 +165,7 @@
 int runController(const settings::Settings& settings, const std::string& settingsPath) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until the event loop takes it; the default would end the process
-  return Process(settings, settingsPath, openDisk(settings)).run();
+  return Process(settings, settingsPath, openControllerDisk(settings)).run();
 }
 
 }  // namespace indigohill::cli
--- /dev/null
+++ b/src/cli/controller_disk.cpp
@@ -0,0 +1,56 @@
+#include "cli/controller_disk.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <thread>
+
+#include "cli/process.hpp"
+
+namespace indigohill::cli {
+
+namespace {
+
+constexpr base::Millis kRetry{250};  // between tries to open a disk that refuses
+constexpr int kTriesLogged = 40;     // of the tries that fail one in so many is logged
+constexpr std::uint64_t kMebibyte = 1u << 20;
+
+// Room for each of the two snapshot files; LMDB wants about three times what it holds.
+std::uint64_t mapBytes(const settings::Settings& s) {
+  return std::clamp(s.diskMb * kMebibyte / 4, 4 * kMebibyte, 32 * kMebibyte);
+}
+
+void retry(const std::function<bool()>& attempt) {
+  while (!attempt()) std::this_thread::sleep_for(kRetry);
+}
+
+std::unique_ptr<store::Store> openStore(const settings::Settings& s) {
+  std::unique_ptr<store::Store> out;
+  int tries = 0;
+  retry([&] {
+    auto opened = store::Store::open(s.dataDirectory, mapBytes(s));
+    if (const auto* bad = base::errorIn(opened)) {
+      if (tries++ % kTriesLogged == 0) spdlog::error("store does not open, it is tried again: {}", bad->what);
+      return false;
+    }
+    out = std::get<0>(std::move(opened));
+    return true;
+  });
+  return out;
+}
+
+}  // namespace
+
+ControllerDisk openControllerDisk(const settings::Settings& settings) {
+  // No disk, or one whose loss does not count: nothing is kept there.
+  if (settings.dataDirectory.empty() || !settings.quorumMember) return {};
+  ControllerDisk out;
+  out.store = openStore(settings);
+  const auto read = [&](control::Slot slot) { return out.store->read(slot); };
+  std::vector<control::DiskWrite> writes;
+  out.identity = control::identify(read, settings.bootstrap && !out.store->wasLost(), settings.seedNodes,
+                                   settings.controlPlane, randomSeed(), writes);
+  if (!writes.empty()) retry([&] { return out.store->writeAndWait(writes); });
+  return out;
+}
+
+}  // namespace indigohill::cli
--- /dev/null
+++ b/src/cli/controller_status.hpp
@@ -0,0 +1,13 @@
+#pragma once
+#include <string>
+
+#include "base/time.hpp"
+#include "control/controller.hpp"
+
+namespace indigohill::cli {
+
+// What `GET /v1/Status` answers: a controller's place in the group and what it holds, as JSON. docs/operations.md says
+// what the fields mean.
+std::string controllerStatus(const control::Controller& core, std::uint64_t droppedMessages, base::TimePoint now);
+
+}  // namespace indigohill::cli
--- a/src/cli/fwd.hpp
+++ b/src/cli/fwd.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
 namespace indigohill::cli {
-class Cohort;
+class OperatorCalls;
+struct ControllerDisk;
 }  // namespace indigohill::cli
--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -48,7 +48,7 @@
         executor_(io_.get_executor(), table_),
         acceptor_(http::listen(io_.get_executor(), settings.frontend, "frontend")),
         readiness_(io_.get_executor(), settings.readiness, {},
-                   [this](http::Request request, settings::Endpoint) -> asio::awaitable<http::Response> {
+                   [this](http::Request request, const http::Caller&) -> asio::awaitable<http::Response> {
                      co_return readiness(request);
                    }),
         link_(cohort_, cohortAddress(settings, false),
--- a/src/http/fwd.hpp
+++ b/src/http/fwd.hpp
@@ -3,4 +3,5 @@
 namespace indigohill::http {
 class Client;
 class Server;
+struct Caller;
 }  // namespace indigohill::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,9 +1,25 @@
 #include "http/server.hpp"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <stdexcept>
 
 namespace indigohill::http {
 
+namespace {
+
+// Whether the peer has closed or reset the connection, looked at without taking any bytes from it. Bytes of a next
+// request hide a close behind them.
+bool closedByPeer(tcp::socket& socket) {
+  char next = 0;
+  const auto got = ::recv(socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  if (got < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  return got == 0;
+}
+
+}  // namespace
+
 Response answer(const Request& request, int status, std::string body, const char* type) {
   Response out(static_cast<wire::status>(status), request.version());
   out.set(wire::field::content_type, type);
@@ -79,7 +95,8 @@
       }
       break;
     }
-    auto reply = co_await handler_(parser.release(), from);
+    Caller caller{from, [&stream] { return closedByPeer(stream.socket()); }};
+    auto reply = co_await handler_(parser.release(), std::move(caller));
     const bool keep = reply.keep_alive();
     stream.expires_after(limits_.idle);
     auto [failed, sent] = co_await wire::async_write(stream, reply, kTuple);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -6,6 +6,13 @@
 
 namespace indigohill::http {
 
+// Who made a request. `gone` says whether the caller has closed or lost the connection by now; it may be called until
+// the request is answered.
+struct Caller {
+  settings::Endpoint address;
+  std::function<bool()> gone;
+};
+
 // A small server for the system's own calls: readiness, operators, the cohort's larger messages. Traffic has its own
 // path in src/pass.
 class Server {
@@ -15,7 +22,7 @@
     std::uint64_t bodyBytes = 8u << 20;
     base::Millis idle{30000};
   };
-  using Handler = std::function<asio::awaitable<Response>(Request, settings::Endpoint)>;
+  using Handler = std::function<asio::awaitable<Response>(Request, Caller)>;
 
   Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler);
   void start();
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -23,7 +23,8 @@
       receive_(std::move(receive)),
       socket_(strand),
       server_(strand, self, {16384, kMaxMessageBytes, base::Millis(60000)},
-              [this](http::Request request, settings::Endpoint from) -> asio::awaitable<http::Response> {
+              [this](http::Request request, http::Caller caller) -> asio::awaitable<http::Response> {
+                auto from = caller.address;
                 const auto port = request[kPortHeader];
                 std::uint16_t number = 0;
                 std::from_chars(port.data(), port.data() + port.size(), number);
--- a/tests/file_recorder.hpp
+++ b/tests/file_recorder.hpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -36,6 +37,12 @@
     return recorder;
   }
 
+  // Whether syncs are left out where nothing is recorded, for tests that make thousands of them.
+  static bool& withoutSyncs() {
+    static bool without = false;
+    return without;
+  }
+
   // What lies in the folder now counts as durable.
   explicit FileRecorder(std::filesystem::path folder) : folder_(std::move(folder)) {
     for (const auto& [name, content] : readFolder(folder_)) {
@@ -220,12 +227,14 @@
 __attribute__((used)) int fsync(int descriptor) {
   if (const auto name = recordedName(descriptor))
     return indigohill::tests::FileRecorder::current()->onSync(*name) ? 0 : -1;
+  if (indigohill::tests::FileRecorder::withoutSyncs()) return 0;
   return static_cast<int>(syscall(SYS_fsync, descriptor));
 }
 
 __attribute__((used)) int fdatasync(int descriptor) {
   if (const auto name = recordedName(descriptor))
     return indigohill::tests::FileRecorder::current()->onSync(*name) ? 0 : -1;
+  if (indigohill::tests::FileRecorder::withoutSyncs()) return 0;
   return static_cast<int>(syscall(SYS_fdatasync, descriptor));
 }
 }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -957,7 +957,7 @@
     for (std::size_t i = 0; i < answers.size(); ++i) {
       servers.push_back(std::make_unique<http::Server>(
           io.get_executor(), settings::Endpoint{0x7f000001, ports[i]}, http::Server::Limits{},
-          [this, i, answer = answers[i]](http::Request r, settings::Endpoint) -> asio::awaitable<http::Response> {
+          [this, i, answer = answers[i]](http::Request r, const http::Caller&) -> asio::awaitable<http::Response> {
             const std::string target(r.target());
             seen.push_back(fmt::format("{} {} {}", i, target, r.body()));
             const auto [status, body] = answer(target);
