--- a/src/cli/controller.cpp
+++ b/src/cli/controller.cpp
@@ -19,7 +19,9 @@
 
 namespace {
 
-constexpr Millis kTick{100}, kRelayTick{250};
+// How long the agreement on a record takes, with room for a candidacy that has to start again; and how long a voter has
+// to be missing from the view at least.
+constexpr Millis kAgreement{1000}, kShortestExchange{300};
 
 class Process {
  public:
@@ -43,7 +45,8 @@
   int run() {
     control_.start();
     link_.start();
-    asio::co_spawn(io_, every(executor_, store_ ? kTick : kRelayTick, [this] { return tick(); }), asio::detached);
+    asio::co_spawn(io_, every(executor_, store_ ? kControllerTick : kRelayTick, [this] { return tick(); }),
+                   asio::detached);
     asio::co_spawn(io_,
                    onSignals(
                        executor_, [this] { leave(); }, [this] { reread(true); }),
@@ -62,6 +65,7 @@
   static control::Controller::Tuning tuningOf(const settings::Settings& s) {
     control::Controller::Tuning tuning;
     tuning.group = groupTimes(s);
+    tuning.feed = feedTimes(s);
     tuning.listPeriod = runners::listPeriod(s, 1);
     tuning.grace = s.gracePeriodS;
     // Each zone may be lost with the copy and the vote that it holds; voters and copies are spread over zones.
@@ -70,6 +74,11 @@
     tuning.replica.writeStuck = std::min(tuning.replica.writeStuck, s.ackTimeoutMs * 3 / 10);
     tuning.replica.gather = std::min(tuning.replica.gather, s.ackTimeoutMs * 3 / 8);
     tuning.replica.orderLife = std::min(tuning.replica.orderLife, s.ackTimeoutMs * 7 / 8);
+    // A machine that was replaced by an empty one counts as lost only for `catchUpS` after the newcomer's start: by
+    // then the voter that is gone must have been suspected, exchanged, and the record agreed on.
+    tuning.replica.exchange =
+        std::clamp(s.catchUpS - tuning.group.suspect - kAgreement, kShortestExchange, tuning.replica.exchange);
+    tuning.replica.replacement = tuning.group.suspect + kAgreement;
     return tuning;
   }
 
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "control/identity.hpp"
+#include "control/leadership_check.hpp"
 #include "control/replica.hpp"
 #include "feed/publisher.hpp"
 #include "membership/group.hpp"
@@ -40,7 +41,8 @@
   void setListPeriod(base::Millis period) { tuning_.listPeriod = period; }
   void listed(std::vector<schema::RunnerEntry> runners, base::TimePoint askedAt, base::TimePoint now, Effects& effects);
 
-  // Leaves in order; `left` says when the process may end.
+  // Leaves in order; `left` says when the process may end. A member that votes or holds a copy stays until others have
+  // taken its place, for at most half of the grace period.
   void leave(base::TimePoint now, Effects& effects);
   bool left(base::TimePoint now) const;
 
@@ -51,7 +53,10 @@
  private:
   std::vector<settings::Endpoint> known(std::vector<settings::Endpoint> seeds) const;
   ClusterView around() const;
+  void receiveUpdate(const schema::Update& update, base::TimePoint now);
+  void checkLeadership(base::TimePoint now, net::Outbox& out);
   void askForNews(base::TimePoint now, net::Outbox& out);
+  void considerLeaving(base::TimePoint now, Effects& effects);
   void settle(base::TimePoint now, Effects& effects);
   schema::StateVersion stateVersion() const {
     return publisher_.state() ? publisher_.state()->version : schema::StateVersion{};
@@ -61,11 +66,12 @@
   Tuning tuning_;
   membership::Group group_;
   Replica replica_;
+  LeadershipCheck leadership_;
   feed::Publisher publisher_;
   feed::Subscriber stateSubscriber_, runnerSubscriber_;
   std::uint64_t floorKept_ = 0, notedEpoch_ = 0;
-  bool leaving_ = false;
-  base::TimePoint leftAt_{}, readAt_{};
+  bool leaving_ = false, leftGroup_ = false;
+  base::TimePoint leavingSince_{}, leftAt_{}, readAt_{};
 };
 
 }  // namespace indigohill::control
