--- a/src/membership/group.cpp
+++ b/src/membership/group.cpp
@@ -14,10 +14,12 @@
 constexpr std::uint32_t kReminders = 3;
 // Numbers set aside at each founding. Far more than the views and incarnations of one life of the whole group.
 constexpr std::uint64_t kFoundingBlock = 1u << 20;
+constexpr std::uint32_t kBarDoublings = 3;  // a joiner that never acknowledges waits at most 2^3 times the first time
+constexpr int kBarMemory = 4;               // time-outs after a wait in which a further failure doubles the next
 
 // Over all that a view holds: two daemons that agree on it have the same view.
 std::uint64_t digestOf(const schema::View& view) {
-  std::string text = fmt::format("{} {} {}", view.number, view.epoch, view.lister);
+  std::string text = fmt::format("{} {} {} {}", view.number, view.epoch, view.lister, view.soleEpoch);
   for (const auto& voter : view.voters) text += fmt::format(" {}", voter);
   for (const auto& m : view.members)
     text += fmt::format("\n{} {} {} {} {} {} {} {}", m.id, m.voterId, m.zone, m.role, m.ip, m.port, m.bootId,
@@ -35,6 +37,7 @@
   result.number = changes.number;
   result.epoch = changes.epoch;
   result.lister = changes.lister;
+  result.soleEpoch = changes.soleEpoch;
   result.voters = changes.voters;
   return result;
 }
@@ -68,11 +71,6 @@
   return !voters.empty() && 2 * votersIn(view, voters) > voters.size();
 }
 
-// Over the voters alone, and while voters change over both the view's and those that are to come.
-bool Group::quorate(const schema::View& view) const {
-  return quorum(view, view.voters) && (!view_ || quorum(view, view_->voters));
-}
-
 void Group::setVoters(std::uint64_t epoch, const std::vector<std::string>& voters) {
   if (epoch <= knownEpoch_) return;
   knownEpoch_ = epoch;
@@ -130,7 +128,10 @@
     watchedNow.insert(m->incarnation);
     const auto since = watchedSince_.try_emplace(m->incarnation, now).first->second;
     const auto heard = heardAt_.find(m->incarnation);
-    const auto last = heard == heardAt_.end() ? since : std::max(since, heard->second);
+    auto last = heard == heardAt_.end() ? since : std::max(since, heard->second);
+    // One that is heard and hears nothing (a cut of one direction) could acknowledge no view: it counts as silent too.
+    if (const auto heardBy = heardByAt_.find(m->incarnation); heardBy != heardByAt_.end())
+      last = std::min(last, std::max(since, heardBy->second));
     // Not heard within the time-out: suspected. Heard again: no longer, as long as no proposal rests on it.
     if (now - last > times_.suspect)
       suspected_.insert(m->incarnation);
@@ -143,8 +144,9 @@
 void Group::tick(base::TimePoint now, net::Outbox& out) {
   if (viewlessSince_ == base::TimePoint{}) viewlessSince_ = now;
   std::erase_if(joiners_, [&](const auto& entry) { return now - entry.second.heardAt > 5 * times_.join; });
-  std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(barred_, [&](const auto& entry) { return now >= entry.second.until + kBarMemory * times_.suspect; });
   std::erase_if(contacts_, [&](const auto& entry) { return now - entry.second.heardAt > 2 * times_.suspect; });
+  noteDecidedVoters(now);
   tryDelivery(now);
   if (!view_) {
     // One that holds a proposal with itself in it has been heard; it asks on, more slowly, as the commit may be lost.
@@ -162,7 +164,7 @@
   if (round_) {
     // A founder that does not get everybody's word gives up and starts again with those it still hears.
     if (round_->proposal.founding && now - round_->startedAt > times_.suspect)
-      round_.reset();
+      giveUpFounding(now);
     else if (now - round_->sentAt >= times_.resend)
       propose(now, out);
   }
@@ -177,7 +179,10 @@
   hello.view = view_->number;
   hello.stampMs = base::toMs(now);
   hello.wanted = wanted;
-  if (const auto found = stampOf_.find(to.incarnation); found != stampOf_.end()) hello.echoMs = found->second;
+  if (const auto found = stampOf_.find(to.incarnation); found != stampOf_.end() && (!isVoter() || grantsLeases(now)))
+    hello.echoMs = found->second;
+  if (const auto found = heardStampOf_.find(to.incarnation); found != heardStampOf_.end())
+    hello.heardMs = found->second;
   if (knownEpoch_ > view_->epoch) {
     hello.epoch = knownEpoch_;
     hello.voters = knownVoters_;
@@ -208,17 +213,20 @@
   view.epoch = knownEpoch_;
   view.voters = knownVoters_;
   auto base = floor_;
-  std::string first = self_.voterId;
+  std::int64_t votersBefore = 0;
   for (const auto& [id, joiner] : joiners_) {
     base = std::max(base, joiner.floor);
     // The controllers alone: their few acknowledgements come within moments whatever the size of the fleet, and the
     // routers are taken in together by the first extension.
-    if (joiner.member.role != static_cast<std::uint8_t>(Role::Controller)) continue;
+    if (joiner.member.role != static_cast<std::uint8_t>(Role::Controller) || isBarred(id, now)) continue;
     view.members.push_back(joiner.member);
     const auto& voter = joiner.member.voterId;
-    if (base::contains(knownVoters_, voter)) first = std::min(first, voter);
+    if (base::contains(knownVoters_, voter) && voter < self_.voterId) ++votersBefore;
   }
-  if (!quorum(view, knownVoters_) || first != self_.voterId) return;
+  if (!quorum(view, knownVoters_)) return;
+  // The first founds. One that is heard and hears nothing never does: the next waits a time-out for each before it, in
+  // which it has seen no founding.
+  if (votersBefore > 0 && now - std::max(viewlessSince_, pendingAt_) < votersBefore * times_.suspect) return;
   // When every voter is here there is nobody to wait for. Otherwise one may be about to show itself.
   if (votersIn(view, knownVoters_) < knownVoters_.size() && now - viewlessSince_ < times_.found) return;
   // Voters first, so that the oldest are daemons that keep what must last; then by id, as the paper's ties are broken.
@@ -248,10 +256,29 @@
   for (const auto& m : round_->proposal.result.members)
     if (!in(*view_, m.incarnation) && !round_->acked.contains(m.incarnation)) {
       suspected_.insert(m.incarnation);
-      barred_[m.id] = now + 2 * times_.suspect;
+      bar(m.id, now);
     }
 }
 
+// Each time longer: one that stays deaf would hold up every view that it comes along with.
+void Group::bar(const std::string& id, base::TimePoint now) {
+  auto& entry = barred_[id];
+  entry.until = now + (2 * times_.suspect) * (1 << std::min(entry.times, kBarDoublings));
+  ++entry.times;
+}
+
+bool Group::isBarred(const std::string& id, base::TimePoint now) const {
+  const auto found = barred_.find(id);
+  return found != barred_.end() && now < found->second.until;
+}
+
+// A founding that not everybody acknowledged: the next is without those that did not.
+void Group::giveUpFounding(base::TimePoint now) {
+  for (const auto& member : round_->proposal.result.members)
+    if (!round_->acked.contains(member.incarnation)) bar(member.id, now);
+  round_.reset();
+}
+
 // A commit that was lost would be noticed by the next hello; told again at once, the view is everywhere sooner.
 void Group::remind(base::TimePoint now, net::Outbox& out) {
   if (unshown_.empty() || now - deliveredAt_ < times_.resend || waiting_) return;
@@ -281,22 +308,19 @@
   }
   changed |= knownEpoch_ > result.epoch;
   if (!changed && !joinsAlone) return false;
+  if (knownEpoch_ > result.epoch) takeOver(result);
   auto next = result.number;
   for (const auto& m : result.members) next = std::max(next, m.incarnation);
   for (const auto& [id, joiner] : joiners_) {
     const bool there = std::any_of(result.members.begin(), result.members.end(),
                                    [&](const auto& m) { return m.id == joiner.member.id; });
-    if (there || id == self_.id || barred_.contains(id) || now - joiner.heardAt > 4 * times_.join) continue;
+    if (there || id == self_.id || isBarred(id, now) || now - joiner.heardAt > 4 * times_.join) continue;
     auto m = joiner.member;
     m.incarnation = ++next;
     result.members.push_back(m);
     step.joins.push_back(m);
     changed = true;
   }
-  if (knownEpoch_ > result.epoch) {
-    result.epoch = knownEpoch_;
-    result.voters = knownVoters_;
-  }
   if (!changed) return false;
   // The holder of the duty stays while it is a member. Leaving, it has named its successor; failed, the view (which
   // a majority of voters commits) names the oldest controller.
@@ -367,11 +391,13 @@
   } else {
     proposal.steps.push_back(step);
   }
+  result.soleEpoch = view_->soleEpoch;
+  if (result.epoch > view_->epoch && !quorum(result, view_->voters)) result.soleEpoch = result.epoch;
   // Never proposed without a quorum of voters: on the small side of a cut a proposal would only bind daemons that
   // the other side needs (exception 1).
   proposal.result = result;
-  if (!quorate(result)) {
-    if (round_ && !quorate(round_->proposal.result)) round_.reset();
+  if (!quorum(result, result.voters)) {
+    if (round_ && !quorum(round_->proposal.result, round_->proposal.result.voters)) round_.reset();
     return;
   }
   proposal.base = view_->number;
@@ -417,9 +443,9 @@
 std::optional<schema::ProposeChanges> Group::changesOf(const schema::Propose& proposal) const {
   if (!view_ || proposal.founding || proposal.base != view_->number) return std::nullopt;
   const auto& result = proposal.result;
-  schema::ProposeChanges changes{proposal.base,   viewDigest_,    proposal.round,  proposal.proposer,
-                                 proposal.insist, proposal.steps, result.number,   result.epoch,
-                                 result.lister,   result.voters,  digestOf(result)};
+  schema::ProposeChanges changes{proposal.base,   viewDigest_,      proposal.round, proposal.proposer,
+                                 proposal.insist, proposal.steps,   result.number,  result.epoch,
+                                 result.lister,   result.soleEpoch, result.voters,  digestOf(result)};
   if (digestOf(extended(*view_, changes)) != changes.digest) return std::nullopt;
   return changes;
 }
@@ -433,7 +459,7 @@
   const auto& result = round_->proposal.result;
   for (const auto& m : result.members)
     if (!round_->acked.contains(m.incarnation)) return;
-  if (!quorate(result)) return;
+  if (!quorum(result, result.voters)) return;
   schema::Commit commit;
   commit.result = result;
   commit.flushed = round_->flushed;
@@ -469,10 +495,12 @@
 
 void Group::install(const schema::Commit& commit, base::TimePoint now) {
   const auto& next = commit.result;
+  if (view_) noteDeparted(*view_, next, now);
   view_ = next;
   viewDigest_ = digestOf(next);
   installedAt_ = now;
   if (pending_ && pending_->result.number <= next.number) pending_.reset();
+  std::erase_if(accepted_, [&](const auto& entry) { return entry.first.first <= next.epoch; });
   // A round that extends an older view would be turned away as stale by everybody: it is begun anew.
   if (round_ && round_->proposal.base < next.number) round_.reset();
   floor_ = std::max(floor_, next.number);
@@ -480,10 +508,13 @@
     knownEpoch_ = next.epoch;
     knownVoters_ = next.voters;
   }
+  noteDecidedVoters(now);
   const auto absent = [&](const auto& entry) { return !in(next, entry.first); };
   std::erase_if(heardAt_, absent);
   std::erase_if(stampOf_, absent);
   std::erase_if(echoAt_, absent);
+  std::erase_if(heardStampOf_, absent);
+  std::erase_if(heardByAt_, absent);
   std::erase_if(suspected_, [&](auto i) { return !in(next, i); });
   std::erase_if(leaving_, [&](auto i) { return !in(next, i); });
   for (const auto& m : next.members) {
@@ -512,6 +543,8 @@
   heardAt_.clear();
   stampOf_.clear();
   echoAt_.clear();
+  heardStampOf_.clear();
+  heardByAt_.clear();
   suspected_.clear();
   leaving_.clear();
   watchedSince_.clear();
@@ -524,28 +557,6 @@
   delivered_.push_back({std::nullopt});
 }
 
-// The lease: a majority of the voters has shown, after this daemon's own stamp, a view that holds this daemon.
-void Group::renewLease(base::TimePoint now) {
-  if (!view_) {
-    leaseUntil_ = {};
-    return;
-  }
-  std::vector<base::TimePoint> echoes;
-  for (const auto& voter : view_->voters) {
-    if (voter == self_.voterId) {
-      echoes.push_back(now);
-      continue;
-    }
-    const auto* m = member(voter);
-    if (m == nullptr) continue;
-    if (const auto echo = echoAt_.find(m->incarnation); echo != echoAt_.end()) echoes.push_back(echo->second);
-  }
-  const auto majority = view_->voters.size() / 2 + 1;
-  if (echoes.size() < majority) return;
-  std::sort(echoes.rbegin(), echoes.rend());
-  leaseUntil_ = std::max(leaseUntil_, echoes[majority - 1] + times_.lease);
-}
-
 void Group::receive(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
                     net::Outbox& out) {
   std::visit(
@@ -555,6 +566,15 @@
       message);
 }
 
+// What the sender has heard of this daemon, and what is to be told of that in return.
+void Group::noteHeardBy(const schema::Heartbeat& heartbeat, base::TimePoint now) {
+  heardStampOf_[heartbeat.incarnation] = std::max(heardStampOf_[heartbeat.incarnation], heartbeat.stampMs);
+  const base::TimePoint heard{base::Millis(heartbeat.heardMs)};
+  if (heartbeat.heardMs == 0 || heard > now) return;
+  auto& newest = heardByAt_[heartbeat.incarnation];
+  newest = std::max(newest, heard);
+}
+
 void Group::on(const schema::Heartbeat& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out) {
   if (!view_) {
     // The view that this daemon has acknowledged is in place at others: its own commit was lost.
@@ -584,6 +604,7 @@
     return;
   }
   heardAt_[m.incarnation] = now;
+  noteHeardBy(m, now);
   if (m.view >= view_->number) unshown_.erase(m.incarnation);
   if (m.view < view_->number) {
     // Stale: rejected, and the newer view is sent again.
@@ -664,6 +685,8 @@
     return;
   }
   if (view_ && stale(m.base, m.result.number, m.proposer, from, now, out)) return;
+  // One that was overtaken by a larger extension of the same manager.
+  if (pending_ && pending_->proposer == m.proposer && m.result.number < pending_->result.number && !m.insist) return;
   if (pending_ && pending_->round != m.round && !m.insist) {
     schema::Nack nack;
     nack.round = m.round;
@@ -701,6 +724,7 @@
   if (sender == nullptr || sender->bootId != m.bootId) return;
   round_->acked.insert(m.incarnation);
   round_->ackedAt = now;
+  heardByAt_[m.incarnation] = now;
   heardAt_[m.incarnation] = now;
   if (m.held > round_->flushed) {
     round_->flushed = m.held;
@@ -714,19 +738,20 @@
   const auto* sender = find(round_->proposal.result, m.incarnation);
   if (sender == nullptr) return;
   heardAt_[m.incarnation] = now;
-  const bool senderVotes = base::contains(view_->voters, sender->voterId);
+  const auto& voters = round_->proposal.result.voters;
+  const bool senderVotes = base::contains(voters, sender->voterId);
   auto trial = round_->proposal.result;
   std::erase_if(trial.members, [&](const auto& member) { return base::contains(m.faults, member.incarnation); });
   const bool namesMe = !in(trial, incarnation_);
-  if (!senderVotes && (namesMe || !quorate(trial))) {
+  if (!senderVotes && (namesMe || !quorum(trial, trial.voters))) {
     // The missing events come from a manager on the small side of a cut: with them no quorum would be left. Once a
     // majority of the voters has acknowledged without them they cannot have been committed, and the members that are
     // no voters are told to let them go.
     std::size_t acked = 0;
-    for (const auto& voter : view_->voters)
+    for (const auto& voter : voters)
       for (const auto& member : round_->proposal.result.members)
         acked += member.voterId == voter && round_->acked.contains(member.incarnation);
-    if (2 * acked > view_->voters.size() && !round_->proposal.insist) {
+    if (2 * acked > voters.size() && !round_->proposal.insist) {
       round_->proposal.insist = true;
       propose(now, out);
     }
--- a/src/membership/group.hpp
+++ b/src/membership/group.hpp
@@ -20,6 +20,7 @@
   base::Millis hello{500};
   base::Millis suspect{2000};
   base::Millis lease{1500};
+  base::Millis handover{1000};  // how long a voter goes on with a view whose voters are being exchanged
   base::Millis join{250};
   base::Millis found{800};
   base::Millis resend{200};
@@ -49,6 +50,9 @@
 
   // Voters as the control state knows them; the view takes them over by an extension of its own.
   void setVoters(std::uint64_t epoch, const std::vector<std::string>& voters);
+  // This voter has accepted a record, which may have been decided: from then on it renews leases under views of older
+  // epochs and other voters only for the time of a handover. Records that were on disk at the start count from ever.
+  void setAccepted(const schema::EpochRecord& record, base::TimePoint since);
   // The newest news this daemon holds, for the flush before a failure view.
   void setHeld(const schema::StateVersion& held) { held_ = held; }
   void setSeeds(std::vector<settings::Endpoint> seeds) { seeds_ = std::move(seeds); }
@@ -101,7 +105,6 @@
   static const schema::Member* find(const schema::View& view, std::uint64_t incarnation);
   static std::size_t votersIn(const schema::View& view, const std::vector<std::string>& voters);
   static bool quorum(const schema::View& view, const std::vector<std::string>& voters);
-  bool quorate(const schema::View& view) const;
   settings::Endpoint addressOf(const schema::Member& m) const { return {m.ip, m.port}; }
   std::vector<const schema::Member*> watched() const;
   bool watchesAll() const;
@@ -111,7 +114,8 @@
   void sendHello(const schema::Member& to, bool wanted, base::TimePoint now, net::Outbox& out);
   void sendJoin(base::TimePoint now, net::Outbox& out);
   bool isVoter() const;
-  std::vector<settings::Endpoint> missingSeeds() const;
+  std::vector<settings::Endpoint> missingDaemons(base::TimePoint now);
+  void noteDeparted(const schema::View& before, const schema::View& next, base::TimePoint now);
   void announce(base::TimePoint now, net::Outbox& out);
   void passContactsOn(const settings::Endpoint& to, net::Outbox& out) const;
   void rememberContact(const settings::Endpoint& address, bool announcedItself, base::TimePoint now);
@@ -122,6 +126,10 @@
   void rebase(const schema::Propose& old, schema::Propose& proposal) const;
   bool extend(schema::View& result, schema::ViewChange& step, bool joinsAlone, base::TimePoint now) const;
   void dropSilentJoiners(base::TimePoint now);
+  void bar(const std::string& id, base::TimePoint now);
+  bool isBarred(const std::string& id, base::TimePoint now) const;
+  void giveUpFounding(base::TimePoint now);
+  void noteHeardBy(const schema::Heartbeat& heartbeat, base::TimePoint now);
   void remind(base::TimePoint now, net::Outbox& out);
   std::optional<schema::ProposeChanges> changesOf(const schema::Propose& proposal) const;
   bool stale(std::uint64_t base, std::uint64_t number, std::uint64_t proposer, const settings::Endpoint& from,
@@ -134,6 +142,9 @@
   void install(const schema::Commit& commit, base::TimePoint now);
   void die(const char* why, base::TimePoint now);
   void renewLease(base::TimePoint now);
+  bool grantsLeases(base::TimePoint now) const;
+  void noteDecidedVoters(base::TimePoint now);
+  void takeOver(schema::View& result) const;
 
   void on(const schema::Heartbeat& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
   void on(const schema::Join& m, const settings::Endpoint& from, base::TimePoint now, net::Outbox& out);
@@ -157,6 +168,10 @@
   std::uint64_t floor_ = 0;
   std::uint64_t knownEpoch_ = 0;
   std::vector<std::string> knownVoters_;
+  // When this daemon first knew, in this life, that a record with the voters in knownVoters_ was decided.
+  base::TimePoint decidedSince_{};
+  std::vector<std::string> decidedVoters_;
+  std::map<std::pair<std::uint64_t, std::vector<std::string>>, base::TimePoint> accepted_;  // since when
   schema::StateVersion held_;
 
   std::optional<schema::View> view_;
@@ -176,9 +191,18 @@
   std::set<std::uint64_t> leaving_;
   std::uint64_t successor_ = 0;
   std::map<std::string, Joiner> joiners_;
-  std::map<std::string, base::TimePoint> barred_;  // joiners that did not acknowledge, until when they wait
+  // Daemons that did not acknowledge a view that was to take them in: how often, and until when they wait.
+  struct Bar {
+    std::uint32_t times = 0;
+    base::TimePoint until;
+  };
+  std::map<std::string, Bar> barred_;
+  std::map<std::uint64_t, std::int64_t> heardStampOf_;  // the newest stamp of each member, under whatever view
+  std::map<std::uint64_t, base::TimePoint> heardByAt_;  // this daemon's own stamp that each member heard last
   std::vector<settings::Endpoint> lastKnown_;
   std::map<settings::Endpoint, Contact> contacts_;
+  std::map<settings::Endpoint, base::TimePoint> departedAt_;  // addresses of failed members, and when they failed
+  settings::Endpoint lastDepartedTold_;
   std::vector<Delivered> delivered_;
   base::TimePoint leaseUntil_{}, helloAt_{}, joinAt_{}, viewlessSince_{}, pendingAt_{};
   base::TimePoint installedAt_{}, announcedAt_{}, soughtAt_{};
