Simulator: check every confirmation against what was acknowledged

Answers to polls carry an age in place of a flag. The world compares each with the acknowledgements: at the moment that the age names, nothing newer may have been acknowledged. That takes the place of 'a controller that was cut off for longer than a lease confirms nothing', which looked at cut-off controllers alone.

--- a/src/feed/publisher.cpp
+++ b/src/feed/publisher.cpp
@@ -277,7 +277,6 @@
 }
 
 std::optional<base::TimePoint> Subscriber::receive(const schema::Update& news, base::TimePoint now) {
-  answeredAt_ = now;  // also when unasked: somebody is up, so polls are held and must be waited for
   while (!recent_.empty() && now - recent_.front().sentAt > 2 * times_.again) recent_.pop_front();
   const auto poll =
       std::find_if(recent_.begin(), recent_.end(), [&](const SentPoll& sent) { return sent.token == news.token; });
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -18,8 +18,6 @@
 // Stands for the token of a write whose failure was reported already.
 constexpr std::uint64_t kToldBefore = ~0ULL;
 constexpr std::size_t kSeeds = 3;  // machines that a settings file names
-// A lease, and the age that what was confirmed before may have on the wire.
-constexpr Millis kIsolationSlack{500};
 
 // What makes two views the same.
 std::string content(const schema::View& view) {
@@ -192,7 +190,7 @@
   startCommit(i);
   for (const auto& answer : effects.answers) takeAnswer(i, answer);
   trace(i, effects.notes);
-  checkIsolated(i, effects.out);
+  checkConfirmations(i, effects.out);
   deliver(i, std::move(effects.out));
 }
 
@@ -243,13 +241,17 @@
   });
 }
 
-// Cut off for longer than a lease, a controller confirms nothing to those that poll it.
-void World::checkIsolated(std::size_t i, const net::Outbox& out) {
-  const auto& n = *nodes_[i];
-  if (!n.isolatedSince || now_ <= *n.isolatedSince + membership::Times{}.lease + kIsolationSlack) return;
-  for (const auto& item : out)
-    if (const auto* update = std::get_if<schema::Update>(&item.message); update != nullptr && update->confirmed)
-      breakRule(n.name + " confirms its configuration, cut off for longer than a lease");
+// Whatever state an answer to a poll brings: at the moment that its age names, nothing newer had been acknowledged.
+void World::checkConfirmations(std::size_t i, const net::Outbox& out) {
+  for (const auto& item : out) {
+    const auto* update = std::get_if<schema::Update>(&item.message);
+    if (update == nullptr || update->stateAgeMs >= feed::kUnknownAgeMs) continue;
+    const auto confirmedAt = now_ - Millis(update->stateAgeMs);
+    const auto newest = std::find_if(acknowledged_.begin(), acknowledged_.end(),
+                                     [&](const Acknowledged& entry) { return entry.at < confirmedAt; });
+    if (newest != acknowledged_.end() && update->stateVersion < newest->version)
+      breakRule(nodes_[i]->name + " confirms an older configuration than one acknowledged before");
+  }
 }
 
 std::vector<std::size_t> World::controlNodes() const {
@@ -572,6 +574,7 @@
     breakRule("acknowledged by a controller that shows no state");
     return;
   }
+  acknowledged_.push_front({now_, state->version});
   if (durable_.contains(state->version)) return;
   const auto copies = copiesOf(state->version);
   if (copies < losses() + 1) breakRule(fmt::format("{} acknowledged with {} copies on disk", nodes_[i]->name, copies));
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -155,7 +156,12 @@
   void takeAnswer(std::size_t i, const control::Answer& answer);
   void closeCall(std::uint64_t number);
   void noteIsolation();
-  void checkIsolated(std::size_t i, const net::Outbox& out);
+  struct Acknowledged {
+    base::TimePoint at;
+    schema::StateVersion version;
+  };
+  std::deque<Acknowledged> acknowledged_;  // the newest first
+  void checkConfirmations(std::size_t i, const net::Outbox& out);
   void onNode(std::size_t i, std::uint64_t life, Input input, std::function<void()> what);
   void tickLoop(std::size_t i, std::uint64_t life);
   void trace(std::size_t i,
