--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -169,7 +169,7 @@
 }
 
 Test(codec, what_is_spoilt_is_dropped) {
-  schema::Heartbeat hello{7, 8, 9, 10, true, 11, {"a", "b"}};
+  schema::Heartbeat hello{7, 8, 9, 10, 12, true, 11, {"a", "b"}};
   const auto bytes = net::encode(hello);
   auto back = net::decode(bytes);
   cr_assert(base::errorIn(back) == nullptr);
