Proxy: match each runner's answer to its request, whatever came before it

Cause: an answer without an id was taken for the request's own also on a connection that had carried others, so a late refusal without an id made a request that may run once be sent to a second runner, and a late failure without an id went to the wrong client. Heads that run together (an answer cut off in its head, the next one behind it) passed as one answer, with the seal of one and the status of the other. The time limits of a runner's connection ran on another thread than the request with several workers and could close a descriptor in use (found by reading; no test shows it).

Change: one check says whose an answer is (answer_head); an id is wanted on every connection that has carried another request. 1xx answers are read past. A refusal that comes before the whole request was sent is heeded. Time limits run on the request's strand. Answers to HEAD and 204/304 have no body, fields behind a chunked body are dropped, a request with two ids is refused, a resumed stream must go on behind the last event, nothing is drawn from the retry budget after the deadline.

--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,7 +7,7 @@
 namespace indigohill::http {
 
 // A small server for the system's own calls: readiness, operators, the cohort's larger messages. Traffic has its own
-// path in src/pass.
+// path in src/proxy.
 class Server {
  public:
   struct Limits {
--- /dev/null
+++ b/src/proxy/answer_head.cpp
@@ -0,0 +1,49 @@
+#include "proxy/answer_head.hpp"
+
+namespace indigohill::proxy {
+
+namespace wire = http::wire;
+
+namespace {
+
+constexpr const char* kAttemptId = "Indigohill-Attempt-Id";
+constexpr const char* kSeal = "Indigohill-Response-Seal";
+
+std::string_view view(http::beast::string_view text) { return {text.data(), text.size()}; }
+
+// Whether a status line stands within the text, as where one answer was cut off and the next one follows.
+bool holdsStatusLine(std::string_view text) {
+  static constexpr std::string_view version = "HTTP/1.";
+  const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+  for (auto at = text.find(version); at != std::string_view::npos; at = text.find(version, at + 1)) {
+    const auto rest = text.substr(at + version.size());
+    if (rest.size() >= 3 && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2])) return true;
+  }
+  return false;
+}
+
+bool isMalformed(const wire::response_header<>& head) {
+  if (head.count(kAttemptId) > 1 || head.count(kSeal) > 1) return true;
+  const auto transfer = head.equal_range(wire::field::transfer_encoding);
+  if (transfer.first != transfer.second &&
+      (std::next(transfer.first) != transfer.second || !http::beast::iequals(transfer.first->value(), "chunked")))
+    return true;
+  if (holdsStatusLine(view(head.reason()))) return true;
+  for (const auto& field : head)
+    if (holdsStatusLine(view(field.value()))) return true;
+  return false;
+}
+
+}  // namespace
+
+AnswerOwner ownerOfAnswer(const wire::response_header<>& head, std::string_view attemptId, bool mayHoldOthers) {
+  if (isMalformed(head)) return AnswerOwner::Malformed;
+  const auto status = head.result_int();
+  if (status >= 100 && status < 200)
+    return head.result() == wire::status::switching_protocols ? AnswerOwner::Malformed : AnswerOwner::Interim;
+  const auto echoed = view(head[kAttemptId]);
+  if (echoed.empty()) return mayHoldOthers ? AnswerOwner::Unknown : AnswerOwner::ThisRequest;
+  return echoed == attemptId ? AnswerOwner::ThisRequest : AnswerOwner::OtherRequest;
+}
+
+}  // namespace indigohill::proxy
--- /dev/null
+++ b/src/proxy/answer_head.hpp
@@ -0,0 +1,24 @@
+#pragma once
+#include <string_view>
+
+#include "http/types.hpp"
+
+// Which request an answer on a runner's connection belongs to.
+//
+// A runner in trouble may send bytes behind a whole answer, cut an answer off, or answer late. Such bytes may arrive
+// after a connection was taken from the pool and before, or while, the next request is sent on it; they then stand
+// where that request's answer is expected. The echo of the attempt id tells them from it.
+namespace indigohill::proxy {
+
+enum class AnswerOwner {
+  Interim,       // a 1xx answer: the final one follows
+  ThisRequest,   // echoes the id of the request, or stands first on a fresh connection and names none
+  OtherRequest,  // echoes another id
+  Unknown,       // names no id although the connection has carried other answers
+  Malformed      // no head that a runner would write: repeated or contradictory fields, or two heads run together
+};
+
+// `mayHoldOthers`: the connection has carried another request, or another request's answer.
+AnswerOwner ownerOfAnswer(const http::wire::response_header<>& head, std::string_view attemptId, bool mayHoldOthers);
+
+}  // namespace indigohill::proxy
--- a/src/proxy/events.cpp
+++ b/src/proxy/events.cpp
@@ -1,6 +1,8 @@
 #include "proxy/events.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace indigohill::proxy {
 
@@ -14,8 +16,28 @@
   if (crlf != std::string_view::npos) end = std::max(end, crlf + 4);
   return end;
 }
+// The end of the first event.
+std::size_t firstEnd(std::string_view text) {
+  const auto lf = text.find("\n\n");
+  const auto crlf = text.find("\r\n\r\n");
+  return std::min(lf == std::string_view::npos ? text.size() : lf + 2,
+                  crlf == std::string_view::npos ? text.size() : crlf + 4);
+}
+std::optional<std::uint64_t> eventNumber(std::string_view id) {
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), number);
+  if (error != std::errc{} || end != id.data() + id.size()) return std::nullopt;
+  return number;
+}
 }  // namespace
 
+bool goesOnBehind(std::string_view events, const std::string& lastId) {
+  EventCutter first;
+  first.take(events.substr(0, firstEnd(events)));
+  const auto before = eventNumber(lastId), next = eventNumber(first.lastId());
+  return !before || !next || *next > *before;
+}
+
 std::string EventCutter::take(std::string_view bytes) {
   rest_.append(bytes);
   const auto end = lastEnd(rest_);
--- a/src/proxy/events.hpp
+++ b/src/proxy/events.hpp
@@ -25,4 +25,7 @@
   std::string rest_, lastId_;
 };
 
+// Whether the first of these events may follow the one of that id: ids that are numbers rise.
+bool goesOnBehind(std::string_view events, const std::string& lastId);
+
 }  // namespace indigohill::proxy
--- a/src/proxy/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -10,6 +10,8 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "proxy/answer_head.hpp"
+#include "proxy/socket_timer.hpp"
 #include "rollout/versions.hpp"
 
 namespace indigohill::proxy {
@@ -39,6 +41,7 @@
 
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr std::size_t kEventMost = 1u << 20;
+constexpr int kInterimMost = 16;  // 1xx answers before a final one
 constexpr Millis kRunnerIdle{60000};
 constexpr Millis kSilenceLook{100};
 constexpr Millis kAimUnknown{1000};
@@ -177,7 +180,8 @@
       if (!state->repeatable) return;
       if (state->table.suspended(state->instanceId, now)) {
         state->tookAway = true;
-        state->connection->stream.cancel();
+        boost::system::error_code ignored;
+        state->connection->stream.socket().close(ignored);
       } else {
         wait(state, kSilenceLook);
       }
@@ -186,6 +190,27 @@
   std::shared_ptr<State> state_;
 };
 
+// The parser adds the fields that follow a chunked body to those of the head, after the head was checked. Nothing that
+// stands there is passed on, so it can change neither the length, the id nor the host of a request.
+class TrailerFilter {
+ public:
+  explicit TrailerFilter(const wire::request_parser<wire::string_body>& parser) {
+    if (!parser.chunked()) return;
+    for (const auto& field : parser.get()) head_.push_back(&field);
+  }
+  void remove(wire::request_parser<wire::string_body>& parser) const {
+    if (!parser.chunked()) return;
+    auto& fields = parser.get();
+    for (auto field = fields.begin(); field != fields.end();) {
+      const bool isOfHead = std::find(head_.begin(), head_.end(), &*field) != head_.end();
+      field = isOfHead ? std::next(field) : fields.erase(field);
+    }
+  }
+
+ private:
+  std::vector<const wire::fields::value_type*> head_;
+};
+
 // Reads an answer to its end without keeping it; false if it breaks off.
 asio::awaitable<bool> skipBody(Connection& connection, wire::response_parser<wire::buffer_body>& parser) {
   std::array<char, 4096> waste;
@@ -333,11 +358,16 @@
       co_await simple(400, "one Host is wanted");
       break;
     }
+    if (head.count(kAttemptId) > 1) {
+      co_await simple(400, "one attempt id is wanted");
+      break;
+    }
     if (beast::iequals(head[wire::field::expect], "100-continue")) {
       static constexpr std::string_view go = "HTTP/1.1 100 Continue\r\n\r\n";
       co_await asio::async_write(client, asio::buffer(go), http::kTuple);
     }
     if (!parser.is_done()) {
+      const TrailerFilter trailers(parser);
       const Bound bound(client, std::max(limits.headerTimeout, limits.idleTimeout));
       auto [error, bytes] = co_await wire::async_read(client, buffer, parser, http::kTuple);
       if (error) {
@@ -349,6 +379,7 @@
           co_await simple(400, "the body is not HTTP: " + error.message());
         break;
       }
+      trailers.remove(parser);
     }
     auto request = parser.release();
     ++counters_.requests;
@@ -376,6 +407,8 @@
   out.keep_alive(keepAlive(x.request));
   out.body() = std::move(body);
   out.prepare_payload();
+  // An answer to HEAD tells the length of a body that does not follow.
+  if (x.request.method() == wire::verb::head) out.body().clear();
   x.client.expires_after(Millis(5000));
   auto [error, bytes] = co_await wire::async_write(x.client, out, http::kTuple);
   co_return !error && out.keep_alive();
@@ -416,7 +449,8 @@
 
   // The client's time, capped by what the operator wants a request held.
   x.deadline = arrivedAt + std::min(route->timeout, told);
-  x.stream = route->type == control::RouteType::Streaming && request.version() >= 11;
+  x.stream =
+      route->type == control::RouteType::Streaming && request.version() >= 11 && request.method() != wire::verb::head;
   x.resumeFrom = std::string(request[kLastEventId]);
 
   routing::RoutingPolicy conduct(table_, *route, x.attemptId, arrivedAt, x.deadline);
@@ -522,47 +556,51 @@
   }
   auto connection = std::get<0>(std::move(taken));
   auto& stream = connection->stream;
-  stream.expires_at(x.deadline);
+  const auto strand = co_await asio::this_coro::executor;
+  SocketTimer deadline(strand, stream.socket(), x.deadline);
   const auto left = std::chrono::duration_cast<Millis>(x.deadline - base::Clock::now());
   if (left.count() <= 0) co_return Outcome{End::Fault, Verdict::NotRun, "out of time"};
   const auto outgoing = forRunner(x.request, to.instanceId, left, x.resumeFrom, x.expected);
   // A reset on a reused connection before any byte of an answer: the runner had forgotten it, which is no fault of its
   // health. Whether it has read the request is not known all the same.
   const auto failed = [&](const boost::system::error_code& error, bool answered) {
-    if (connection->reused && !answered && error != beast::error::timeout)
+    if (deadline.expired()) return;
+    if (connection->reused && !answered && error != asio::error::operation_aborted)
       pool_.reused(x.service, *connection, true);
     else
       table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
   };
   auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
-  if (writeError) {
-    failed(writeError, false);
+  // A runner may have turned the request away before all of it was sent, and closed: its answer is still to be read.
+  if (writeError && deadline.expired())
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "sending: " + writeError.message()};
-  }
 
   const auto aim = x.route.targetLatency.count() > 0 ? x.route.targetLatency : kAimUnknown;
-  SilenceWatch watch(co_await asio::this_coro::executor, table_, to.instanceId, *connection, aim,
+  SilenceWatch watch(strand, table_, to.instanceId, *connection, aim,
                      x.route.repeatable() && (!x.started || !x.resumeFrom.empty()));
   std::unique_ptr<wire::response_parser<wire::buffer_body>> parser;
   bool strayed = false;
-  for (;;) {
+  for (int interim = 0;;) {
     parser = std::make_unique<wire::response_parser<wire::buffer_body>>();
     parser->body_limit(boost::none);
     if (x.request.method() == wire::verb::head) parser->skip(true);
     auto [error, bytes] = co_await wire::async_read_header(stream, connection->buffer, *parser, http::kTuple);
     if (error) {
       if (watch.tookAway()) co_return Outcome{End::Fault, Verdict::MayHaveRun, "silent, and held to be ill"};
-      if (error != beast::error::timeout) failed(error, bytes > 0 || connection->buffer.size() > 0);
-      co_return Outcome{End::Fault, Verdict::MayHaveRun, "waiting for the answer: " + error.message()};
+      failed(error, bytes > 0 || connection->buffer.size() > 0);
+      co_return Outcome{End::Fault, Verdict::MayHaveRun,
+                        writeError ? "sending: " + writeError.message() : "waiting for the answer: " + error.message()};
     }
-    const auto echoed = parser->get()[kAttemptId];
-    if (echoed.empty() || view(echoed) == x.attemptId) break;
+    const auto owner = ownerOfAnswer(parser->get(), x.attemptId, connection->reused || strayed);
+    if (owner == AnswerOwner::ThisRequest) break;
+    if (owner == AnswerOwner::Interim && ++interim <= kInterimMost) continue;
     // The late answer to another request, in the place of this one's: read past once; the connection is not used
     // again afterwards.
-    if (strayed) co_return Outcome{End::Fault, Verdict::MayHaveRun, "answers of other requests"};
-    strayed = true;
-    if (!co_await skipBody(*connection, *parser))
-      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the answer of another request breaks off"};
+    const bool first = owner == AnswerOwner::OtherRequest && !std::exchange(strayed, true);
+    if (!first || !co_await skipBody(*connection, *parser)) {
+      table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "no answer to this request"};
+    }
   }
   watch.end();
   if (connection->reused) pool_.reused(x.service, *connection, false);
@@ -587,7 +625,11 @@
   const bool echoes = view(head[kAttemptId]) == x.attemptId && !x.attemptId.empty();
   Outcome outcome;
   const auto idle = idleOf(head);
-  const bool reusable = head.keep_alive();
+  const bool reusable = head.keep_alive() && !strayed && !writeError;
+  if (writeError && !notRun) {
+    failed(writeError, true);
+    co_return Outcome{End::Fault, Verdict::MayHaveRun, "sending: " + writeError.message()};
+  }
   if (notRun) {
     // One that has other weights by now is well, so it is no evidence of illness. What a client alone wished for tells
     // nothing about the runner's entry in the list.
@@ -596,7 +638,7 @@
     if (otherWeights && x.expected == to.expectedVersion) table_.turnedAway(to.instanceId, base::Clock::now());
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
     if (!co_await skipBody(*connection, *parser)) co_return outcome;
-  } else if (status < 200 || (status < 300 && (!echoes || head.count(kSeal) == 0))) {
+  } else if (status < 300 && (!echoes || head.count(kSeal) == 0)) {
     table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
     co_return Outcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
   } else if (otherVersion && status < 300) {
@@ -624,8 +666,11 @@
                         outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
   else if (outcome.end == End::Fault && now < x.deadline)
     table_.mark(to.instanceId, routing::Mark::Fault, now);
-  if ((outcome.end == End::Answered || outcome.end == End::Refused) && reusable && !strayed && parser->is_done())
+  const bool ended = outcome.end == End::Answered || outcome.end == End::Refused;
+  if (ended && reusable && parser->is_done() && !deadline.expired()) {
+    deadline.stop();
     pool_.giveBack(to.instanceId, std::move(connection), idle);
+  }
   co_return outcome;
 }
 
@@ -665,10 +710,9 @@
       co_return Outcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
   }
   out.keep_alive(keepAlive(x.request));
-  if (x.request.method() == wire::verb::head)
-    out.content_length(boost::none);
-  else
-    out.prepare_payload();
+  const bool bodiless = x.request.method() == wire::verb::head || out.result() == wire::status::no_content ||
+                        out.result() == wire::status::not_modified;
+  if (!bodiless) out.prepare_payload();
   // A failure of the runner's own has run. What may run again is tried elsewhere, and this answer kept for the case
   // that nobody does better.
   if (status >= 500 && x.route.repeatable()) {
@@ -722,6 +766,8 @@
     return allowed;
   };
   std::array<char, 16384> part;
+  const bool goesOn = x.started;
+  bool firstEvents = true;
   // An empty body is whole with its head.
   if (parser.is_done() && !co_await pass({}, true)) co_return Outcome{End::ClientGone, Verdict::Ran, {}};
   while (!parser.is_done()) {
@@ -731,6 +777,11 @@
     const std::size_t got = part.size() - parser.get().body().size;
     const auto idBefore = x.events.lastId();
     auto whole = x.events.take({part.data(), got});
+    // A runner that does not go on behind the last event would repeat what the client has.
+    if (!whole.empty() && std::exchange(firstEvents, false) && goesOn && !goesOnBehind(whole, idBefore)) {
+      x.events.passedOnly(idBefore, {});
+      co_return Outcome{End::Fault, Verdict::MayHaveRun, "the stream does not go on where it was broken off"};
+    }
     if (const auto change = rollout::forbiddenChange(whole, x.version, may)) {
       // What came before the change is of one version and is passed on; from there on another runner of that version
       // may take the stream up, else it ends visibly.
--- a/src/proxy/pool.cpp
+++ b/src/proxy/pool.cpp
@@ -1,5 +1,7 @@
 #include "proxy/pool.hpp"
 
+#include "proxy/socket_timer.hpp"
+
 namespace indigohill::proxy {
 
 namespace asio = http::asio;
@@ -82,8 +84,10 @@
   if (auto idle = takeIdle(service, instanceId, repeatable)) co_return idle;
   auto connection = std::make_unique<Connection>(executor_);
   ++opened_;
-  connection->stream.expires_at(std::min(deadline, base::Clock::now() + kConnect));
+  SocketTimer timer(co_await asio::this_coro::executor, connection->stream.socket(),
+                    std::min(deadline, base::Clock::now() + kConnect));
   auto [error] = co_await connection->stream.async_connect(http::tcpEndpoint(address), http::kTuple);
+  if (timer.expired()) co_return base::Error{base::Verdict::NotRun, "connecting: no answer in time"};
   if (error) co_return base::Error{base::Verdict::NotRun, "connecting: " + error.message()};
   http::tune(connection->stream.socket(), kSilent);
   co_return connection;
@@ -91,7 +95,6 @@
 
 void Pool::giveBack(const std::string& instanceId, std::unique_ptr<Connection> connection, base::Millis idle) {
   if (connection->buffer.size() != 0) return;
-  connection->stream.expires_never();
   connection->idleSince = base::Clock::now();
   connection->idleUntil = connection->idleSince + idle;
   const std::lock_guard lock(mutex_);
--- a/src/routing/routing_policy.cpp
+++ b/src/routing/routing_policy.cpp
@@ -39,7 +39,8 @@
     if (!route_.repeatable()) return false;
   }
   if (started && !(route_.resumable && resumable)) return false;
-  return asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
+  // Nothing is sent after the deadline, so nothing is drawn from the budget either.
+  return now < asked_.deadline && asked_.tries < route_.maxAttempts && table_.drawRetry(asked_.service, now);
 }
 
 bool RoutingPolicy::unreached(const base::Error& fault, base::TimePoint now) {
--- a/src/routing/table.hpp
+++ b/src/routing/table.hpp
@@ -22,7 +22,7 @@
 #include "schema/messages.hpp"
 #include "settings/settings.hpp"
 
-// Where a request goes. The Decision is asked; the executor (src/pass) obeys. No I/O, the time is an argument.
+// Where a request goes. The Decision is asked; the executor (src/proxy) obeys. No I/O, the time is an argument.
 namespace indigohill::routing {
 
 // What traffic reads of the control side: one immutable value, folded from the journal of news and views.
--- a/tests/test_pass.cpp
+++ b/tests/test_proxy.cpp
@@ -1,198 +1,23 @@
 // The path of a request against stand-ins for clients and runners, over loopback sockets. The stand-ins write their
 // answers byte by byte as they like, so that a runner's misbehaviour can be played. Nothing here depends on how long
 // something takes: each exchange ends by its own bytes or by a bound of the configuration.
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/write.hpp>
-#include <deque>
-#include <future>
-#include <thread>
-
 #include <spdlog/sinks/ostream_sink.h>
-#include "documents.hpp"
-#include "http/server.hpp"
-#include "membership/group.hpp"
-#include "proxy/executor.hpp"
 #include "replay/recording.hpp"
-#include "routing/table.hpp"
 #include "runners/reader.hpp"
+#include "standins.hpp"
 // Criterion's macros get in the way of Boost's headers, so it comes last.
 #include <criterion/criterion.h>
 
 using namespace indigohill;
-using base::Millis;
-namespace asio = http::asio;
-using http::tcp;
+using namespace indigohill::tests;
+using Runner = ScriptedRunner;
+using Then = RunnerReply::Then;
 
 namespace {
 
-constexpr const char* kSeal = "Indigohill-Response-Seal: s.1\r\n";
-
-// A runner that answers the n-th request it gets with the n-th script (the last for all further ones) and keeps what
-// it was sent. A script gives the bytes to write; an empty one closes without a word.
-struct Runner {
-  bool forgets = false;  // every connection that has carried a request: whatever comes on it next is reset
-  struct Step {
-    std::string bytes;
-    bool close = false;
-  };
-  using Script = std::function<Step(const http::Request&)>;
-
-  explicit Runner(std::vector<Script> scripts)
-      : scripts(std::move(scripts)), acceptor(http::listen(io.get_executor(), {0x7f000001, 0}, "runner")) {
-    asio::co_spawn(io, accept(), asio::detached);
-    thread = std::thread([this] { io.run(); });
-  }
-  ~Runner() {
-    io.stop();
-    thread.join();
-  }
-  std::uint16_t port() { return acceptor.local_endpoint().port(); }
-  // From now on nobody listens at its port.
-  void close() {
-    std::promise<void> done;
-    asio::post(io, [&] {
-      acceptor.close();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-  std::size_t count() {
-    const std::lock_guard lock(mutex);
-    return seen.size();
-  }
-  http::Request request(std::size_t i) {
-    const std::lock_guard lock(mutex);
-    return seen.at(i);
-  }
-
-  asio::awaitable<void> accept() {
-    for (;;) {
-      auto [error, socket] = co_await acceptor.async_accept(http::kTuple);
-      if (error) co_return;
-      {
-        const std::lock_guard lock(mutex);
-        ++connections;
-      }
-      asio::co_spawn(io, serve(std::move(socket)), asio::detached);
-    }
-  }
-  asio::awaitable<void> serve(tcp::socket socket) {
-    http::beast::flat_buffer buffer;
-    bool served = false;
-    for (;;) {
-      http::Request request;
-      auto [error, n] = co_await http::wire::async_read(socket, buffer, request, http::kTuple);
-      if (error) co_return;
-      if (forgets && std::exchange(served, true)) {
-        socket.set_option(asio::socket_base::linger(true, 0));
-        co_return;
-      }
-      Script script;
-      {
-        const std::lock_guard lock(mutex);
-        script = scripts[std::min(seen.size(), scripts.size() - 1)];
-        seen.push_back(request);
-      }
-      const auto step = script(request);
-      co_await asio::async_write(socket, asio::buffer(step.bytes), http::kTuple);
-      if (step.close) co_return;
-    }
-  }
-
-  std::vector<Script> scripts;
-  asio::io_context io;
-  tcp::acceptor acceptor;
-  std::mutex mutex;
-  std::vector<http::Request> seen;
-  std::size_t connections = 0;
-  std::thread thread;
-};
-
-std::string idLine(const http::Request& r) {
-  return "Indigohill-Attempt-Id: " + std::string(r["Indigohill-Attempt-Id"]) + "\r\n";
-}
-Runner::Script whole(const std::string& body) {
-  return [body](const http::Request& r) {
-    return Runner::Step{"HTTP/1.1 200 OK\r\n" + idLine(r) + kSeal +
-                        "X-Inner: secret\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
-  };
-}
-Runner::Script raw(const std::string& text, bool close = false) {
-  return [text, close](const http::Request& r) {
-    auto out = text;
-    if (const auto at = out.find("{id}"); at != std::string::npos) out.replace(at, 4, idLine(r));
-    if (const auto at = out.find("{seal}"); at != std::string::npos) out.replace(at, 6, kSeal);
-    return Runner::Step{out, close};
-  };
-}
-std::string chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
-std::string event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
 const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\n{id}{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-// A router's traffic side: table and executor, without group or news.
-struct Front {
-  asio::io_context io;
-  routing::Table table{"z0",
-                       {0.2, 100, 1.5, 5, Millis(10000), Millis(1500), settings::defaultPolicy()},
-                       1,
-                       base::Clock::now() - Millis(60000)};
-  proxy::Executor executor{io.get_executor(), table};
-  tcp::acceptor acceptor{http::listen(io.get_executor(), {0x7f000001, 0}, "frontend")};
-  std::thread thread;
-  routing::Picture picture;
-
-  explicit Front(const std::vector<Runner*>& runners, const std::string& service = "plain",
-                 const std::string& extra = "") {
-    const auto past = base::Clock::now() - Millis(30000);
-    routing::fold(picture, routing::StateReceived{{1, 1},
-                                                  std::make_shared<const control::Configuration>(std::get<0>(
-                                                      control::parseConfiguration(tests::document(1, 3000, extra)))),
-                                                  {}});
-    schema::View view;
-    schema::Member m;
-    m.role = static_cast<std::uint8_t>(membership::Role::Router);
-    view.members = {m};
-    routing::fold(picture, routing::ViewReceived{view});
-    std::vector<schema::RunnerEntry> list;
-    for (std::size_t i = 0; i < runners.size(); ++i)
-      list.push_back(
-          {"r" + std::to_string(i), service, "z" + std::to_string(i), 0x7f000001, runners[i]->port(), 6, false, 0});
-    routing::fold(picture, routing::RunnersReceived{{1, 1}, list, past});
-    table.setPicture(std::make_shared<const routing::Picture>(picture), past);
-    table.setLease(base::Clock::now() + std::chrono::hours(1));
-    asio::co_spawn(io, executor.accept(acceptor), asio::detached);
-    thread = std::thread([this] { io.run(); });
-  }
-  ~Front() {
-    io.stop();
-    thread.join();
-  }
-
-  // Sends bytes and reads to the end of the connection; the configuration's bounds close it in any case.
-  std::string exchange(const std::string& bytes, bool finish = true) {
-    asio::io_context own;
-    tcp::socket socket(own);
-    socket.connect(acceptor.local_endpoint());
-    asio::write(socket, asio::buffer(bytes));
-    if (finish) socket.shutdown(tcp::socket::shutdown_send);
-    std::string out;
-    boost::system::error_code error;
-    asio::read(socket, asio::dynamic_buffer(out), error);
-    return out;
-  }
-};
-
-std::string get(const std::string& path, const std::string& more = "") {
-  return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\n" + more + "\r\n";
-}
-bool starts(const std::string& text, const std::string& head) { return text.compare(0, head.size(), head) == 0; }
-bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
 const std::string kOnce =
     R"(,{"name":"once","hostname":"a.example","pathPrefix":"/once/","routeType":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"targetService":"plain","maxAttempts":1})";
 std::string once() {
@@ -206,25 +31,25 @@
 
 }  // namespace
 
-Test(pass, an_answer_is_returned_with_its_seal_and_the_heads_on_the_list) {
+Test(proxy, an_answer_is_returned_with_its_seal_and_the_heads_on_the_list) {
   Runner runner({whole("hello")});
   Front front({&runner});
   const auto out = front.exchange(get("/check/1"));
   cr_assert(starts(out, "HTTP/1.1 200"), "%s", out.c_str());
-  cr_assert(has(out, kSeal) && has(out, "\r\n\r\nhello") && has(out, "Indigohill-Attempt-Id: abc"));
+  cr_assert(has(out, kSealLine) && has(out, "\r\n\r\nhello") && has(out, "Indigohill-Attempt-Id: abc"));
   cr_assert(!has(out, "X-Inner"));
   cr_assert(runner.request(0)["Indigohill-Target-Instance"] == "r0");
 }
 
-Test(pass, two_requests_use_one_connection_each_way) {
+Test(proxy, two_requests_use_one_connection_each_way) {
   Runner runner({whole("one"), whole("two")});
   Front front({&runner});
   const auto out = front.exchange(get("/check/1") + get("/check/2"));
   cr_assert(has(out, "one") && has(out, "two"));
-  cr_assert_eq(runner.connections, 1u);
+  cr_assert_eq(runner.connections(), 1u);
 }
 
-Test(pass, bodies_in_chunks_arrive_whole) {
+Test(proxy, bodies_in_chunks_arrive_whole) {
   Runner runner({whole("ok")});
   Front front({&runner});
   const auto out = front.exchange(
@@ -234,7 +59,108 @@
   cr_assert(runner.request(0).body() == "first second");
 }
 
-Test(pass, what_is_not_clear_is_turned_away_and_smuggles_nothing) {
+Test(proxy, fields_behind_a_body_in_chunks_change_nothing_of_the_request) {
+  Runner runner({whole("ok")});
+  Front front({&runner});
+  const auto out = front.exchange(
+      "POST /check/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: abc\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      chunk("body") + "0\r\nIndigohill-Attempt-Id: forged\r\nHost: b.example\r\nX-Late: 1\r\n\r\n" +
+      get("/check/2", "Connection: close\r\n"));
+  cr_assert(starts(out, "HTTP/1.1 200") && has(out, "Indigohill-Attempt-Id: abc") && !has(out, "forged"));
+  cr_assert_eq(runner.count(), 2u);
+  const auto first = runner.request(0);
+  cr_assert(first.body() == "body" && first.count("Indigohill-Attempt-Id") == 1 && first.count("X-Late") == 0);
+  cr_assert(first["Host"] == "a.example" && first.count("Host") == 1);
+}
+
+Test(proxy, requests_sent_in_a_row_are_answered_in_their_order_each_with_its_own) {
+  const auto own = [](const http::Request& request) {
+    return whole("for " + std::string(request["Indigohill-Attempt-Id"]))(request);
+  };
+  Runner one({own}), two({own});
+  Front front({&one, &two}, "plain", kOnce);
+  std::string sent;
+  for (int i = 0; i < 20; ++i)
+    sent += fmt::format(
+        "POST /{}/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: id{}\r\nContent-Length: 5\r\n\r\n{}",
+        i % 2 == 0 ? "check" : "once", i, "GET /");
+  const auto out = front.exchange(sent);
+  std::size_t at = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto id = fmt::format("Indigohill-Attempt-Id: id{}\r\n", i);
+    at = out.find(id, at);
+    cr_assert(at != std::string::npos, "%s in %s", id.c_str(), out.c_str());
+    at = out.find(fmt::format("\r\n\r\nfor id{}", i), at);
+    cr_assert(at != std::string::npos, "%d in %s", i, out.c_str());
+  }
+  cr_assert_eq(one.count() + two.count(), 20u);
+}
+
+Test(proxy, the_answer_to_a_client_that_has_left_goes_to_nobody) {
+  std::promise<void> left;
+  auto hasLeft = left.get_future().share();
+  const auto afterwards = [hasLeft](const http::Request& request) {
+    if (request["Indigohill-Attempt-Id"] == "leaves") hasLeft.wait();
+    return whole("for " + std::string(request["Indigohill-Attempt-Id"]))(request);
+  };
+  Runner runner({afterwards});
+  Front front({&runner}, "plain", kOnce);
+  asio::io_context own;
+  tcp::socket client(own);
+  client.connect(front.address());
+  asio::write(client, asio::buffer(replaced(once(), "abc", "leaves")));
+  while (runner.count() == 0) std::this_thread::yield();
+  client.set_option(asio::socket_base::linger(true, 0));
+  client.close();
+  left.set_value();
+  for (int i = 0; i < 4; ++i) {
+    const auto out = front.exchange(once());
+    cr_assert(starts(out, "HTTP/1.1 200") && out.ends_with("for abc"), "%s", out.c_str());
+  }
+  cr_assert_eq(runner.count(), 5u);
+}
+
+Test(proxy, the_time_that_is_left_is_the_clients_within_the_routes) {
+  Runner runner({whole("ok")});
+  Front front({&runner});
+  // The route's time is 1500 ms.
+  const std::vector<std::pair<std::string, bool>> values{
+      {"0", false},   {"-5", false}, {"99999999999999999999", true}, {"86400001", true}, {"soon", true},
+      {"1000", true}, {"", true}};
+  for (const auto& [value, sent] : values) {
+    const auto before = runner.count();
+    const auto line = value.empty() ? "" : "Indigohill-Time-Remaining: " + value + "\r\n";
+    const auto out = front.exchange(get("/check/1", line));
+    cr_assert(starts(out, sent ? "HTTP/1.1 200" : "HTTP/1.1 503"), "%s: %s", value.c_str(), out.c_str());
+    cr_assert_eq(runner.count(), before + (sent ? 1 : 0));
+    if (!sent) continue;
+    const auto told = runner.request(before)["Indigohill-Time-Remaining"];
+    const auto left = std::stoi(std::string(told));
+    cr_assert(left > 0 && left <= (value == "1000" ? 1000 : 1500), "%s: %d", value.c_str(), left);
+  }
+}
+
+Test(proxy, after_the_deadline_nothing_is_sent_and_no_budget_is_drawn) {
+  const auto drawsLeft = [](routing::Table& table) {
+    int draws = 0;
+    while (draws < 1000 && table.drawRetry("plain", base::Clock::now())) ++draws;
+    return draws;
+  };
+  Runner runner({whole("ok")});
+  Front untouched({&runner}), front({&runner});
+  const auto route = *front.picture.route("a.example", "/check/1");
+  const auto now = base::Clock::now();
+  routing::RoutingPolicy policy(front.table, route, "abc", now - Millis(200), now - Millis(100));
+  const auto next = policy.next(now);
+  const auto* ending = std::get_if<routing::Ending>(&next);
+  cr_assert(ending != nullptr && ending->status == 503);
+  cr_assert(!policy.again({base::Verdict::NotRun, "refused"}, false, false, now));
+  const auto most = drawsLeft(untouched.table);
+  cr_assert(most > 0 && most < 1000);
+  cr_assert_eq(drawsLeft(front.table), most);
+}
+
+Test(proxy, what_is_not_clear_is_turned_away_and_smuggles_nothing) {
   Runner runner({whole("ok")});
   Front front({&runner});
   const std::string smuggled = get("/check/smuggled");
@@ -254,6 +180,23 @@
        "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: -4\r\n\r\n" + smuggled, "400"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length : 4\r\n\r\n" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nabcd" + smuggled,
+       "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4, 5\r\n\r\nabcd" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: +4\r\n\r\nabcd" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding:\r\n chunked\r\nContent-Length: 4\r\n\r\n" +
+           smuggled,
+       "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled,
+       "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\nContent-Length: 4\r\n\r\nabcd" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nX: a\rContent-Length: 4\r\n\r\nabcd" + smuggled, "400"},
+      {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n" + smuggled, "400"},
+      {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nIndigohill-Attempt-Id: a\r\nIndigohill-Attempt-Id: b\r\n\r\n" +
+           smuggled,
+       "400"},
       {"GET /check/1 HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", "431"},
       {"POST /check/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 70000\r\n\r\n", "413"},
       {"GET /none/1 HTTP/1.1\r\nHost: a.example\r\n\r\n", "404"},
@@ -268,7 +211,7 @@
   cr_assert_eq(runner.count(), 0u);
 }
 
-Test(pass, a_runner_that_turns_it_away_costs_a_further_try_and_nothing_more) {
+Test(proxy, a_runner_that_turns_it_away_costs_a_further_try_and_nothing_more) {
   const auto full = raw("HTTP/1.1 503 Service Unavailable\r\nIndigohill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
   Runner one({full}), two({full});
   Front front({&one, &two});
@@ -279,7 +222,7 @@
   cr_assert_eq(one.count() + two.count(), 2u);
 }
 
-Test(pass, a_runner_that_cannot_be_reached_is_no_try_and_draws_on_no_budget) {
+Test(proxy, a_runner_that_cannot_be_reached_is_no_try_and_draws_on_no_budget) {
   // A request that may be sent to one runner alone, and no budget at all: it still gets past the dead ones.
   Runner one({whole("ok")}), two({whole("ok")}), three({whole("ok")});
   Front front({&one, &two, &three}, "plain", kOnce);
@@ -295,7 +238,7 @@
   cr_assert_eq(three.count(), 4u);
 }
 
-Test(pass, a_runners_own_failure_is_tried_elsewhere_if_it_may_be_and_passed_on_if_not) {
+Test(proxy, a_runners_own_failure_is_tried_elsewhere_if_it_may_be_and_passed_on_if_not) {
   const auto failing = raw("HTTP/1.1 500 Broken\r\n{id}Content-Length: 4\r\n\r\noops");
   {
     Runner ill({failing}), well({whole("ok")});
@@ -313,7 +256,7 @@
   cr_assert_eq(one.count() + two.count(), 2u);
 }
 
-Test(pass, what_may_run_once_is_not_lost_to_a_connection_that_the_runner_has_forgotten) {
+Test(proxy, what_may_run_once_is_not_lost_to_a_connection_that_the_runner_has_forgotten) {
   Runner runner({whole("ok")});
   runner.forgets = true;
   Front front({&runner}, "plain", kOnce);
@@ -329,7 +272,7 @@
   }
 }
 
-Test(pass, how_long_connections_are_kept_is_learned) {
+Test(proxy, how_long_connections_are_kept_is_learned) {
   proxy::IdleLimit limit;
   auto now = base::Clock::now();
   const auto hour = std::chrono::hours(1);
@@ -349,7 +292,7 @@
   cr_assert(limit.most(false) > Millis(100));
 }
 
-Test(pass, what_may_have_run_is_never_promised_not_to_have) {
+Test(proxy, what_may_have_run_is_never_promised_not_to_have) {
   // Statuses that promise a client that nothing ran, from runners that gave no such word; and answers cut short.
   const std::vector<std::string> answers{"HTTP/1.1 503 Service Unavailable\r\n{id}Content-Length: 0\r\n\r\n",
                                          "HTTP/1.1 429 Too Many\r\n{id}Content-Length: 0\r\n\r\n",
@@ -359,14 +302,14 @@
                                          "this is no answer\r\n\r\n",
                                          ""};
   for (const auto& text : answers) {
-    Runner runner({raw(text, true)});
+    Runner runner({raw(text, Then::Close)});
     Front front({&runner}, "plain");
     const auto out = front.exchange(get("/check/1"));
     cr_assert(starts(out, "HTTP/1.1 502"), "for %s: %s", text.c_str(), out.c_str());
   }
 }
 
-Test(pass, the_late_answer_to_another_request_is_no_answer_to_this_one) {
+Test(proxy, the_late_answer_to_another_request_is_no_answer_to_this_one) {
   const std::string stray = "HTTP/1.1 200 OK\r\nIndigohill-Attempt-Id: other\r\n{seal}Content-Length: 5\r\n\r\nstray";
   {
     // In the place of the answer: read past, and the connection is not used again.
@@ -375,7 +318,7 @@
     Front front({&runner});
     const auto out = front.exchange(get("/check/1") + get("/check/2"));
     cr_assert(!has(out, "stray") && has(out, "own") && has(out, "next"), "%s", out.c_str());
-    cr_assert_eq(runner.connections, 2u);
+    cr_assert_eq(runner.connections(), 2u);
   }
   {
     // Behind the answer: the connection is dropped, and the next request gets its own.
@@ -383,22 +326,22 @@
     Front front({&runner});
     const auto out = front.exchange(get("/check/1") + get("/check/2"));
     cr_assert(!has(out, "stray") && has(out, "own") && has(out, "next"), "%s", out.c_str());
-    cr_assert_eq(runner.connections, 2u);
+    cr_assert_eq(runner.connections(), 2u);
   }
 }
 
-Test(pass, a_stream_is_passed_event_by_event_to_its_end) {
+Test(proxy, a_stream_is_passed_event_by_event_to_its_end) {
   Runner runner(
       {raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\nda") + chunk("ta: x\n\n") + "0\r\n\r\n")});
   Front front({&runner}, "engine");
   const auto out = front.exchange(get("/text/1", "Connection: close\r\n"));
   cr_assert(starts(out, "HTTP/1.1 200"));
-  cr_assert(has(out, kSeal) && has(out, event(1)) && has(out, event(2)) && has(out, "id: 3\ndata: x\n\n"));
+  cr_assert(has(out, kSealLine) && has(out, event(1)) && has(out, event(2)) && has(out, "id: 3\ndata: x\n\n"));
   cr_assert(out.ends_with("0\r\n\r\n"), "%s", out.c_str());
 }
 
-Test(pass, a_broken_stream_is_taken_up_behind_its_last_event) {
-  const auto broken = raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\ndata: half"), true);
+Test(proxy, a_broken_stream_is_taken_up_behind_its_last_event) {
+  const auto broken = raw(kStreamHead + chunk(event(1)) + chunk(event(2) + "id: 3\ndata: half"), Then::Close);
   const auto rest =
       raw("HTTP/1.1 200 OK\r\n{id}Indigohill-Response-Seal: s.other\r\nTransfer-Encoding: chunked\r\n\r\n" +
           chunk(event(3)) + "0\r\n\r\n");
@@ -408,19 +351,19 @@
   for (int i = 0; i < 100; ++i) front.table.arrived("engine", base::Clock::now());
   const auto out = front.exchange(get("/text/1", "Connection: close\r\n"));
   cr_assert(has(out, event(1)) && has(out, event(2)) && has(out, event(3)), "%s", out.c_str());
-  cr_assert(!has(out, "half") && !has(out, "s.other") && has(out, kSeal) && out.ends_with("0\r\n\r\n"));
+  cr_assert(!has(out, "half") && !has(out, "s.other") && has(out, kSealLine) && out.ends_with("0\r\n\r\n"));
   auto& second = one.count() > 0 && !one.request(0)["Last-Event-Id"].empty() ? one : two;
   cr_assert(second.request(0)["Last-Event-Id"] == "2");
 }
 
-Test(pass, a_stream_that_nobody_takes_up_never_looks_complete) {
-  Runner runner({raw(kStreamHead + chunk(event(1)), true)});
+Test(proxy, a_stream_that_nobody_takes_up_never_looks_complete) {
+  Runner runner({raw(kStreamHead + chunk(event(1)), Then::Close)});
   Front front({&runner}, "engine");
   const auto out = front.exchange(get("/text/1"));
   cr_assert(!has(out, "\r\n0\r\n\r\n") && !out.ends_with("0\r\n\r\n"), "%s", out.c_str());
 }
 
-Test(pass, time_that_is_over_is_answered_504_when_the_runner_had_it) {
+Test(proxy, time_that_is_over_is_answered_504_when_the_runner_had_it) {
   // A runner that never answers: reading from it ends with the client's time.
   Runner runner({raw("HTTP/1.1 200 OK\r\n")});
   Front front({&runner});
@@ -442,7 +385,7 @@
   Runner platform({page("{\"instances\":[" + entry("a") + "],\"nextPageToken\":\"p-1\"}"),
                    page("{\"instances\":[" + entry("b") + "],\"nextPageToken\":null}"),
                    raw("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"),
-                   page("{\"instances\":[" + entry("a")), raw("no answer at all\r\n\r\n", true)});
+                   page("{\"instances\":[" + entry("a")), raw("no answer at all\r\n\r\n", Then::Close)});
   asio::io_context io;
   runners::Reader reader(io.get_executor(), {0x7f000001, platform.port()});
   Lists results;
@@ -456,7 +399,7 @@
   cr_assert(base::errorIn(results[1])->what.find("429") != std::string::npos);
 }
 
-Test(pass, recorded_requests_are_what_the_replay_reads) {
+Test(proxy, recorded_requests_are_what_the_replay_reads) {
   std::ostringstream lines;
   auto log = std::make_shared<spdlog::logger>("t", std::make_shared<spdlog::sinks::ostream_sink_mt>(lines));
   log->set_pattern("%v");
@@ -473,7 +416,7 @@
   cr_assert(r.prompt == "a:5,b:6" && r.tokens == "11,3");
 }
 
-Test(pass, without_a_configuration_it_sheds_and_when_leaving_it_closes) {
+Test(proxy, without_a_configuration_it_sheds_and_when_leaving_it_closes) {
   Runner runner({whole("ok")});
   {
     Front front({&runner});
