--- a/src/cli/router.cpp
+++ b/src/cli/router.cpp
@@ -82,7 +82,7 @@
     spdlog::info(
         "router ends: {} requests, {} passed, {} further tries, {} resumed, {} shed, {} cut, {} failed, "
         "{} connections to runners",
-        c.requests, c.passed, c.retried, c.resumed, c.shed, c.cut, c.failed, executor_.pool().opened());
+        c.requests, c.passed, c.retried, c.resumed, c.rejected, c.cut, c.failed, executor_.pool().opened());
     const auto i = table_.indexState();
     spdlog::info(
         "index of prompt parts: {} hits, {} misses, {} stores, {} removes, {} forgotten, {} blocks in {} bytes, "
@@ -119,7 +119,7 @@
     for (const auto& demand : effects.demands) table_.heard(demand, now);
     for (const auto& suspicions : effects.suspicions) table_.heard(suspicions, now);
     for (auto& event : effects.events) table_.setPicture(journal_.append(std::move(event)), now);
-    if (!effects.events.empty()) executor_.waitlist().wakeAll();
+    if (!effects.events.empty()) executor_.queue().wakeAll();
     table_.setLease(core_.group().leaseUntil());
     isReady_ = core_.informed() && !leaving_;
     unvouchedMs_ = core_.staleFor(now).value_or(Millis(0)).count();
--- a/src/proxy/answer_head.cpp
+++ b/src/proxy/answer_head.cpp
@@ -1,16 +1,13 @@
 #include "proxy/answer_head.hpp"
 
+#include "proxy/headers.hpp"
+
 namespace indigohill::proxy {
 
 namespace wire = http::wire;
 
 namespace {
 
-constexpr const char* kAttemptId = "Indigohill-Attempt-Id";
-constexpr const char* kSeal = "Indigohill-Response-Seal";
-
-std::string_view view(http::beast::string_view text) { return {text.data(), text.size()}; }
-
 // Whether a status line stands within the text, as where one answer was cut off and the next one follows.
 bool holdsStatusLine(std::string_view text) {
   static constexpr std::string_view version = "HTTP/1.";
--- /dev/null
+++ b/src/proxy/headers.cpp
@@ -0,0 +1,104 @@
+#include "proxy/headers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace indigohill::proxy {
+
+namespace asio = http::asio;
+namespace beast = http::beast;
+namespace wire = http::wire;
+using base::Millis;
+
+namespace {
+
+constexpr Millis kRunnerIdle{60000};
+
+// Heads of answers are copied by this list: what a runner may tell a client, and nothing that concerns a connection.
+constexpr std::array kAnswerHeads{"Content-Type",
+                                  "Content-Language",
+                                  "Content-Encoding",
+                                  "Content-Disposition",
+                                  "Content-Range",
+                                  "Cache-Control",
+                                  "ETag",
+                                  "Expires",
+                                  "Last-Modified",
+                                  "Location",
+                                  "Vary",
+                                  "Date",
+                                  "Set-Cookie",
+                                  "Retry-After",
+                                  "Accept-Ranges",
+                                  "WWW-Authenticate",
+                                  "X-Request-Id",
+                                  kAttemptId,
+                                  kSeal,
+                                  kLoad,
+                                  "Indigohill-Instance-Id",
+                                  kWeightVersions,
+                                  "Indigohill-Token-Usage"};
+
+bool concernsConnection(const wire::fields::value_type& field, const std::vector<std::string>& named) {
+  switch (field.name()) {
+    case wire::field::connection:
+    case wire::field::keep_alive:
+    case wire::field::proxy_connection:
+    case wire::field::proxy_authenticate:
+    case wire::field::proxy_authorization:
+    case wire::field::te:
+    case wire::field::trailer:
+    case wire::field::transfer_encoding:
+    case wire::field::upgrade:
+    case wire::field::expect:
+    case wire::field::content_length:
+      return true;
+    default:
+      break;
+  }
+  for (const auto& name : named)
+    if (beast::iequals(name, field.name_string())) return true;
+  return false;
+}
+
+}  // namespace
+
+Millis idleTimeOf(const wire::fields& head) {
+  const auto text = view(head[wire::field::keep_alive]);
+  const auto at = text.find("timeout=");
+  if (at == std::string_view::npos) return kRunnerIdle;
+  auto rest = text.substr(at + 8);
+  rest = rest.substr(0, rest.find_first_not_of("0123456789"));
+  // A second early: the runner must not close it just as the next request is on its way.
+  return std::max(Millis(0), Millis(1000 * number<std::int64_t>(rest, 60) - 1000));
+}
+
+http::Request forRunner(const http::Request& in, const std::string& instanceId, Millis left,
+                        const std::string& lastEventId, std::optional<std::uint64_t> expectedVersion) {
+  http::Request out;
+  out.version(11);
+  out.method_string(in.method_string());
+  out.target(in.target());
+  std::vector<std::string> named;
+  for (const auto& token : wire::token_list(in[wire::field::connection])) named.emplace_back(token);
+  for (const auto& field : in)
+    if (!concernsConnection(field, named)) out.insert(field.name(), field.name_string(), field.value());
+  out.set(kTimeRemaining, std::to_string(std::max<std::int64_t>(0, left.count())));
+  out.set(kTarget, instanceId);
+  if (!lastEventId.empty()) out.set(kLastEventId, lastEventId);
+  if (expectedVersion && in.count(kExpectedVersion) == 0) out.set(kExpectedVersion, std::to_string(*expectedVersion));
+  out.body() = in.body();
+  const bool bodiless = in.body().empty() && !in.has_content_length() && !in.chunked();
+  if (!bodiless) out.content_length(out.body().size());
+  return out;
+}
+
+void copyAnswerHead(const wire::fields& from, wire::fields& to) {
+  for (const auto* name : kAnswerHeads) {
+    const auto range = from.equal_range(name);
+    for (auto it = range.first; it != range.second; ++it) to.insert(it->name(), it->name_string(), it->value());
+  }
+}
+
+}  // namespace indigohill::proxy
--- /dev/null
+++ b/src/proxy/headers.hpp
@@ -0,0 +1,47 @@
+#pragma once
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http/types.hpp"
+
+// The headers of the protocol between clients, routers and runners: their names, and which of them are passed on.
+namespace indigohill::proxy {
+
+inline constexpr const char* kAttemptId = "Indigohill-Attempt-Id";
+inline constexpr const char* kTimeRemaining = "Indigohill-Time-Remaining";
+inline constexpr const char* kTarget = "Indigohill-Target-Instance";
+inline constexpr const char* kSeal = "Indigohill-Response-Seal";
+inline constexpr const char* kNotExecuted = "Indigohill-Not-Executed";
+inline constexpr const char* kLoad = "Indigohill-Instance-Load";
+inline constexpr const char* kPrompt = "Indigohill-Prompt-Prefix";
+inline constexpr const char* kUsage = "Indigohill-Token-Usage";
+inline constexpr const char* kLastEventId = "Last-Event-Id";
+inline constexpr const char* kModel = "Indigohill-Model";
+inline constexpr const char* kExpectedVersion = "Indigohill-Expected-Version";
+inline constexpr const char* kWeightVersions = "Indigohill-Weight-Versions";
+
+// The text of a field's value.
+inline std::string_view view(http::beast::string_view text) { return {text.data(), text.size()}; }
+
+// The number that makes up the whole text, else the fallback.
+template <class T>
+T number(std::string_view text, T fallback) {
+  T out{};
+  const auto [at, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc{} && at == text.data() + text.size() ? out : fallback;
+}
+
+// The request as the runner gets it: all end-to-end headers, the time that is left, the instance that is meant, and
+// the version of the weights where one is expected and the client names none itself.
+http::Request forRunner(const http::Request& in, const std::string& instanceId, base::Millis left,
+                        const std::string& lastEventId, std::optional<std::uint64_t> expectedVersion = {});
+
+// The headers of a runner's answer that a client gets: those on the allow list.
+void copyAnswerHead(const http::wire::fields& from, http::wire::fields& to);
+
+// How long the runner says that it keeps the connection, less a second.
+base::Millis idleTimeOf(const http::wire::fields& head);
+
+}  // namespace indigohill::proxy
