--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -99,7 +99,7 @@
     co_await wire::async_write(client, out, http::kTuple);
   };
   for (;;) {
-    const auto picture = table_.picture();
+    const auto picture = table_.snapshot();
     const auto limits = picture->configuration ? picture->configuration->limits : control::Limits{};
     if (buffer.size() == 0) {
       client.expires_after(limits.idleTimeout);
--- a/src/proxy/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 asio::awaitable<bool> Executor::serve(beast::tcp_stream& client, http::Request& request, base::TimePoint arrivedAt) {
-  auto picture = table_.picture();
+  auto picture = table_.snapshot();
   const Millis told(
       std::clamp<std::int64_t>(number<std::int64_t>(view(request[kTimeRemaining]), 86'400'000), 0, 86'400'000));
   // Just started: a configuration and runners come within moments, and a request that waits for them is served sooner
@@ -30,7 +30,7 @@
   const auto patience = arrivedAt + std::min(kFirstNews, told / 4);
   while ((!picture->configuration || !picture->hasRunners) && base::Clock::now() < patience) {
     if (!co_await queue_.wait(0, std::min(patience, base::Clock::now() + Millis(50)))) break;
-    picture = table_.picture();
+    picture = table_.snapshot();
   }
   const auto* route = picture->route(view(request[wire::field::host]), view(request.target()));
   static const control::Route kNoRoute;
@@ -84,13 +84,13 @@
     }
     auto& to = std::get<routing::PassTo>(next);
     if (policy.asked().tries > 1) ++(exchange.started ? counters_.resumed : counters_.retried);
-    exchange.admission = &to.taking;
+    exchange.admission = &to.admission;
     exchange.sentAt = now;
     // A client that names a version is taken at its word.
     const auto wanted = view(request[kExpectedVersion]);
     exchange.expected = wanted.empty() ? to.expectedVersion : rollout::parseVersions(wanted).version;
     const auto outcome = co_await attempt(exchange, to);
-    to.taking.release();
+    to.admission.release();
     queue_.wake();
     if (outcome.end == CallOutcome::End::Answered) {
       ++counters_.passed;
--- a/src/proxy/runner_call.cpp
+++ b/src/proxy/runner_call.cpp
@@ -46,7 +46,7 @@
   auto taken =
       co_await pool_.take(exchange.service, to.instanceId, to.address, exchange.route.repeatable(), exchange.deadline);
   if (const auto* bad = base::errorIn(taken)) {
-    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
     co_return CallOutcome{End::Unreached, Verdict::NotRun, bad->what};
   }
   auto connection = std::get<0>(std::move(taken));
@@ -63,7 +63,7 @@
     if (connection->reused && !answered && error != asio::error::operation_aborted)
       pool_.reused(exchange.service, *connection, true);
     else
-      table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+      table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
   };
   auto [writeError, written] = co_await wire::async_write(stream, outgoing, http::kTuple);
   // A runner may have turned the request away before all of it was sent, and closed: its answer is still to be read.
@@ -94,7 +94,7 @@
     // again afterwards.
     const bool first = owner == AnswerOwner::OtherRequest && !std::exchange(strayed, true);
     if (!first || !co_await skipBody(*connection, *parser)) {
-      table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+      table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
       co_return CallOutcome{End::Fault, Verdict::MayHaveRun, "no answer to this request"};
     }
   }
@@ -105,18 +105,18 @@
   if (const auto load = view(head[kLoad]); !load.empty()) {
     const auto first = load.find(','), second = load.find(',', first == std::string_view::npos ? first : first + 1);
     if (second != std::string_view::npos)
-      table_.load(to.instanceId, number<std::uint32_t>(load.substr(0, first), 0),
-                  number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
-                  number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
+      table_.reportLoad(to.instanceId, number<std::uint32_t>(load.substr(0, first), 0),
+                        number<std::uint32_t>(load.substr(first + 1, second - first - 1), 0),
+                        number<std::uint32_t>(load.substr(second + 1), 0), base::Clock::now());
   }
   // Parts of prompts that were kept are of the weights they were computed with.
   const auto weights = view(head[kWeightVersions]);
   const auto told = rollout::parseVersions(weights);
   if (!weights.empty())
-    table_.weights(to.instanceId, base::hash(view(exchange.request[kModel])),
-                   told.version && !told.mixed ? *told.version : base::hash(weights));
+    table_.setRevision(to.instanceId, base::hash(view(exchange.request[kModel])),
+                       told.version && !told.mixed ? *told.version : base::hash(weights));
   const bool notRun = head.count(kNotExecuted) > 0 || status == 421;
-  if (!notRun && status < 500 && !watch.late()) table_.inTime(to.instanceId, base::Clock::now());
+  if (!notRun && status < 500 && !watch.late()) table_.recordInTime(to.instanceId, base::Clock::now());
   const bool otherVersion = exchange.expected && told.otherThan(*exchange.expected);
   const bool echoes = view(head[kAttemptId]) == exchange.attemptId && !exchange.attemptId.empty();
   CallOutcome outcome;
@@ -130,12 +130,15 @@
     // One that has other weights by now is well, so it is no evidence of illness. What a client alone wished for tells
     // nothing about the runner's entry in the list.
     const bool otherWeights = status == 421 && exchange.expected;
-    table_.mark(to.instanceId, otherWeights ? routing::Mark::Good : routing::Mark::Refused, base::Clock::now());
-    if (otherWeights && exchange.expected == to.expectedVersion) table_.turnedAway(to.instanceId, base::Clock::now());
+    table_.recordResult(to.instanceId,
+                        otherWeights ? routing::AttemptResult::Success : routing::AttemptResult::Rejected,
+                        base::Clock::now());
+    if (otherWeights && exchange.expected == to.expectedVersion)
+      table_.versionRejected(to.instanceId, base::Clock::now());
     outcome = {End::Refused, Verdict::NotRun, "turned away with " + std::to_string(status)};
     if (!co_await skipBody(*connection, *parser)) co_return outcome;
   } else if (status < 300 && (!echoes || head.count(kSeal) == 0)) {
-    table_.mark(to.instanceId, routing::Mark::Fault, base::Clock::now());
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, base::Clock::now());
     co_return CallOutcome{End::Fault, Verdict::MayHaveRun, "an answer without id or seal"};
   } else if (otherVersion && status < 300) {
     // It has run, so it is no success and promises nothing.
@@ -155,13 +158,14 @@
   // Its 504 at the deadline says nothing of its health.
   const bool ownFailure = status >= 500 && status != 504;
   if (outcome.end == End::Answered)
-    table_.mark(to.instanceId, ownFailure ? routing::Mark::Fault : routing::Mark::Good, now);
+    table_.recordResult(to.instanceId, ownFailure ? routing::AttemptResult::Failure : routing::AttemptResult::Success,
+                        now);
   // A runner of other weights is well; it just must not serve this.
   if (outcome.otherVersion)
-    table_.contradicted(to.instanceId, view(exchange.request[kModel]),
-                        outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
+    table_.versionMismatched(to.instanceId, view(exchange.request[kModel]),
+                             outcome.otherVersion->mixed ? std::nullopt : outcome.otherVersion->version);
   else if (outcome.end == End::Fault && now < exchange.deadline)
-    table_.mark(to.instanceId, routing::Mark::Fault, now);
+    table_.recordResult(to.instanceId, routing::AttemptResult::Failure, now);
   const bool ended = outcome.end == End::Answered || outcome.end == End::Refused;
   if (ended && reusable && parser->is_done() && !deadline.expired()) {
     deadline.stop();
--- a/src/proxy/silence_watch.hpp
+++ b/src/proxy/silence_watch.hpp
@@ -44,7 +44,7 @@
     state->timer.async_wait([state](boost::system::error_code error) {
       if (error || state->connection == nullptr) return;
       const auto now = base::Clock::now();
-      if (!std::exchange(state->told, true)) state->table.late(state->instanceId, now);
+      if (!std::exchange(state->told, true)) state->table.recordLate(state->instanceId, now);
       if (!state->repeatable) return;
       if (state->table.suspended(state->instanceId, now)) {
         state->tookAway = true;
--- a/src/proxy/stream_relay.cpp
+++ b/src/proxy/stream_relay.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 bool Executor::mayChange(const Exchange& exchange, std::uint64_t from, std::uint64_t to) const {
-  const auto picture = table_.picture();
+  const auto picture = table_.snapshot();
   const auto found = picture->rollouts.find(exchange.service);
   return found != picture->rollouts.end() && found->second.allowsWithinStream(view(exchange.request[kModel]), from, to);
 }
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -71,7 +71,7 @@
 
 std::optional<std::size_t> World::active() const {
   for (std::size_t i = 0; i < shape_.controllers; ++i)
-    if (nodes_[i]->alive && !nodes_[i]->frozen && nodes_[i]->controller->replica().active()) return i;
+    if (nodes_[i]->alive && !nodes_[i]->frozen && nodes_[i]->controller->replica().active(now_)) return i;
   return std::nullopt;
 }
 
@@ -98,6 +98,10 @@
     seeds.push_back(nodes_[c]->cohort);
     controls.push_back(nodes_[c]->control);
   }
+  if (!seedNodes.empty()) {
+    seeds.clear();
+    for (const auto seed : seedNodes) seeds.push_back(nodes_[seed]->cohort);
+  }
   if (n.isController) {
     std::vector<control::DiskWrite> writes;
     control::Identity identity;
@@ -117,7 +121,7 @@
   } else {
     n.follower = std::make_unique<feed::Follower>(feed::Follower::Self{n.name, n.zone, n.cohort}, seeds,
                                                   membership::Times{}, feed::Times{}, Millis(3000), random_(), now_);
-    n.journal = std::make_unique<base::Journal<routing::Event, routing::Picture>>(routing::fold);
+    n.journal = std::make_unique<base::Journal<routing::Event, routing::RoutingSnapshot>>(routing::fold);
     routing::Bounds bounds;
     bounds.warmupOvershoot = shape_.warmupOvershoot;
     bounds.warmupSlack = shape_.warmupSlack;
@@ -183,7 +187,7 @@
 void World::perform(std::size_t i, feed::FollowerEffects& effects) {
   auto& n = *nodes_[i];
   trace(i, effects.notes);
-  for (auto& event : effects.events) n.table->setPicture(n.journal->append(std::move(event)), now_);
+  for (auto& event : effects.events) n.table->setSnapshot(n.journal->append(std::move(event)), now_);
   n.table->setLease(n.follower->group().leaseUntil());
   deliver(i, std::move(effects.out));
 }
@@ -455,7 +459,8 @@
       const auto routers = n.table->routers(now_, membership::Times{}.lease + Millis(1000));
       if (routers > 0) shares += 1.0 / static_cast<double>(routers);
       for (std::size_t c = 0; c < kCold.size(); ++c) {
-        const double rate = n.table->warmShare(kCold[c], fmt::format("zone-{}", c % shape_.controllers), service, now_);
+        const double rate =
+            n.table->slowStartShare(kCold[c], fmt::format("zone-{}", c % shape_.controllers), service, now_);
         if (rate > 0) toCold[c] += 1 + rate;
       }
     }
@@ -463,7 +468,7 @@
   // No zone has so many voters that its loss stops the core, once there are as many voters as there should be.
   for (std::size_t i = 0; i < shape_.controllers; ++i) {
     const auto& n = *nodes_[i];
-    if (!n.alive || !n.controller->replica().active() || !n.controller->replica().complete()) continue;
+    if (!n.alive || !n.controller->replica().active(now_) || !n.controller->replica().complete()) continue;
     const auto& voters = n.controller->replica().record()->voters;
     if (voters.size() != 2 * shape_.faultTolerance + 1) breakRule(fmt::format("{} voters", voters.size()));
     if (!n.controller->group().view()) continue;
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -42,7 +42,7 @@
   std::vector<std::function<void()>> heldUp;  // what waits while the machine is frozen
   std::unique_ptr<control::Controller> controller;
   std::unique_ptr<feed::Follower> follower;
-  std::unique_ptr<base::Journal<routing::Event, routing::Picture>> journal;
+  std::unique_ptr<base::Journal<routing::Event, routing::RoutingSnapshot>> journal;
   std::unique_ptr<routing::Table> table;
   std::uint64_t lastView = 0;
   std::uint64_t lastRevision = 0;
@@ -89,6 +89,8 @@
                        std::function<void(const control::Answer&)> done);
 
   std::vector<schema::RunnerEntry> platform;  // what the platform's list shows
+  // The nodes that settings name as seeds from the next start on; the first three controllers if none are given.
+  std::vector<std::size_t> seedNodes;
 
   const std::optional<std::string>& broken() const { return broken_; }
   std::uint64_t steps() const { return steps_; }
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -189,7 +189,7 @@
                        1,
                        base::Clock::now() - Millis(60000)};
   proxy::Executor executor{io.get_executor(), table};
-  routing::Picture picture;
+  routing::RoutingSnapshot picture;
 
   TrafficSide() {
     schema::Member self;
@@ -244,7 +244,7 @@
 
  private:
   static base::TimePoint past() { return base::Clock::now() - Millis(30000); }
-  void setPicture() { table.setPicture(std::make_shared<const routing::Picture>(picture), past()); }
+  void setPicture() { table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(picture), past()); }
 
   tcp::acceptor acceptor_{http::listen(io.get_executor(), {kLoopback, 0}, "frontend")};
   std::vector<std::thread> threads_;
--- a/tests/test_proxy.cpp
+++ b/tests/test_proxy.cpp
@@ -143,7 +143,7 @@
 Test(proxy, after_the_deadline_nothing_is_sent_and_no_budget_is_drawn) {
   const auto drawsLeft = [](routing::Table& table) {
     int draws = 0;
-    while (draws < 1000 && table.drawRetry("plain", base::Clock::now())) ++draws;
+    while (draws < 1000 && table.admitRetry("plain", base::Clock::now())) ++draws;
     return draws;
   };
   Runner runner({whole("ok")});
@@ -420,7 +420,7 @@
   Runner runner({whole("ok")});
   {
     Front front({&runner});
-    front.table.setPicture(std::make_shared<const routing::Picture>(), base::Clock::now());
+    front.table.setSnapshot(std::make_shared<const routing::RoutingSnapshot>(), base::Clock::now());
     cr_assert(starts(front.exchange(get("/check/1")), "HTTP/1.1 503"));
   }
   Front front({&runner});
