--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -248,8 +248,8 @@
   const auto& n = *nodes_[i];
   if (!n.isolatedSince || now_ <= *n.isolatedSince + membership::Times{}.lease + kIsolationSlack) return;
   for (const auto& item : out)
-    if (const auto* update = std::get_if<schema::Update>(&item.message); update != nullptr &&
-        base::Millis(update->stateAgeMs) < feed::Times{}.confirmedFor)
+    if (const auto* update = std::get_if<schema::Update>(&item.message);
+        update != nullptr && base::Millis(update->stateAgeMs) < feed::Times{}.confirmedFor)
       breakRule(n.name + " confirms its configuration, cut off for longer than a lease");
 }
 
