--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -13,6 +13,7 @@
 using base::Millis;
 
 namespace {
+constexpr Millis kIsolationSlack{500};
 constexpr Millis kControllerTick{100}, kRouterTick{200}, kRelayTick{250};
 constexpr Millis kDiskSync{4};
 // Stands for the token of a write whose failure was reported already.
