Proxy: one constant for the reason that weights change within a stream

It stood in the call to a runner and in the relay of streams, word for word. test_proxy, test_rollout_proxy and test_runner_calls pass; nothing else was run again.

--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -47,4 +47,7 @@
   std::optional<rollout::Told> otherVersion{};  // what the runner told instead of what it should have been
 };
 
+// Why a call fails whose runner loads other weights between two events of its stream.
+inline constexpr const char* kWeightsChange = "the weights change within the stream";
+
 }  // namespace indigohill::proxy
--- a/src/proxy/runner_call.cpp
+++ b/src/proxy/runner_call.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr const char* kChanges = "the weights change within the stream";
 constexpr std::size_t kBodyBuffered = 32u << 20;
 constexpr int kInterimMost = 16;  // 1xx answers before a final one
 constexpr Millis kAimUnknown{1000};
@@ -201,7 +200,7 @@
     auto version = rollout::parseVersions(view(parser.get()[kWeightVersions])).version;
     const auto may = [&](std::uint64_t from, std::uint64_t to) { return mayChange(exchange, from, to); };
     if (const auto change = rollout::forbiddenChange(out.body(), version, may))
-      co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+      co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kWeightsChange, change->told};
   }
   out.keep_alive(keepAlive(exchange.request));
   const bool bodiless = exchange.request.method() == wire::verb::head || out.result() == wire::status::no_content ||
--- a/src/proxy/stream_relay.cpp
+++ b/src/proxy/stream_relay.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr const char* kChanges = "the weights change within the stream";
 constexpr std::size_t kEventMost = 1u << 20;
 
 }  // namespace
@@ -95,7 +94,7 @@
       exchange.events.passedOnly(idBefore, whole);
       if (!whole.empty() && !co_await pass(std::move(whole), false))
         co_return CallOutcome{End::ClientGone, Verdict::Ran, {}};
-      co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+      co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kWeightsChange, change->told};
     }
     if (error && error != wire::error::need_buffer) {
       if (!whole.empty() && !co_await pass(std::move(whole), false))
@@ -110,7 +109,7 @@
       if (const auto change = rollout::forbiddenChange(exchange.events.rest(), exchange.version, may)) {
         if (!whole.empty() && !co_await pass(std::move(whole), false))
           co_return CallOutcome{End::ClientGone, Verdict::Ran, {}};
-        co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kChanges, change->told};
+        co_return CallOutcome{End::Fault, Verdict::MayHaveRun, kWeightsChange, change->told};
       }
       whole += exchange.events.rest();
       exchange.events.drop();
