--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hpp
@@ -65,10 +65,11 @@
   bool disk = false, controls = false;
 };
 
-// One HTTP call on a connection of its own; status 0: no complete answer came.
+// One HTTP call on a connection of its own; status 0 where no complete answer came.
 struct Answer {
+  bool whole = false;
   int status = 0;
-  std::string body, error, location, seal;
+  std::string body, error, location, seal, reason;
 };
 
 inline asio::awaitable<Answer> call(std::string address, std::uint16_t port, Request request, Ms limit) {
@@ -92,7 +93,9 @@
     out.error = readError.message();
     co_return out;
   }
+  out.whole = true;
   out.status = static_cast<int>(parser.get().result_int());
+  out.reason = std::string(parser.get().reason());
   out.location = std::string(parser.get()[http::field::location]);
   out.seal = std::string(parser.get()["Indigohill-Response-Seal"]);
   out.body = parser.get().body();
