Observability: how a process ends by itself can be told from its log

The hypotheses of docs/incidents/processes-end-by-themselves.md could not be told apart: an end by a signal, by an exception in a thread and by the machine all left nothing, and an exception that left a detached coroutine was dropped, so that the loop it carried (ticks, accepting, datagrams) would stand still without a word.

--- a/src/cli/controller_daemon.cpp
+++ b/src/cli/controller_daemon.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/post.hpp>
 #include <csignal>
 
+#include "base/task_failure.hpp"
 #include "base/wall_time.hpp"
 #include "cli/controller_disk.hpp"
 #include "cli/controller_status.hpp"
@@ -63,11 +64,11 @@
     control_.start();
     link_.start();
     asio::co_spawn(io_, tickUntilDone(executor_, store_ ? kControllerTick : kObserverTick, [this] { return tick(); }),
-                   asio::detached);
+                   base::LogTaskFailure("tick"));
     asio::co_spawn(io_,
                    handleSignals(
                        executor_, [this] { shutDown(); }, [this] { reloadSettings(true); }),
-                   asio::detached);
+                   base::LogTaskFailure("signals"));
     base::logInfo(base::LogEvent("controller_started")
                       .with("control", settings::text(watch_.current().controlPlane))
                       .with("peers", settings::text(peerAddress(watch_.current(), true)))
@@ -196,7 +197,7 @@
                         core_.onListRead(std::move(runners), askedAt, base::Clock::now(), after);
                         apply(after);
                       }),
-          asio::detached);
+          base::LogTaskFailure("runner_list"));
     }
     if (now - settingsCheckedAt_ >= kSettingsInterval) {
       settingsCheckedAt_ = now;
--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -1,8 +1,12 @@
 // `indigohill router`, `controller` and `check-settings`: the subcommands that read a settings file.
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <iostream>
 #include <memory>
 
 #include "base/log.hpp"
+#include "base/process_end.hpp"
 #include "cli/command.hpp"
 #include "cli/daemons.hpp"
 #include "cli/settings_option.hpp"
@@ -14,6 +18,19 @@
 constexpr const char* kRouter = "router";
 constexpr const char* kController = "controller";
 
+// The first line of each life, before anything that may prevent the start.
+void logStart(const settings::Settings& settings) {
+  rlimit descriptors{}, fileSize{};
+  ::getrlimit(RLIMIT_NOFILE, &descriptors);
+  ::getrlimit(RLIMIT_FSIZE, &fileSize);
+  base::logInfo(base::LogEvent("process_started")
+                    .with("version", INDIGOHILL_VERSION)
+                    .with("pid", ::getpid())
+                    .with("memoryMb", settings.memoryMb)
+                    .with("descriptors", descriptors.rlim_cur)
+                    .with("fileSizeLimit", fileSize.rlim_cur));
+}
+
 using Daemon = int (*)(const settings::Settings&, const DaemonOptions&);
 
 int runDaemon(const std::string& role, Daemon daemon, const DaemonOptions& options) {
@@ -21,6 +38,8 @@
   if (const auto* status = std::get_if<int>(&loaded)) return *status;
   const auto& settings = std::get<settings::Settings>(loaded);
   base::openLog(settings.nodeName, role, settings.logLevel);
+  base::logAbnormalEnd();
+  logStart(settings);
   try {
     return daemon(settings, options);
   } catch (const std::exception& error) {
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "base/journal.hpp"
+#include "base/task_failure.hpp"
 #include "base/wall_time.hpp"
 #include "cli/daemons.hpp"
 #include "cli/deployment.hpp"
@@ -87,12 +88,12 @@
     });
     readiness_.start();
     link_.start();
-    asio::co_spawn(io_, executor_.accept(acceptor_), asio::detached);
-    asio::co_spawn(control_, tickUntilDone(control_, kTick, [this] { return tick(); }), asio::detached);
+    asio::co_spawn(io_, executor_.accept(acceptor_), base::LogTaskFailure("accept_clients"));
+    asio::co_spawn(control_, tickUntilDone(control_, kTick, [this] { return tick(); }), base::LogTaskFailure("tick"));
     asio::co_spawn(control_,
                    handleSignals(
                        control_, [this] { shutDown(); }, [this] { reloadSettings(true); }),
-                   asio::detached);
+                   base::LogTaskFailure("signals"));
     base::logInfo(base::LogEvent("router_started")
                       .with("frontend", settings::text(watch_.current().frontend))
                       .with("peers", settings::text(peerAddress(watch_.current(), false))));
@@ -205,7 +206,7 @@
                                    core_.onListRead(std::move(runners), askedAt, base::Clock::now(), after);
                                    apply(after);
                                  }),
-                     asio::detached);
+                     base::LogTaskFailure("runner_list"));
     }
     apply(effects);
     return !isDone(now);
--- a/src/duties/platform_client.cpp
+++ b/src/duties/platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/task_failure.hpp"
 namespace indigohill::duties {
 
 namespace asio = http::asio;
@@ -31,7 +32,7 @@
 void PlatformClient::start(PlatformCall call) {
   running_ = call.id;
   connection_ = std::make_shared<Connection>(executor_);
-  asio::co_spawn(executor_, run(std::move(call), connection_), asio::detached);
+  asio::co_spawn(executor_, run(std::move(call), connection_), base::LogTaskFailure("platform_call"));
 }
 
 void PlatformClient::abort(std::uint64_t id) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <stdexcept>
 
+#include "base/task_failure.hpp"
 namespace indigohill::http {
 
 namespace {
@@ -48,7 +49,7 @@
       handler_(std::move(handler)),
       acceptor_(listen(executor, at, "server at")) {}
 
-void Server::start() { asio::co_spawn(executor_, accept(), asio::detached); }
+void Server::start() { asio::co_spawn(executor_, accept(), base::LogTaskFailure("accept")); }
 
 void Server::stop() {
   boost::system::error_code ignored;
@@ -65,7 +66,7 @@
       co_await pause.async_wait(kTuple);
       continue;
     }
-    asio::co_spawn(executor_, session(std::move(socket)), asio::detached);
+    asio::co_spawn(executor_, session(std::move(socket)), base::LogTaskFailure("server_session"));
   }
 }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "base/log.hpp"
+#include "base/task_failure.hpp"
 #include "net/link_faults.hpp"
 
 namespace indigohill::net {
@@ -39,7 +40,7 @@
 
 void Link::start() {
   server_.start();
-  asio::co_spawn(strand_, receiveLoop(), asio::detached);
+  asio::co_spawn(strand_, receiveLoop(), base::LogTaskFailure("receive_datagrams"));
 }
 
 void Link::take(std::string_view bytes, const settings::Endpoint& from) {
@@ -82,7 +83,7 @@
     channel->waiting[item.message.index()] = bytes;
     if (!channel->busy) {
       channel->busy = true;
-      asio::co_spawn(strand_, run(item.to, channel), asio::detached);
+      asio::co_spawn(strand_, run(item.to, channel), base::LogTaskFailure("send_message"));
     }
   }
 }
--- a/src/proxy/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -1,9 +1,9 @@
 #include "proxy/executor.hpp"
 
 #include <boost/asio/strand.hpp>
-#include <exception>
 
 #include "base/log.hpp"
+#include "base/task_failure.hpp"
 #include "proxy/client_session.hpp"
 
 namespace indigohill::proxy {
@@ -14,16 +14,6 @@
 
 constexpr base::Millis kAcceptBackoff{50};  // after an error: most often want of descriptors
 
-// Sessions report errors as values; an exception is a fault of the program and closes its client's connection.
-void logUnexpected(const std::exception_ptr& thrown) {
-  if (!thrown) return;
-  try {
-    std::rethrow_exception(thrown);
-  } catch (const std::exception& error) {
-    base::logError(base::LogEvent("session_failed").with("error", error.what()));
-  }
-}
-
 asio::awaitable<void> serve(ProxyState& state, http::tcp::socket socket) {
   ClientSession session(state, std::move(socket));
   co_await session.run();
@@ -41,7 +31,7 @@
       continue;
     }
     auto strand = socket.get_executor();
-    asio::co_spawn(strand, serve(state_, std::move(socket)), logUnexpected);
+    asio::co_spawn(strand, serve(state_, std::move(socket)), base::LogTaskFailure("client_session"));
   }
 }
 
