A hangup at its start does not end a daemon

Callers saw a process that ended by SIGHUP (wait status 1, no line in its log) when the platform told of changed settings while it was starting: in 8 (router) and 7 (controller) of 30 tries at 0 to 3.5 ms after the start on an idle machine, longer beside load or with a slow settings file. runRouter and runController ignored the signal only once the settings had been read; until then the default action stood. Class: a signal whose default action ends a process that it is not meant to end.

Elsewhere: no other place of the daemons sets dispositions.

The tests hold a daemon at the reading of its settings (a pipe) and send the signal there.

The emulator's processes start with default dispositions, as a supervisor starts them; freeNetwork serves soak and tests.

--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -8,6 +8,7 @@
 struct Command {
   CLI::App* parser;
   std::function<int()> run;
+  bool isDaemon = false;  // it runs until it is told to stop, whatever becomes of the terminal
 };
 
 // Each adds its subcommand to the program's parser.
--- a/src/cli/controller_daemon.cpp
+++ b/src/cli/controller_daemon.cpp
@@ -1,5 +1,4 @@
 #include <boost/asio/post.hpp>
-#include <csignal>
 
 #include "base/task_failure.hpp"
 #include "base/wall_time.hpp"
@@ -243,8 +242,6 @@
 }  // namespace
 
 int runController(const settings::Settings& settings, const DaemonOptions& options) {
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the event loop takes it; the default would end the process
   return ControllerDaemon(settings, options, openControllerDisk(settings)).run();
 }
 
--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -54,7 +54,7 @@
   addSettingsOption(*parser, options->settingsPath);
   parser->add_option("--metrics-port", options->metricsPort,
                      "port at the machine's address where GET /metrics tells the daemon's figures; 0: none");
-  return {parser, [role, daemon, options] { return runDaemon(role, daemon, *options); }};
+  return {parser, [role, daemon, options] { return runDaemon(role, daemon, *options); }, true};
 }
 
 }  // namespace
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -1,5 +1,4 @@
 #include <boost/asio/strand.hpp>
-#include <csignal>
 #include <memory>
 #include <thread>
 
@@ -279,8 +278,6 @@
 }  // namespace
 
 int runRouter(const settings::Settings& settings, const DaemonOptions& options) {
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the event loop takes it; the default would end the process
   // Never destroyed: coroutines of sessions that are still open refer to its parts, and the event loop, which has them,
   // would go last. The process ends here.
   return std::make_unique<RouterDaemon>(settings, options).release()->run();
--- a/src/emulator/daemon_process.cpp
+++ b/src/emulator/daemon_process.cpp
@@ -35,6 +35,8 @@
   ::dup2(output, STDOUT_FILENO);
   ::dup2(output, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
+  // As a supervisor starts a daemon: what the emulator's own parents ignore is not ignored there.
+  for (int number = 1; number < NSIG; ++number) ::signal(number, SIG_DFL);
   ::execv(arguments[0], arguments);
   ::_exit(kExecFailed);
 }
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -41,4 +41,8 @@
   std::uint8_t number_;
 };
 
+// The first network whose platform address nobody listens at, from one that differs between processes. Throws
+// std::runtime_error when all are in use.
+Network freeNetwork();
+
 }  // namespace indigohill::emulator
--- a/src/emulator/soak_run.cpp
+++ b/src/emulator/soak_run.cpp
@@ -1,11 +1,8 @@
 #include "emulator/soak_run.hpp"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdlib>
-#include <stdexcept>
 
 #include "emulator/applications.hpp"
 #include "emulator/daemon_fleet.hpp"
@@ -27,23 +24,6 @@
 
 constexpr Millis kStartLimit{30000}, kReadBackLimit{15000}, kAckLimit{20000};
 constexpr Millis kPoll{20}, kStallProbe{10}, kSettle{200};
-constexpr int kFirstNetwork = 10, kLastNetwork = 250;
-
-// Takes the first network number whose platform address nobody listens at, from one that differs between processes.
-Network freeNetwork() {
-  asio::io_context probe;
-  const int numbers = kLastNetwork - kFirstNetwork + 1;
-  for (int i = 0; i < numbers; ++i) {
-    const Network network(static_cast<std::uint8_t>(kFirstNetwork + (::getpid() + i) % numbers));
-    try {
-      http::listen(probe.get_executor(), network.platform(), "platform");
-      return network;
-    } catch (const std::runtime_error&) {
-      continue;
-    }
-  }
-  throw std::runtime_error("every network number from 10 to 250 is in use");
-}
 
 // The path of the file of cuts. The daemons that are started from now on find it in their environment.
 std::string exportCutFile(const RunOptions& options) {
--- /dev/null
+++ b/tests/test_daemon_start.cpp
@@ -0,0 +1,39 @@
+// What a daemon may meet at its start, and must not end by.
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "daemon.hpp"
+// Criterion's macros get in the way of Boost's headers, so it comes last.
+#include <criterion/criterion.h>
+
+using namespace indigohill;
+using namespace indigohill::tests;
+using emulator::Role;
+
+namespace {
+
+// A daemon that reads its settings from a pipe gets a hangup before it has them.
+void hangUpBeforeTheSettings(Role role) {
+  const TestFolder folder;
+  const auto network = emulator::freeNetwork();
+  const auto path = folder.file("settings");
+  ::mkfifo(path.c_str(), 0600);
+  Daemon daemon(role, path);
+  const int writeEnd = ::open(path.c_str(), O_WRONLY);  // waits until the daemon reads
+  daemon.signal(SIGHUP);
+  const auto text = settingsOf(role, network, folder);
+  cr_assert_eq(::write(writeEnd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+  ::close(writeEnd);
+  cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+}
+
+}  // namespace
+
+Test(daemon_start, a_hangup_before_the_settings_are_read_does_not_end_a_router) {
+  hangUpBeforeTheSettings(Role::Router);
+}
+
+Test(daemon_start, a_hangup_before_the_settings_are_read_does_not_end_a_controller) {
+  hangUpBeforeTheSettings(Role::Controller);
+}
