A limit on file sizes does not end a controller

A controller under a limit on file sizes (RLIMIT_FSIZE of 8 KB, as a full disk may be enforced) ended by SIGXFSZ with nothing in its log but process_started; a router with a limit of 0 ended at its first line. Cause: the signal that the kernel sends along with EFBIG kept its default action.

It is ignored from the first statement of main on; the write fails with EFBIG, which the store handles like a full disk: the controller logs store_commit_failed and waits, a write later on is answered as failed.

--- a/src/base/ignored_signals.hpp
+++ b/src/base/ignored_signals.hpp
@@ -16,6 +16,7 @@
   static constexpr std::array kNumbers{
       SIGHUP,   // the settings have changed; a daemon that starts reads them anyway
       SIGPIPE,  // a connection was closed; the write fails as well
+      SIGXFSZ,  // a file has reached the limit on file sizes; the write fails as well
   };
   std::array<struct sigaction, kNumbers.size()> former_{};
 };
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -37,3 +37,13 @@
 Test(daemon_start, a_hangup_before_the_settings_are_read_does_not_end_a_controller) {
   hangUpBeforeTheSettings(Role::Controller);
 }
+
+Test(daemon_start, a_limit_on_file_sizes_does_not_end_a_controller) {
+  const TestFolder folder;
+  const auto path = folder.file("settings");
+  writeFile(path, settingsOf(Role::Controller, emulator::freeNetwork(), folder));
+  Daemon daemon(
+      {"/bin/sh", "-c", std::string("ulimit -f 16; exec ") + INDIGOHILL_PROGRAM + " controller --settings " + path});
+  cr_assert(daemon.hasSaid("\"store_commit_failed\""), "%s", daemon.output().c_str());
+  cr_assert(daemon.runs());
+}
