A port that is in use at its start does not end a daemon

A router or controller of which one port (of clients, readiness, control, or TCP or UDP between daemons) was held by somebody ended with status 1 and process_failed, 'Address already in use', in 7 of 7 tries; a supervisor that starts it again sees a crash loop for as long as the port is held. Cause: what a daemon needs for its start was tried once, except the disk, which was waited for. Class: a condition of the machine that may pass ends the process.

http::awaitListen and awaitBind wait for an address that is in use or not there yet, log address_unavailable and try again every 100 ms; other errors still end the start. The loop is the one that waited for the disk (base::retryAtStart), which stood twice there. Metrics stay as they were: served without, when their port cannot be had.

daemon_start/a_held_port_*: 4 of 4 failed before (process_failed), 4 of 4 pass now; TCP and UDP, both roles.

--- a/src/cli/controller_disk.cpp
+++ b/src/cli/controller_disk.cpp
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 #include <system_error>
-#include <thread>
 
+#include "base/start_retry.hpp"
 #include "cli/deployment.hpp"
 #include "cli/event_loop.hpp"
 
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr base::Millis kRetry{250};  // between tries to open a disk that refuses
-constexpr int kTriesLogged = 40;     // of the tries that fail one in so many is logged
 constexpr std::uint64_t kMebibyte = 1u << 20;
 
 // Room for each of the two snapshot files; LMDB wants about three times what it holds.
@@ -23,19 +21,9 @@
   return std::clamp(settings.diskMb * kMebibyte / 4, 4 * kMebibyte, 32 * kMebibyte);
 }
 
-void retry(const std::function<bool()>& attempt) {
-  while (!attempt()) std::this_thread::sleep_for(kRetry);
-}
-
 // `attempt` gives the error of a try that failed.
 void retryOpening(const std::function<std::optional<std::string>()>& attempt) {
-  int failures = 0;
-  retry([&] {
-    const auto error = attempt();
-    if (error && failures++ % kTriesLogged == 0)
-      base::logError(base::LogEvent("store_open_failed").with("error", *error));
-    return !error;
-  });
+  base::retryAtStart(base::LogEvent("store_open_failed"), attempt);
 }
 
 std::unique_ptr<store::Store> openStore(const settings::Settings& settings) {
@@ -73,7 +61,11 @@
   std::vector<control::DiskWrite> writes;
   out.identity = control::identify(read, settings.bootstrap && !out.store->wasLost(), settings.seedNodes,
                                    settings.controlPlane, randomSeed(), writes);
-  if (!writes.empty()) retry([&] { return out.store->writeAndWait(writes); });
+  if (!writes.empty())
+    retryOpening([&]() -> std::optional<std::string> {
+      if (out.store->writeAndWait(writes)) return std::nullopt;
+      return "the identity cannot be written";
+    });
   if (keepsTallies(settings)) out.tallies = openTallies(settings);
   return out;
 }
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -59,8 +59,8 @@
         journal_(routing::fold),
         table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()),
         executor_(io_.get_executor(), table_),
-        acceptor_(http::listen(io_.get_executor(), settings.frontend, "frontend")),
-        readiness_(io_.get_executor(), settings.readiness, {},
+        acceptor_(http::awaitListen(io_.get_executor(), settings.frontend, "frontend")),
+        readiness_(http::awaitListen(io_.get_executor(), settings.readiness, "readiness"), {},
                    [this](http::Request request, const http::Caller&) -> asio::awaitable<http::Response> {
                      co_return readiness(request);
                    }),
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,7 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <stdexcept>
+#include <utility>
 
 #include "base/task_failure.hpp"
 namespace indigohill::http {
@@ -30,24 +30,11 @@
   return out;
 }
 
-tcp::acceptor listen(asio::any_io_executor executor, const settings::Endpoint& at, const char* what) {
-  try {
-    tcp::acceptor acceptor(executor);
-    acceptor.open(tcp::v4());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(tcpEndpoint(at));
-    acceptor.listen(1024);
-    return acceptor;
-  } catch (const boost::system::system_error& error) {
-    throw std::runtime_error(std::string(what) + " " + settings::text(at) + ": " + error.code().message());
-  }
-}
-
-Server::Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler)
-    : executor_(executor),
+Server::Server(tcp::acceptor acceptor, Limits limits, Handler handler)
+    : executor_(acceptor.get_executor()),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(listen(executor, at, "server at")) {}
+      acceptor_(std::move(acceptor)) {}
 
 void Server::start() { asio::co_spawn(executor_, accept(), base::LogTaskFailure("accept")); }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -2,7 +2,7 @@
 #include <functional>
 #include <memory>
 
-#include "http/types.hpp"
+#include "http/listener.hpp"
 
 namespace indigohill::http {
 
@@ -24,7 +24,11 @@
   };
   using Handler = std::function<asio::awaitable<Response>(Request, Caller)>;
 
-  Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler);
+  // Serves what comes to `acceptor`, on its executor.
+  Server(tcp::acceptor acceptor, Limits limits, Handler handler);
+  // Listens itself; throws like `listen`.
+  Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler)
+      : Server(listen(std::move(executor), at, "server at"), limits, std::move(handler)) {}
   void start();
   void stop();
 
@@ -38,7 +42,4 @@
   tcp::acceptor acceptor_;
 };
 
-// Opens a listening socket or throws std::runtime_error naming what it was for.
-tcp::acceptor listen(asio::any_io_executor executor, const settings::Endpoint& at, const char* what);
-
 }  // namespace indigohill::http
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -24,7 +24,7 @@
       self_(self),
       receive_(std::move(receive)),
       socket_(strand),
-      server_(strand, self, {16384, kMaxMessageBytes, base::Millis(60000)},
+      server_(http::awaitListen(strand, self, "messages"), {16384, kMaxMessageBytes, base::Millis(60000)},
               [this](http::Request request, http::Caller caller) -> asio::awaitable<http::Response> {
                 auto from = caller.address;
                 const auto port = request[kPortHeader];
@@ -35,7 +35,11 @@
                 co_return http::answer(request, 204, "");
               }) {
   socket_.open(udp::v4());
-  socket_.bind({asio::ip::address_v4(self.ip), self.port});
+  http::awaitBind(self, "datagrams", [&] {
+    boost::system::error_code error;
+    socket_.bind({asio::ip::address_v4(self.ip), self.port}, error);
+    return error;
+  });
 }
 
 void Link::start() {
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -16,7 +16,7 @@
  public:
   using Receive = std::function<void(const schema::Message&, const settings::Endpoint& from)>;
 
-  // `strand` is where messages are received and `send` is called.
+  // `strand` is where messages are received and `send` is called. Waits until the address can be had (awaitListen).
   Link(boost::asio::any_io_executor strand, settings::Endpoint self, Receive receive);
   void start();
   void send(const Outbox& out);
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -3,6 +3,8 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/udp.hpp>
+
 #include "daemon.hpp"
 // Criterion's macros get in the way of Boost's headers, so it comes last.
 #include <criterion/criterion.h>
@@ -10,6 +12,7 @@
 using namespace indigohill;
 using namespace indigohill::tests;
 using emulator::Role;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -28,6 +31,21 @@
   cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
 }
 
+template <class Protocol>
+void holdAtStart(Role role, const settings::Endpoint& port) {
+  const TestFolder folder;
+  const auto path = folder.file("settings");
+  // Of the network whose address is held.
+  const emulator::Network network(static_cast<std::uint8_t>((port.ip >> 16) & 0xff));
+  writeFile(path, settingsOf(role, network, folder));
+  asio::io_context io;
+  typename Protocol::socket holder(io, typename Protocol::endpoint(asio::ip::address_v4(port.ip), port.port));
+  Daemon daemon(role, path);
+  cr_assert(daemon.hasSaid("\"address_unavailable\""), "%s", daemon.output().c_str());
+  holder.close();
+  cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+}
+
 }  // namespace
 
 Test(daemon_start, a_hangup_before_the_settings_are_read_does_not_end_a_router) {
@@ -47,3 +65,22 @@
   cr_assert(daemon.hasSaid("\"store_commit_failed\""), "%s", daemon.output().c_str());
   cr_assert(daemon.runs());
 }
+
+Test(daemon_start, a_held_port_of_clients_does_not_end_a_router) {
+  holdAtStart<asio::ip::tcp>(Role::Router, emulator::freeNetwork().frontend(0));
+}
+
+Test(daemon_start, a_held_port_of_readiness_does_not_end_a_router) {
+  holdAtStart<asio::ip::tcp>(Role::Router, emulator::freeNetwork().readiness(0));
+}
+
+Test(daemon_start, a_held_port_of_control_does_not_end_a_controller) {
+  holdAtStart<asio::ip::tcp>(Role::Controller, emulator::freeNetwork().controlPlane(0));
+}
+
+Test(daemon_start, a_held_port_between_daemons_does_not_end_a_daemon) {
+  for (const auto role : {Role::Router, Role::Controller}) {
+    holdAtStart<asio::ip::tcp>(role, emulator::freeNetwork().peer(role, 0));
+    holdAtStart<asio::ip::udp>(role, emulator::freeNetwork().peer(role, 0));
+  }
+}
