Outgoing connections do not hold the ports that daemons of their machine listen at

The kernel draws the ports of outgoing connections from 32768 to 60999. Where a deployment's ports lie in that range, a connection of a router to a runner, the platform or another daemon may have one of them as its local port; a daemon of that machine that is started again could not listen there while it lasted, nor for a minute afterwards (TIME_WAIT): Address already in use, start after start. Class: a resource of the machine that two daemons share without knowing.

http::openOutgoing sets SO_REUSEADDR before each of the three async_connect of the daemons (client, duties, pool of connections to runners); the listeners have had it all along, and with it on both the kernel allows the bind.

test_http_units outgoing/*: 3 of 3 failed before (Address already in use), 3 of 3 pass now.

--- a/src/duties/platform_client.cpp
+++ b/src/duties/platform_client.cpp
@@ -56,6 +56,7 @@
 asio::awaitable<CallOutcome> PlatformClient::exchange(const PlatformCall& call, Connection& connection) {
   auto& stream = connection.stream;
   stream.expires_at(std::min(call.notAfter, base::Clock::now() + kAnswerTimeout));
+  http::openOutgoing(stream.socket());
   auto [connectError] = co_await stream.async_connect(http::tcpEndpoint(platform_), http::kTuple);
   if (connectError || connection.aborted) co_return CallOutcome::NoAnswer;
   dropUnsentAtClose(stream);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,7 @@
     if (!stream_) {
       stream_ = std::make_unique<beast::tcp_stream>(executor_);
       stream_->expires_at(deadline);
+      openOutgoing(stream_->socket());
       auto [error] = co_await stream_->async_connect(tcpEndpoint(to_), kTuple);
       if (error) {
         stream_.reset();
--- a/src/http/types.hpp
+++ b/src/http/types.hpp
@@ -30,6 +30,15 @@
   return {asio::ip::address_v4(endpoint.ip), endpoint.port};
 }
 
+// Opens a socket for an outgoing connection. The port that the kernel gives it, for as long as the connection lasts and in
+// TIME_WAIT, may be one that a daemon of this machine is to listen at: with the option on both sockets the kernel lets
+// it. An error shows when the socket is connected.
+inline void openOutgoing(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.open(tcp::v4(), ignored);
+  socket.set_option(asio::socket_base::reuse_address(true), ignored);
+}
+
 // Small messages go out at once, and a peer that has gone silent is noticed although it never resets.
 inline void tune(tcp::socket& socket, base::Millis silent) {
   boost::system::error_code ignored;
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -87,6 +87,7 @@
                                                                     base::TimePoint deadline) {
   SocketTimer timer(co_await asio::this_coro::executor, connection.stream.socket(),
                     std::min(deadline, base::Clock::now() + kConnectTimeout));
+  http::openOutgoing(connection.stream.socket());
   auto [error] = co_await connection.stream.async_connect(http::tcpEndpoint(address), http::kTuple);
   if (timer.expired()) co_return base::Error{base::ErrorCode::Unavailable, "connecting: no answer in time"};
   if (error) co_return base::Error{base::ErrorCode::Unavailable, "connecting: " + error.message()};
