A settings file that is being written does not end a daemon at its start

A router or controller that was started while its settings file was empty, cut off or not there yet ended with status 2 and one line on standard error, in 6 of 6 tries. The platform writes that file at each start and at each change. While a daemon runs such a file was borne; at the start it was tried once. Class: a condition of the machine that may pass ends the process.

awaitSettings tells of it at once, tries again for five seconds and then ends with status 2 as before; check-settings and the other commands still try once. daemon_start/settings_that_are_being_written_do_not_end_a_daemon: failed before (ended with 2), passes now. A file that is cut off behind its last required field is taken as it is, and read again within a second of its change.

--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -34,7 +34,7 @@
 using Daemon = int (*)(const settings::Settings&, const DaemonOptions&);
 
 int runDaemon(const std::string& role, Daemon daemon, const DaemonOptions& options) {
-  auto loaded = loadSettings(options.settingsPath, role);
+  auto loaded = awaitSettings(options.settingsPath, role);
   if (const auto* status = std::get_if<int>(&loaded)) return *status;
   const auto& settings = std::get<settings::Settings>(loaded);
   base::openLog(settings.nodeName, role, settings.logLevel);
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -84,3 +84,18 @@
     holdAtStart<asio::ip::udp>(role, emulator::freeNetwork().peer(role, 0));
   }
 }
+
+Test(daemon_start, settings_that_are_being_written_do_not_end_a_daemon) {
+  for (const auto role : {Role::Router, Role::Controller}) {
+    const TestFolder folder;
+    const auto path = folder.file("settings");
+    const auto text = settingsOf(role, emulator::freeNetwork(), folder);
+    for (const auto& begun : {std::string(), text.substr(0, text.size() / 4)}) {
+      writeFile(path, begun);
+      Daemon daemon(role, path);
+      cr_assert(daemon.hasSaid("settings: "), "%s", daemon.output().c_str());
+      writeFile(path, text);
+      cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+    }
+  }
+}
