A daemon whose ticks, signals or accepting have failed ends instead of standing still

An exception (want of memory, or a fault of ours) that left a coroutine of a daemon's main loops was dropped: the process stayed, did not tick, accept or receive any more, and looked alive. Now it goes on to the event loop, which ends the process with process_failed, so that it is started again; sessions and calls are logged and end alone.

process_end/a_task_that_a_daemon_cannot_do_without_ends_it: there was nothing to end the loop before; passes.

--- a/src/base/task_failure.cpp
+++ b/src/base/task_failure.cpp
@@ -15,4 +15,10 @@
   }
 }
 
+void EndOnTaskFailure::operator()(const std::exception_ptr& thrown) const {
+  if (!thrown) return;
+  log_(thrown);
+  std::rethrow_exception(thrown);
+}
+
 }  // namespace indigohill::base
--- a/src/cli/controller_daemon.cpp
+++ b/src/cli/controller_daemon.cpp
@@ -63,11 +63,11 @@
     control_.start();
     link_.start();
     asio::co_spawn(io_, tickUntilDone(executor_, store_ ? kControllerTick : kObserverTick, [this] { return tick(); }),
-                   base::LogTaskFailure("tick"));
+                   base::EndOnTaskFailure("tick"));
     asio::co_spawn(io_,
                    handleSignals(
                        executor_, [this] { shutDown(); }, [this] { reloadSettings(true); }),
-                   base::LogTaskFailure("signals"));
+                   base::EndOnTaskFailure("signals"));
     base::logInfo(base::LogEvent("controller_started")
                       .with("control", settings::text(watch_.current().controlPlane))
                       .with("peers", settings::text(peerAddress(watch_.current(), true)))
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -87,12 +87,12 @@
     });
     readiness_.start();
     link_.start();
-    asio::co_spawn(io_, executor_.accept(acceptor_), base::LogTaskFailure("accept_clients"));
-    asio::co_spawn(control_, tickUntilDone(control_, kTick, [this] { return tick(); }), base::LogTaskFailure("tick"));
+    asio::co_spawn(io_, executor_.accept(acceptor_), base::EndOnTaskFailure("accept_clients"));
+    asio::co_spawn(control_, tickUntilDone(control_, kTick, [this] { return tick(); }), base::EndOnTaskFailure("tick"));
     asio::co_spawn(control_,
                    handleSignals(
                        control_, [this] { shutDown(); }, [this] { reloadSettings(true); }),
-                   base::LogTaskFailure("signals"));
+                   base::EndOnTaskFailure("signals"));
     base::logInfo(base::LogEvent("router_started")
                       .with("frontend", settings::text(watch_.current().frontend))
                       .with("peers", settings::text(peerAddress(watch_.current(), false))));
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -36,7 +36,7 @@
       handler_(std::move(handler)),
       acceptor_(std::move(acceptor)) {}
 
-void Server::start() { asio::co_spawn(executor_, accept(), base::LogTaskFailure("accept")); }
+void Server::start() { asio::co_spawn(executor_, accept(), base::EndOnTaskFailure("accept")); }
 
 void Server::stop() {
   boost::system::error_code ignored;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -44,7 +44,7 @@
 
 void Link::start() {
   server_.start();
-  asio::co_spawn(strand_, receiveLoop(), base::LogTaskFailure("receive_datagrams"));
+  asio::co_spawn(strand_, receiveLoop(), base::EndOnTaskFailure("receive_datagrams"));
 }
 
 void Link::take(std::string_view bytes, const settings::Endpoint& from) {
--- a/tests/base/test_process_end.cpp
+++ b/tests/base/test_process_end.cpp
@@ -4,6 +4,12 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <functional>
 #include <stdexcept>
@@ -45,6 +51,11 @@
   return out;
 }
 
+boost::asio::awaitable<void> failLater() {
+  co_await boost::asio::post(co_await boost::asio::this_coro::executor, boost::asio::use_awaitable);
+  throw std::bad_alloc();
+}
+
 bool has(const End& end, const char* text) { return end.output.find(text) != std::string::npos; }
 
 }  // namespace
@@ -72,3 +83,18 @@
   cr_assert(has(end, R"("event":"task_failed","task":"reader","error":"std::bad_alloc")"), "%s", end.output.c_str());
   cr_assert_eq(end.status, 0);
 }
+
+Test(process_end, a_task_that_a_daemon_cannot_do_without_ends_it) {
+  const auto end = endOf([] {
+    boost::asio::io_context io;
+    boost::asio::co_spawn(io, failLater(), base::EndOnTaskFailure("tick"));
+    try {
+      io.run();
+    } catch (const std::bad_alloc&) {
+      base::logError(base::LogEvent("event_loop_left"));
+    }
+  });
+  cr_assert(has(end, R"("event":"task_failed","task":"tick")"), "%s", end.output.c_str());
+  cr_assert(has(end, "event_loop_left"), "%s", end.output.c_str());
+  base::EndOnTaskFailure("tick")(nullptr);
+}
