Trailers without end do not fill a process's memory

Clients ended a process by want of memory: behind the last chunk of a body they sent trailers that did not end. The parser wants the whole of the trailers before it takes them, and until then they stay in the connection's buffer, which had no bound; the bound on a head (header_limit) does not hold there, nor for an endless extension of a chunk. Class: a buffer for a peer's bytes without a bound.

Every buffer that a connection reads into now has one (http::kMaxBufferedBytes, 64 KB; 72 KB at a router, which also keeps requests sent in a row there, or maxHeaderBytes where that is more). Beyond it the request is rejected with 431 and the connection ends. The same buffers were looked for at every place that reads: clients, readiness, control, metrics, messages between daemons, answers of runners, of the platform's list and of duties.

--- a/src/duties/platform_client.cpp
+++ b/src/duties/platform_client.cpp
@@ -71,7 +71,7 @@
   if (!mayCall_(call, base::Clock::now())) co_return CallOutcome::NoAnswer;
   auto [writeError, written] = co_await wire::async_write(stream, request, http::kTuple);
   if (writeError) co_return CallOutcome::NoAnswer;
-  http::beast::flat_buffer buffer;
+  http::beast::flat_buffer buffer(http::kMaxBufferedBytes);
   wire::response<wire::string_body> response;
   auto [readError, read] = co_await wire::async_read(stream, buffer, response, http::kTuple);
   co_return readError ? CallOutcome::NoAnswer : outcomeOf(static_cast<int>(response.result_int()));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -21,7 +21,7 @@
     }
     stream_->expires_at(deadline);
     auto [writeError, written] = co_await wire::async_write(*stream_, request, kTuple);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferedBytes);
     wire::response_parser<wire::string_body> parser;
     parser.body_limit(16u << 20);
     boost::system::error_code error = writeError;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -64,7 +64,7 @@
   if (ignored) co_return;
   const settings::Endpoint from{remote.address().to_v4().to_uint(), remote.port()};
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   for (;;) {
     wire::request_parser<wire::string_body> parser;
     parser.header_limit(limits_.headerBytes);
@@ -72,7 +72,8 @@
     stream.expires_after(limits_.idle);
     auto [error, bytes] = co_await wire::async_read(stream, buffer, parser, kTuple);
     if (error) {
-      if (error == wire::error::body_limit || error == wire::error::header_limit) {
+      if (error == wire::error::body_limit || error == wire::error::header_limit ||
+          error == wire::error::buffer_overflow) {
         auto reply = answer(parser.get(), error == wire::error::body_limit ? 413 : 431, "too large");
         reply.keep_alive(false);
         co_await wire::async_write(stream, reply, kTuple);
--- a/src/http/types.hpp
+++ b/src/http/types.hpp
@@ -26,13 +26,17 @@
 // Every asynchronous call gives its error back as a value.
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
+// How much is read of a peer ahead of what can be used of it: a head, the trailers of a chunked body, requests sent in
+// a row. Every buffer that a connection reads into has a bound of this size or more.
+constexpr std::size_t kMaxBufferedBytes = 64u << 10;
+
 inline tcp::endpoint tcpEndpoint(const settings::Endpoint& endpoint) {
   return {asio::ip::address_v4(endpoint.ip), endpoint.port};
 }
 
-// Opens a socket for an outgoing connection. The port that the kernel gives it, for as long as the connection lasts and in
-// TIME_WAIT, may be one that a daemon of this machine is to listen at: with the option on both sockets the kernel lets
-// it. An error shows when the socket is connected.
+// Opens a socket for an outgoing connection. The port that the kernel gives it, for as long as the connection lasts and
+// in TIME_WAIT, may be one that a daemon of this machine is to listen at: with the option on both sockets the kernel
+// lets it. An error shows when the socket is connected.
 inline void openOutgoing(tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.open(tcp::v4(), ignored);
--- a/src/proxy/client_monitor.cpp
+++ b/src/proxy/client_monitor.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr std::size_t kReadBytes = 8192;
-constexpr std::size_t kMaxPipelinedBytes = 65536;
+constexpr std::size_t kMaxPipelinedBytes = http::kMaxBufferedBytes;
 }  // namespace
 
 struct ClientMonitor::State {
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kRejectTimeout{2000};  // for writing an error
 constexpr Millis kLingerTimeout{500};   // for reading what a client still sends
 constexpr std::size_t kReadBytes = 8192;
+// Room for what ClientMonitor keeps of pipelined requests, and a read more.
+constexpr std::size_t kLeastBuffer = http::kMaxBufferedBytes + kReadBytes;
 constexpr std::uint64_t kMaxHeaderBytes = 1u << 20;
 
 // Bounds a read without closing the connection, which the stream's own time-out would: the client is still to be sent
@@ -89,7 +91,8 @@
 
 }  // namespace
 
-ClientSession::ClientSession(ProxyState& state, http::tcp::socket socket) : state_(state), client_(std::move(socket)) {
+ClientSession::ClientSession(ProxyState& state, http::tcp::socket socket)
+    : state_(state), client_(std::move(socket)), buffer_(kLeastBuffer) {
   http::tune(client_.socket(), kUserTimeout);
 }
 
@@ -129,8 +132,10 @@
 
 asio::awaitable<std::optional<http::Request>> ClientSession::readRequest(const control::Limits& limits) {
   Parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(std::min(limits.maxHeaderBytes, kMaxHeaderBytes)));
+  const auto headerBytes = std::min(limits.maxHeaderBytes, kMaxHeaderBytes);
+  parser.header_limit(static_cast<std::uint32_t>(headerBytes));
   parser.body_limit(limits.maxBodyBytes);
+  buffer_.max_size(std::max<std::size_t>(kLeastBuffer, headerBytes));
   const bool hasHead = co_await readHead(parser, limits.headerTimeout);
   if (!hasHead) co_return std::nullopt;
   if (const char* problem = problemOf(parser.get())) {
@@ -179,6 +184,8 @@
   if (!error) co_return true;
   if (error == wire::error::body_limit)
     co_await reject(413, "the body is too large");
+  else if (error == wire::error::buffer_overflow)
+    co_await reject(431, "the trailers are too large");
   else if (limit.hasFired())
     co_await reject(408, "the body took too long");
   else if (http::malformed(error))
--- a/src/proxy/connection_pool.hpp
+++ b/src/proxy/connection_pool.hpp
@@ -19,7 +19,7 @@
 struct Connection {
   explicit Connection(http::asio::any_io_executor executor) : stream(executor) {}
   http::beast::tcp_stream stream;
-  http::beast::flat_buffer buffer;
+  http::beast::flat_buffer buffer{http::kMaxBufferedBytes};
   base::TimePoint idleUntil{}, idleSince{};
   base::Clock::duration idleFor{};  // how long it had been idle when it was acquired again
   bool reused = false;
