Bodies of many requests at once do not fill a process's memory

Clients ended a process by want of memory with many bodies of legal size at once, whole or in pieces, with a length or in chunks, most of which stopped just short of their end and stayed open. Each body was bounded, their sum was not, at none of the listeners. Class: a bound for each client and none for all of them.

http::ResourceLimiter counts the bytes of bodies that are read or in progress at a listener. Where they do not fit, bodies that have stalled give way, the longest stalled first; where none has, the newcomer is refused. Both get 503 before anything has run, which keeps the promise of that status. Large bodies leave a quarter to small ones, so that ordinary requests pass beside a crowd; a single body always has room. Bodies are counted as they arrive, not by the length that a client names. http::readBody reads for routers and for the other listeners; a request is sent to a runner from the client's own body, of which every attempt had made a copy.

client_crowds/*_stop_short_*: 100 bodies of 1 MB at a router, 16 of 7 MB at each other listener, a bound of 48 MB.

--- a/src/cli/controller_daemon.cpp
+++ b/src/cli/controller_daemon.cpp
@@ -44,7 +44,7 @@
                            [this](std::uint64_t call) { core_.cancel(call); },
                            [this] { return watch_.current().controlPlane.port; }}),
         control_(
-            http::awaitListen(executor_, settings.controlPlane, "control"), {},
+            http::awaitListen(executor_, settings.controlPlane, "control"), controlLimits(settings),
             [this](http::Request request, http::Caller caller) { return call(std::move(request), std::move(caller)); }),
         link_(executor_, peerAddress(settings, true),
               [this](const schema::Message& m, const settings::Endpoint& from) { receive(m, from); }),
--- a/src/cli/deployment.cpp
+++ b/src/cli/deployment.cpp
@@ -68,6 +68,35 @@
   return out;
 }
 
+namespace {
+
+constexpr std::uint64_t kMebibyte = 1u << 20;
+constexpr std::uint64_t kMemoryParts = 4;          // of which bodies may have one
+constexpr std::uint64_t kReadinessBodies = 16;     // at once
+constexpr std::uint64_t kMaxQuestionBytes = 1024;  // of a body where none is wanted
+
+}  // namespace
+
+http::ResourceLimiter::Limits clientLimits(const settings::Settings& settings) {
+  const auto memory = settings.memoryMb * kMebibyte;
+  http::ResourceLimiter::Limits out;
+  out.bodyBytes = settings.bodyMemoryMb != 0 ? settings.bodyMemoryMb * kMebibyte : memory / kMemoryParts;
+  return out;
+}
+
+http::Server::Limits controlLimits(const settings::Settings& settings) {
+  http::Server::Limits out;
+  out.clients.bodyBytes = std::max(out.bodyBytes, settings.memoryMb * kMebibyte / kMemoryParts / 2);
+  return out;
+}
+
+http::Server::Limits readinessLimits() {
+  http::Server::Limits out;
+  out.bodyBytes = kMaxQuestionBytes;
+  out.clients.bodyBytes = kReadinessBodies * kMaxQuestionBytes;
+  return out;
+}
+
 bool keepsTallies(const settings::Settings& settings) {
   return settings.guarantees.empty() || base::contains(settings.guarantees, std::string("apart"));
 }
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -58,9 +58,9 @@
         usage_(core_.windowClock()),
         journal_(routing::fold),
         table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()),
-        executor_(io_.get_executor(), table_),
+        executor_(io_.get_executor(), table_, clientLimits(settings)),
         acceptor_(http::awaitListen(io_.get_executor(), settings.frontend, "frontend")),
-        readiness_(http::awaitListen(io_.get_executor(), settings.readiness, "readiness"), {},
+        readiness_(http::awaitListen(io_.get_executor(), settings.readiness, "readiness"), readinessLimits(),
                    [this](http::Request request, const http::Caller&) -> asio::awaitable<http::Response> {
                      co_return readiness(request);
                    }),
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int kUnavailable = 503;
+
 // Whether the peer has closed or reset the connection, looked at without taking any bytes from it. Bytes of a next
 // request hide a close behind them.
 bool closedByPeer(tcp::socket& socket) {
@@ -34,6 +36,7 @@
     : executor_(acceptor.get_executor()),
       limits_(limits),
       handler_(std::move(handler)),
+      limiter_(limits.clients),
       acceptor_(std::move(acceptor)) {}
 
 void Server::start() { asio::co_spawn(executor_, accept(), base::EndOnTaskFailure("accept")); }
@@ -53,39 +56,27 @@
       co_await pause.async_wait(kTuple);
       continue;
     }
+    limiter_.admit();
     asio::co_spawn(executor_, session(std::move(socket)), base::LogTaskFailure("server_session"));
   }
 }
 
 asio::awaitable<void> Server::session(tcp::socket socket) {
   tune(socket, limits_.idle);
+  beast::tcp_stream stream(std::move(socket));
+  ResourceLimiter::Connection connection(limiter_, stream);
   boost::system::error_code ignored;
-  const auto remote = socket.remote_endpoint(ignored);
+  const auto remote = stream.socket().remote_endpoint(ignored);
   if (ignored) co_return;
   const settings::Endpoint from{remote.address().to_v4().to_uint(), remote.port()};
-  beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer(kMaxBufferedBytes);
   for (;;) {
-    wire::request_parser<wire::string_body> parser;
-    parser.header_limit(limits_.headerBytes);
-    parser.body_limit(limits_.bodyBytes);
-    stream.expires_after(limits_.idle);
-    auto [error, bytes] = co_await wire::async_read(stream, buffer, parser, kTuple);
-    if (error) {
-      if (error == wire::error::body_limit || error == wire::error::header_limit ||
-          error == wire::error::buffer_overflow) {
-        auto reply = answer(parser.get(), error == wire::error::body_limit ? 413 : 431, "too large");
-        reply.keep_alive(false);
-        co_await wire::async_write(stream, reply, kTuple);
-      } else if (malformed(error)) {
-        auto reply = answer(parser.get(), 400, error.message());
-        reply.keep_alive(false);
-        co_await wire::async_write(stream, reply, kTuple);
-      }
-      break;
-    }
+    auto request = co_await readRequest(stream, buffer, connection);
+    if (!request) break;
     Caller caller{from, [&stream] { return closedByPeer(stream.socket()); }};
-    auto reply = co_await handler_(parser.release(), std::move(caller));
+    auto reply = co_await handler_(*std::move(request), std::move(caller));
+    request.reset();
+    connection.releaseBody();
     const bool keep = reply.keep_alive();
     stream.expires_after(limits_.idle);
     auto [failed, sent] = co_await wire::async_write(stream, reply, kTuple);
@@ -94,4 +85,31 @@
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+asio::awaitable<std::optional<Request>> Server::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                                            ResourceLimiter::Connection& connection) {
+  RequestParser parser;
+  parser.header_limit(limits_.headerBytes);
+  parser.body_limit(limits_.bodyBytes);
+  stream.expires_after(limits_.idle);
+  connection.beginWait();
+  auto [error, bytes] = co_await wire::async_read_header(stream, buffer, parser, kTuple);
+  const bool evicted = connection.endWait(error.failed());
+  if (evicted) co_return std::nullopt;
+  BodyRead body{BodyEnd::Failed, error};
+  if (!error) body = co_await readBody(stream, buffer, parser, connection);
+  if (body.end == BodyEnd::Complete) co_return parser.release();
+  if (body.end == BodyEnd::NoRoom)
+    co_await reject(stream, parser.get(), kUnavailable, "too many large requests at once");
+  else if (const auto status = statusOf(body.error))
+    co_await reject(stream, parser.get(), *status, body.error.message());
+  co_return std::nullopt;
+}
+
+asio::awaitable<void> Server::reject(beast::tcp_stream& stream, const Request& request, int status,
+                                     std::string reason) {
+  auto reply = answer(request, status, std::move(reason));
+  reply.keep_alive(false);
+  co_await wire::async_write(stream, reply, kTuple);
+}
+
 }  // namespace indigohill::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,8 +1,11 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "http/listener.hpp"
+#include "http/request_reader.hpp"
 
 namespace indigohill::http {
 
@@ -21,6 +24,7 @@
     std::uint32_t headerBytes = 16384;
     std::uint64_t bodyBytes = 8u << 20;
     base::Millis idle{30000};
+    ResourceLimiter::Limits clients{};  // of all connections together
   };
   using Handler = std::function<asio::awaitable<Response>(Request, Caller)>;
 
@@ -35,10 +39,15 @@
  private:
   asio::awaitable<void> accept();
   asio::awaitable<void> session(tcp::socket socket);
+  // Nothing when there is no request, or one that was answered with an error; the connection ends then.
+  asio::awaitable<std::optional<Request>> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                                      ResourceLimiter::Connection& connection);
+  asio::awaitable<void> reject(beast::tcp_stream& stream, const Request& request, int status, std::string reason);
 
   asio::any_io_executor executor_;
   Limits limits_;
   Handler handler_;
+  ResourceLimiter limiter_;
   tcp::acceptor acceptor_;
 };
 
--- a/src/metrics/router_metrics.cpp
+++ b/src/metrics/router_metrics.cpp
@@ -75,6 +75,13 @@
   runners.add(static_cast<double>(metrics.openAttempts.value()), {{"state", "in_use"}});
   runners.add(static_cast<double>(executor.idleRunnerConnections()), {{"state", "idle"}});
   out.add(std::move(runners));
+  const auto clients = executor.clientCounts();
+  out.add(Family::gauge("client_body_bytes", "Bodies of requests that are read or in progress.")
+              .with(static_cast<double>(clients.bodyBytes)));
+  out.add(Family::counter("clients_evicted_total", "Connections that kept the router waiting and gave way to others.")
+              .with(static_cast<double>(clients.evicted)));
+  out.add(Family::counter("client_bodies_refused_total", "Bodies that there was no memory for.")
+              .with(static_cast<double>(clients.refusedBodies)));
   out.add(Family::counter("runner_connections_opened_total", "Connections to runners that were begun.")
               .with(static_cast<double>(executor.runnerConnectionsOpened())));
 }
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -24,7 +24,8 @@
       self_(self),
       receive_(std::move(receive)),
       socket_(strand),
-      server_(http::awaitListen(strand, self, "messages"), {16384, kMaxMessageBytes, base::Millis(60000)},
+      server_(http::awaitListen(strand, self, "messages"),
+              {16384, kMaxMessageBytes, base::Millis(60000), {kMaxMessageBytes}},
               [this](http::Request request, http::Caller caller) -> asio::awaitable<http::Response> {
                 auto from = caller.address;
                 const auto port = request[kPortHeader];
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kReadBytes = 8192;
 // Room for what ClientMonitor keeps of pipelined requests, and a read more.
 constexpr std::size_t kLeastBuffer = http::kMaxBufferedBytes + kReadBytes;
+constexpr int kRequestTimeout = 408, kUnavailable = 503;
+constexpr const char* kNoRoomRetryAfterSeconds = "0.5";
 constexpr std::uint64_t kMaxHeaderBytes = 1u << 20;
 
 // Bounds a read without closing the connection, which the stream's own time-out would: the client is still to be sent
@@ -92,7 +94,7 @@
 }  // namespace
 
 ClientSession::ClientSession(ProxyState& state, http::tcp::socket socket)
-    : state_(state), client_(std::move(socket)), buffer_(kLeastBuffer) {
+    : state_(state), client_(std::move(socket)), connection_(state.limiter, client_), buffer_(kLeastBuffer) {
   http::tune(client_.socket(), kUserTimeout);
 }
 
@@ -104,9 +106,11 @@
     const auto limits = snapshot->configuration ? snapshot->configuration->limits : control::Limits{};
     const auto wait = co_await awaitRequest(limits.idleTimeout);
     // Closed at once: a request that crosses the close is never read, so its client may send it again.
-    if (wait == Wait::CancelledByShutdown) co_return;
+    if (wait == Wait::Cancelled) co_return;
     if (wait == Wait::Closed) break;
+    const auto bodyReleased = gsl::finally([this] { connection_.releaseBody(); });
     const auto request = co_await readRequest(limits);
+    if (evicted_) co_return;
     if (!request) break;
     ++state_.counters.requests;
     ++state_.counters.active;
@@ -123,8 +127,10 @@
   if (buffer_.size() > 0) co_return Wait::Ready;
   client_.expires_after(idleTimeout);
   const IdleConnections::Scope idle(state_.idleClients, client_);
+  connection_.beginWait();
   auto [error, bytes] = co_await client_.async_read_some(buffer_.prepare(kReadBytes), http::kTuple);
-  if (error == asio::error::operation_aborted && state_.shuttingDown) co_return Wait::CancelledByShutdown;
+  evicted_ = connection_.endWait(error.failed());
+  if (evicted_ || (error == asio::error::operation_aborted && state_.shuttingDown)) co_return Wait::Cancelled;
   if (error) co_return Wait::Closed;
   buffer_.commit(bytes);
   co_return Wait::Ready;
@@ -160,44 +166,47 @@
   bool late = false;
   {
     const ReadTimeout limit(client_, timeout);
+    connection_.beginWait();
     auto [readError, bytes] = co_await wire::async_read_header(client_, buffer_, parser, http::kTuple);
+    evicted_ = connection_.endWait(readError.failed());
     error = readError;
     late = limit.hasFired();
   }
   if (!error) co_return true;
+  if (evicted_) co_return false;
   if (late)
-    co_await reject(408, "the head took too long");
-  else if (error == wire::error::header_limit || error == wire::error::buffer_overflow)
-    co_await reject(431, "the head is too large");
-  else if (error == wire::error::body_limit)
-    co_await reject(413, "the body is too large");
-  else if (http::malformed(error))
-    co_await reject(400, "the head is not HTTP: " + error.message());
+    co_await reject(kRequestTimeout, "the head took too long");
   else
-    state_.metrics->clientsGone[RequestState::Reading].add();
+    co_await reject(error, "the head");
   co_return false;
 }
 
 asio::awaitable<bool> ClientSession::readBody(Parser& parser, Millis timeout) {
   const ReadTimeout limit(client_, timeout);
-  auto [error, bytes] = co_await wire::async_read(client_, buffer_, parser, http::kTuple);
-  if (!error) co_return true;
-  if (error == wire::error::body_limit)
-    co_await reject(413, "the body is too large");
-  else if (error == wire::error::buffer_overflow)
-    co_await reject(431, "the trailers are too large");
+  const auto read = co_await http::readBody(client_, buffer_, parser, connection_);
+  if (read.end == http::BodyEnd::Complete) co_return true;
+  if (read.end == http::BodyEnd::NoRoom)
+    co_await reject(kUnavailable, "too many large requests at once", kNoRoomRetryAfterSeconds);
   else if (limit.hasFired())
-    co_await reject(408, "the body took too long");
-  else if (http::malformed(error))
-    co_await reject(400, "the body is not HTTP: " + error.message());
+    co_await reject(kRequestTimeout, "the body took too long");
   else
-    state_.metrics->clientsGone[RequestState::Reading].add();
+    co_await reject(read.error, "the body");
   co_return false;
 }
 
-asio::awaitable<void> ClientSession::reject(int status, std::string reason) {
+// What is wrong with what the client has sent; nothing where its connection has ended or broken.
+asio::awaitable<void> ClientSession::reject(const boost::system::error_code& error, const char* part) {
+  const auto status = http::statusOf(error);
+  if (status)
+    co_await reject(*status, std::string(part) + ": " + error.message());
+  else
+    state_.metrics->clientsGone[RequestState::Reading].add();
+}
+
+asio::awaitable<void> ClientSession::reject(int status, std::string reason, const char* retryAfter) {
   http::Response out(static_cast<wire::status>(status), 11);
   out.set(wire::field::content_type, "text/plain");
+  if (retryAfter != nullptr) out.set(wire::field::retry_after, retryAfter);
   out.keep_alive(false);
   out.body() = std::move(reason);
   out.prepare_payload();
--- a/src/proxy/executor.hpp
+++ b/src/proxy/executor.hpp
@@ -15,8 +15,9 @@
 
 class Executor {
  public:
-  Executor(http::asio::any_io_executor executor, routing::Table& table)
-      : executor_(executor), state_(executor, table) {}
+  // `limits`: what clients may hold together.
+  Executor(http::asio::any_io_executor executor, routing::Table& table, http::ResourceLimiter::Limits limits = {})
+      : executor_(executor), state_(executor, table, limits) {}
 
   // Serves the connections that come, until the acceptor is closed.
   http::asio::awaitable<void> accept(http::tcp::acceptor& acceptor);
@@ -48,6 +49,7 @@
     state_.pool.closeStale(knownInstances, now);
   }
 
+  http::ResourceLimiter::Counts clientCounts() const { return state_.limiter.counts(); }
   const Counters& counters() const { return state_.counters; }
   const ProxyMetrics& metrics() const { return *state_.metrics; }
   std::size_t queuedRequests() const { return state_.queue.size(); }
--- a/src/proxy/headers.cpp
+++ b/src/proxy/headers.cpp
@@ -82,8 +82,8 @@
   return std::max(Millis(0), Millis(1000 * number<std::int64_t>(rest, 60) - 1000));
 }
 
-http::Request forRunner(const http::Request& in, const RunnerHeaders& headers) {
-  http::Request out;
+RunnerRequest forRunner(const http::Request& in, const RunnerHeaders& headers) {
+  RunnerRequest out;
   out.version(kHttpVersion);
   out.method_string(in.method_string());
   out.target(in.target());
@@ -98,7 +98,7 @@
   if (!headers.lastEventId.empty()) out.set(kLastEventId, headers.lastEventId);
   if (headers.expectedVersion && in.count(kExpectedVersion) == 0)
     out.set(kExpectedVersion, std::to_string(*headers.expectedVersion));
-  out.body() = in.body();
+  out.body() = {in.body().data(), in.body().size()};
   const bool bodiless = in.body().empty() && !in.has_content_length() && !in.chunked();
   if (!bodiless) out.content_length(out.body().size());
   return out;
--- a/src/proxy/headers.hpp
+++ b/src/proxy/headers.hpp
@@ -46,8 +46,9 @@
 };
 
 // The request as the runner gets it: all end-to-end headers of the client but for its key and for a tenant that it
-// names, and what the router sets.
-http::Request forRunner(const http::Request& in, const RunnerHeaders& headers);
+// names, and what the router sets. Its body is that of `in`, which must outlive it.
+using RunnerRequest = http::wire::request<http::wire::span_body<const char>>;
+RunnerRequest forRunner(const http::Request& in, const RunnerHeaders& headers);
 
 // The values of a header that may be there several times.
 std::vector<std::string_view> valuesOf(const http::wire::fields& fields, const char* name);
--- a/src/proxy/proxy_state.hpp
+++ b/src/proxy/proxy_state.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "base/log.hpp"
+#include "http/resource_limiter.hpp"
 #include "http/types.hpp"
 #include "proxy/connection_pool.hpp"
 #include "proxy/idle_connections.hpp"
@@ -25,8 +26,9 @@
 struct ProxyState {
   static constexpr std::size_t kMaxQueuedRequests = 512;  // that wait for a free slot at a runner
 
-  ProxyState(http::asio::any_io_executor executor, routing::Table& routingTable)
-      : table(routingTable), pool(std::move(executor)), queue(kMaxQueuedRequests) {}
+  ProxyState(http::asio::any_io_executor executor, routing::Table& routingTable,
+             http::ResourceLimiter::Limits clientLimits)
+      : table(routingTable), limiter(clientLimits), pool(std::move(executor)), queue(kMaxQueuedRequests) {}
 
   // Whether the client's connection may carry a further request.
   bool keepAlive(const http::Request& request) const { return request.keep_alive() && !shuttingDown; }
@@ -34,6 +36,7 @@
   bool mayBeCutOff(base::TimePoint deadline) const { return shuttingDown && deadline > requestsEndAt.load(); }
 
   routing::Table& table;
+  http::ResourceLimiter limiter;  // of clients
   ConnectionPool pool;
   RequestQueue queue;
   IdleConnections idleClients;
--- a/tests/proxy/test_headers.cpp
+++ b/tests/proxy/test_headers.cpp
@@ -24,7 +24,8 @@
   cr_assert(out.count("X-Hop") == 0 && out.count("Keep-Alive") == 0 && out.count("Transfer-Encoding") == 0);
   cr_assert(out["Indigohill-Target-Instance"] == "i-7" && out.count("Indigohill-Target-Instance") == 1);
   cr_assert(out["Indigohill-Time-Remaining"] == "1200" && out["Last-Event-Id"] == "9");
-  cr_assert(out["Content-Length"] == "4" && out.body() == "body" && out.target() == "/a/b?c");
+  cr_assert(out["Content-Length"] == "4" && std::string(out.body().data(), out.body().size()) == "body" &&
+            out.target() == "/a/b?c");
 }
 
 Test(pass, no_runner_gets_a_key_and_the_router_alone_names_the_tenant) {
--- a/tests/test_client_crowds.cpp
+++ b/tests/test_client_crowds.cpp
@@ -136,6 +136,32 @@
   crowdAtRoutes(kTrailerClients, trailerRequest(kRouteTarget, kTrailerBytes));
 }
 
+Test(client_crowds, whole_bodies_that_stop_short_stay_within_a_routers_memory) {
+  crowdAtRoutes(kBodies, lengthRequest(kRouteTarget, kRouteBodyBytes, kRouteBodyBytes - kLastBytes));
+}
+
+Test(client_crowds, bodies_in_pieces_that_stop_short_stay_within_a_routers_memory) {
+  crowdAtRoutes(kBodies, lengthRequest(kRouteTarget, kRouteBodyBytes, 8192));
+}
+
+Test(client_crowds, large_chunks_that_stop_short_stay_within_a_routers_memory) {
+  crowdAtRoutes(kBodies, chunkedRequest(kRouteTarget, kRouteBodyBytes, 65536, 1));
+}
+
+Test(client_crowds, small_chunks_that_stop_short_stay_within_a_routers_memory) {
+  crowdAtRoutes(kBodies, chunkedRequest(kRouteTarget, kRouteBodyBytes, 16, 512));
+}
+
 Test(client_crowds, trailers_without_end_stay_within_memory_at_each_listener) {
   crowdAtListeners(kTrailerClients, [](const std::string& target) { return trailerRequest(target, kTrailerBytes); });
 }
+
+Test(client_crowds, bodies_that_stop_short_stay_within_memory_at_each_listener) {
+  crowdAtListeners(kServerBodies,
+                   [](const std::string& target) { return lengthRequest(target, kServerBodyBytes, 65536); });
+}
+
+Test(client_crowds, chunks_that_stop_short_stay_within_memory_at_each_listener) {
+  crowdAtListeners(kServerBodies,
+                   [](const std::string& target) { return chunkedRequest(target, kServerBodyBytes, 16, 512); });
+}
