Open connections of clients leave a process its descriptors and memory

400 connections with a begun head took 414 descriptors of a process that the settings allow 256 (limits.maxOpenFiles), at a router and at every other listener; each also keeps a buffer. A process that has used its descriptors up can open neither connections to runners nor its files.

Each listener serves so many connections at a time. For one more, the connection that has kept the process waiting longest is closed; requests in progress are never given up.

--- a/src/cli/controller_daemon.cpp
+++ b/src/cli/controller_daemon.cpp
@@ -46,7 +46,7 @@
         control_(
             http::awaitListen(executor_, settings.controlPlane, "control"), controlLimits(settings),
             [this](http::Request request, http::Caller caller) { return call(std::move(request), std::move(caller)); }),
-        link_(executor_, peerAddress(settings, true),
+        link_(executor_, peerAddress(settings, true), peerConnections(settings),
               [this](const schema::Message& m, const settings::Endpoint& from) { receive(m, from); }),
         reader_(executor_, settings.address),
         platform_(
--- a/src/cli/deployment.hpp
+++ b/src/cli/deployment.hpp
@@ -36,6 +36,7 @@
 http::ResourceLimiter::Limits clientLimits(const settings::Settings& settings);
 // Of the listeners beside traffic: operators' calls, the platform's questions, messages between daemons.
 http::Server::Limits controlLimits(const settings::Settings& settings);
-http::Server::Limits readinessLimits();
+http::Server::Limits readinessLimits(const settings::Settings& settings);
+std::size_t peerConnections(const settings::Settings& settings);
 
 }  // namespace indigohill::cli
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -60,11 +60,11 @@
         table_(settings.zone, boundsOf(settings), seed_ + 1, base::Clock::now()),
         executor_(io_.get_executor(), table_, clientLimits(settings)),
         acceptor_(http::awaitListen(io_.get_executor(), settings.frontend, "frontend")),
-        readiness_(http::awaitListen(io_.get_executor(), settings.readiness, "readiness"), readinessLimits(),
+        readiness_(http::awaitListen(io_.get_executor(), settings.readiness, "readiness"), readinessLimits(settings),
                    [this](http::Request request, const http::Caller&) -> asio::awaitable<http::Response> {
                      co_return readiness(request);
                    }),
-        link_(control_, peerAddress(settings, false),
+        link_(control_, peerAddress(settings, false), peerConnections(settings),
               [this](const schema::Message& m, const settings::Endpoint& from) { receive(m, from); }),
         reader_(control_, settings.address),
         platform_(
--- a/src/http/resource_limiter.cpp
+++ b/src/http/resource_limiter.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Evicted connections that have not ended yet: so many may exist beyond the bound.
+constexpr std::size_t kMaxEvicting = 16;
 // Bodies up to this size may use all of the memory, larger ones three quarters.
 constexpr std::uint64_t kSmallBodyBytes = 64u << 10;
 // A body has stalled when nothing has come for so long, or when it came slower than this since it began.
@@ -83,10 +85,21 @@
 
 ResourceLimiter::ResourceLimiter(Limits limits) : registry_(std::make_shared<Registry>(limits)) {}
 
-void ResourceLimiter::admit() {
+bool ResourceLimiter::admit() {
   auto& registry = *registry_;
   const std::lock_guard lock(registry.mutex);
+  if (registry.counts.connections >= registry.limits.connections + registry.evicting) {
+    std::shared_ptr<Entry> longest;
+    for (const auto& entry : registry.entries)
+      if (entry->mayBeEvicted() && (!longest || entry->waitingSince < longest->waitingSince)) longest = entry;
+    if (!longest || registry.evicting >= kMaxEvicting) {
+      ++registry.counts.refusedConnections;
+      return false;
+    }
+    registry.evict(longest);
+  }
   ++registry.counts.connections;
+  return true;
 }
 
 ResourceLimiter::Counts ResourceLimiter::counts() const {
--- a/src/http/resource_limiter.hpp
+++ b/src/http/resource_limiter.hpp
@@ -6,9 +6,9 @@
 
 namespace indigohill::http {
 
-// Bounds what the clients of a listener may hold of the process together: memory for the bodies of their requests.
-// Where the bound is reached, a connection that keeps the process waiting for its client gives way (it is evicted);
-// where none does, the newcomer is refused. In calm nothing is bounded here: a single body always has room.
+// Bounds what the clients of a listener may hold of the process together: connections, and memory for the bodies of
+// their requests. Where a bound is reached, a connection that keeps the process waiting for its client gives way (it is
+// evicted); where none does, the newcomer is refused. In calm nothing is bounded here: a single body always has room.
 // Thread-safe; a connection itself is used on its own strand.
 class ResourceLimiter {
   struct Entry;
@@ -16,13 +16,14 @@
 
  public:
   struct Limits {
+    std::size_t connections = 256;
     std::uint64_t bodyBytes = 16u << 20;  // of requests that are read or in progress
   };
   struct Counts {
     std::size_t connections = 0;
     std::uint64_t bodyBytes = 0;
-    // Since the start: connections that gave way, bodies that were refused.
-    std::uint64_t evicted = 0, refusedBodies = 0;
+    // Since the start: connections that gave way, connections and bodies that were refused.
+    std::uint64_t evicted = 0, refusedConnections = 0, refusedBodies = 0;
   };
   enum class Room {
     Held,   // the bytes may be kept
@@ -32,8 +33,9 @@
 
   explicit ResourceLimiter(Limits limits);
 
-  // Counts a connection that has just been accepted; it is to become a Connection.
-  void admit();
+  // Whether a connection that has just been accepted may be served; it is counted then, and is to become a Connection.
+  // At the bound the one that has kept waiting longest is evicted for it.
+  bool admit();
   Counts counts() const;
 
   class Connection {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -56,7 +56,7 @@
       co_await pause.async_wait(kTuple);
       continue;
     }
-    limiter_.admit();
+    if (!limiter_.admit()) continue;  // closes it
     asio::co_spawn(executor_, session(std::move(socket)), base::LogTaskFailure("server_session"));
   }
 }
--- a/src/metrics/router_metrics.cpp
+++ b/src/metrics/router_metrics.cpp
@@ -80,6 +80,8 @@
               .with(static_cast<double>(clients.bodyBytes)));
   out.add(Family::counter("clients_evicted_total", "Connections that kept the router waiting and gave way to others.")
               .with(static_cast<double>(clients.evicted)));
+  out.add(Family::counter("client_connections_refused_total", "Connections that were closed as too many were open.")
+              .with(static_cast<double>(clients.refusedConnections)));
   out.add(Family::counter("client_bodies_refused_total", "Bodies that there was no memory for.")
               .with(static_cast<double>(clients.refusedBodies)));
   out.add(Family::counter("runner_connections_opened_total", "Connections to runners that were begun.")
--- a/src/metrics/server.cpp
+++ b/src/metrics/server.cpp
@@ -11,7 +11,7 @@
 
 constexpr const char* kContentType = "text/plain; version=0.0.4; charset=utf-8";
 constexpr std::uint64_t kMaxBodyBytes = 1024;  // of a request
-constexpr std::uint64_t kMaxBodies = 16;       // at once
+constexpr std::size_t kMaxConnections = 16;
 
 http::asio::awaitable<http::Response> respond(http::Request request, const Server::Collect& collect) {
   const std::string_view target(request.target().data(), request.target().size());
@@ -26,7 +26,7 @@
   if (at.port == 0) return;
   http::Server::Limits limits;
   limits.bodyBytes = kMaxBodyBytes;
-  limits.clients = {kMaxBodies * kMaxBodyBytes};
+  limits.clients = {kMaxConnections, kMaxConnections * kMaxBodyBytes};
   try {
     server_ = std::make_unique<http::Server>(
         executor, at, limits, [collect = std::move(collect)](http::Request request, const http::Caller&) {
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -19,13 +19,13 @@
 constexpr const char* kPortHeader = "Indigohill-Cohort-Port";
 }  // namespace
 
-Link::Link(asio::any_io_executor strand, settings::Endpoint self, Receive receive)
+Link::Link(asio::any_io_executor strand, settings::Endpoint self, std::size_t connections, Receive receive)
     : strand_(strand),
       self_(self),
       receive_(std::move(receive)),
       socket_(strand),
       server_(http::awaitListen(strand, self, "messages"),
-              {16384, kMaxMessageBytes, base::Millis(60000), {kMaxMessageBytes}},
+              {16384, kMaxMessageBytes, base::Millis(60000), {connections, kMaxMessageBytes}},
               [this](http::Request request, http::Caller caller) -> asio::awaitable<http::Response> {
                 auto from = caller.address;
                 const auto port = request[kPortHeader];
--- a/src/net/link.hpp
+++ b/src/net/link.hpp
@@ -17,7 +17,8 @@
   using Receive = std::function<void(const schema::Message&, const settings::Endpoint& from)>;
 
   // `strand` is where messages are received and `send` is called. Waits until the address can be had (awaitListen).
-  Link(boost::asio::any_io_executor strand, settings::Endpoint self, Receive receive);
+  // `connections`: of other daemons, for messages that do not fit a datagram.
+  Link(boost::asio::any_io_executor strand, settings::Endpoint self, std::size_t connections, Receive receive);
   void start();
   void send(const Outbox& out);
   std::uint64_t dropped() const { return dropped_; }
--- a/src/proxy/executor.cpp
+++ b/src/proxy/executor.cpp
@@ -30,7 +30,7 @@
       co_await backoff.async_wait(http::kTuple);
       continue;
     }
-    state_.limiter.admit();
+    if (!state_.limiter.admit()) continue;  // closes it
     auto strand = socket.get_executor();
     asio::co_spawn(strand, serve(state_, std::move(socket)), base::LogTaskFailure("client_session"));
   }
--- a/tests/cli/test_tally_service.cpp
+++ b/tests/cli/test_tally_service.cpp
@@ -66,7 +66,7 @@
 
   std::filesystem::path folder_;
   http::asio::io_context io_;
-  net::Link link_{io_.get_executor(), {kLoopback, 0}, [](const schema::Message&, const settings::Endpoint&) {}};
+  net::Link link_{io_.get_executor(), {kLoopback, 0}, 16, [](const schema::Message&, const settings::Endpoint&) {}};
   std::unique_ptr<cli::TallyService> service_;
 };
 
--- a/tests/test_client_crowds.cpp
+++ b/tests/test_client_crowds.cpp
@@ -152,6 +152,10 @@
   crowdAtRoutes(kBodies, chunkedRequest(kRouteTarget, kRouteBodyBytes, 16, 512));
 }
 
+Test(client_crowds, heads_that_have_begun_leave_a_router_its_descriptors) {
+  crowdAtRoutes(kConnections, headRequest(kRouteTarget));
+}
+
 Test(client_crowds, trailers_without_end_stay_within_memory_at_each_listener) {
   crowdAtListeners(kTrailerClients, [](const std::string& target) { return trailerRequest(target, kTrailerBytes); });
 }
@@ -165,3 +169,7 @@
   crowdAtListeners(kServerBodies,
                    [](const std::string& target) { return chunkedRequest(target, kServerBodyBytes, 16, 512); });
 }
+
+Test(client_crowds, heads_that_have_begun_leave_descriptors_at_each_listener) {
+  crowdAtListeners(kConnections, headRequest);
+}
