--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -18,7 +18,7 @@
   while (room == Room::Later && base::Clock::now() < until) {
     timer.expires_after(kRoomPoll);
     co_await timer.async_wait(kTuple);
-    room = connection.holdBody(bytes);
+    room = connection.holdBody(bytes, base::Clock::now());
   }
   co_return room;
 }
@@ -26,13 +26,13 @@
 asio::awaitable<BodyRead> readParts(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser,
                                     ResourceLimiter::Connection& connection) {
   while (!parser.is_done()) {
-    connection.beginWait();
+    connection.beginWait(base::Clock::now());
     auto [error, bytes] = co_await wire::async_read_some(stream, buffer, parser, kTuple);
     const bool evicted = connection.endWait(error.failed());
     if (evicted) co_return BodyRead{BodyEnd::NoRoom, {}};
     if (error) co_return BodyRead{BodyEnd::Failed, error};
     const auto held = parser.get().body().size();
-    auto room = connection.holdBody(held);
+    auto room = connection.holdBody(held, base::Clock::now());
     if (room == Room::Later) room = co_await awaitRoom(connection, held);
     if (room != Room::Held) co_return BodyRead{BodyEnd::NoRoom, {}};
   }
--- a/src/http/resource_limiter.cpp
+++ b/src/http/resource_limiter.cpp
@@ -123,10 +123,10 @@
   --registry_->counts.connections;
 }
 
-void ResourceLimiter::Connection::beginWait() {
+void ResourceLimiter::Connection::beginWait(base::TimePoint now) {
   const std::lock_guard lock(registry_->mutex);
   entry_->waiting = true;
-  entry_->waitingSince = base::Clock::now();
+  entry_->waitingSince = now;
 }
 
 bool ResourceLimiter::Connection::endWait(bool failed) {
@@ -137,8 +137,7 @@
   return false;
 }
 
-ResourceLimiter::Room ResourceLimiter::Connection::holdBody(std::uint64_t bytes) {
-  const auto now = base::Clock::now();
+ResourceLimiter::Room ResourceLimiter::Connection::holdBody(std::uint64_t bytes, base::TimePoint now) {
   auto& registry = *registry_;
   const std::lock_guard lock(registry.mutex);
   const auto ofOthers = registry.counts.bodyBytes - entry_->bodyBytes;
--- a/src/http/resource_limiter.hpp
+++ b/src/http/resource_limiter.hpp
@@ -48,11 +48,11 @@
 
     // Until `endWait`, the process waits for the client: it may be evicted, which ends what is pending on the stream
     // with operation_aborted.
-    void beginWait();
+    void beginWait(base::TimePoint now);
     // `failed`: the wait has brought nothing. Whether that was by an eviction; one that came too late is called off.
     bool endWait(bool failed);
     // The body of the current request has so many bytes now.
-    Room holdBody(std::uint64_t bytes);
+    Room holdBody(std::uint64_t bytes, base::TimePoint now);
     // The body is not kept any more.
     void releaseBody();
     // Counts a body as refused.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,7 +91,7 @@
   parser.header_limit(limits_.headerBytes);
   parser.body_limit(limits_.bodyBytes);
   stream.expires_after(limits_.idle);
-  connection.beginWait();
+  connection.beginWait(base::Clock::now());
   auto [error, bytes] = co_await wire::async_read_header(stream, buffer, parser, kTuple);
   const bool evicted = connection.endWait(error.failed());
   if (evicted) co_return std::nullopt;
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -127,7 +127,7 @@
   if (buffer_.size() > 0) co_return Wait::Ready;
   client_.expires_after(idleTimeout);
   const IdleConnections::Scope idle(state_.idleClients, client_);
-  connection_.beginWait();
+  connection_.beginWait(base::Clock::now());
   auto [error, bytes] = co_await client_.async_read_some(buffer_.prepare(kReadBytes), http::kTuple);
   evicted_ = connection_.endWait(error.failed());
   if (evicted_ || (error == asio::error::operation_aborted && state_.shuttingDown)) co_return Wait::Cancelled;
@@ -166,7 +166,7 @@
   bool late = false;
   {
     const ReadTimeout limit(client_, timeout);
-    connection_.beginWait();
+    connection_.beginWait(base::Clock::now());
     auto [readError, bytes] = co_await wire::async_read_header(client_, buffer_, parser, http::kTuple);
     evicted_ = connection_.endWait(readError.failed());
     error = readError;
