--- a/src/base/process_end.cpp
+++ b/src/base/process_end.cpp
@@ -23,7 +23,7 @@
 
 extern "C" void onFatalSignal(int number) {
   const std::array digits{static_cast<char>('0' + number / 10), static_cast<char>('0' + number % 10)};
-  writeText("{\"level\":\"critical\",\"event\":\"fatal_signal\",\"signal\":");
+  writeText(R"({"level":"critical","event":"fatal_signal","signal":)");
   writeText(number < 10 ? std::string_view(&digits[1], 1) : std::string_view(digits.data(), digits.size()));
   writeText("}\n");
   std::raise(number);  // its default action stands again
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-tcp::acceptor listen(asio::any_io_executor executor, const settings::Endpoint& at, const char* what) {
-  tcp::acceptor acceptor(std::move(executor));
+tcp::acceptor listen(const asio::any_io_executor& executor, const settings::Endpoint& at, const char* what) {
+  tcp::acceptor acceptor(executor);
   if (const auto error = tryListen(acceptor, at))
     throw std::runtime_error(std::string(what) + " " + settings::text(at) + ": " + error.message());
   return acceptor;
--- a/src/http/listener.hpp
+++ b/src/http/listener.hpp
@@ -7,7 +7,7 @@
 namespace indigohill::http {
 
 // Opens a listening socket or throws std::runtime_error naming what it was for.
-tcp::acceptor listen(asio::any_io_executor executor, const settings::Endpoint& at, const char* what);
+tcp::acceptor listen(const asio::any_io_executor& executor, const settings::Endpoint& at, const char* what);
 
 // The same, but where the address is in use, or not there yet, that is logged (`address_unavailable`) and waited for,
 // however long it lasts. A port may be held by a process that is still being torn down, or by somebody's outgoing
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -75,7 +75,6 @@
     if (!request) break;
     Caller caller{from, [&stream] { return closedByPeer(stream.socket()); }};
     auto reply = co_await handler_(*std::move(request), std::move(caller));
-    request.reset();
     connection.releaseBody();
     const bool keep = reply.keep_alive();
     stream.expires_after(limits_.idle);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -32,7 +32,7 @@
   Server(tcp::acceptor acceptor, Limits limits, Handler handler);
   // Listens itself; throws like `listen`.
   Server(asio::any_io_executor executor, const settings::Endpoint& at, Limits limits, Handler handler)
-      : Server(listen(std::move(executor), at, "server at"), limits, std::move(handler)) {}
+      : Server(listen(executor, at, "server at"), limits, std::move(handler)) {}
   void start();
   void stop();
 
