--- a/src/base/task_failure.hpp
+++ b/src/base/task_failure.hpp
@@ -16,8 +16,8 @@
   const char* task_;
 };
 
-// The same for a coroutine without which its daemon stands still (ticks, accepting, receiving): the exception goes on to
-// the event loop and ends the process, which is then started again.
+// The same for a coroutine without which its daemon stands still (ticks, accepting, receiving): the exception goes on
+// to the event loop and ends the process, which is then started again.
 class EndOnTaskFailure {
  public:
   explicit EndOnTaskFailure(const char* task) : log_(task) {}
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -31,9 +31,9 @@
     const bool evicted = connection.endWait(error.failed());
     if (evicted) co_return BodyRead{BodyEnd::NoRoom, {}};
     if (error) co_return BodyRead{BodyEnd::Failed, error};
-    const auto held = parser.get().body().size();
-    auto room = connection.holdBody(held, base::Clock::now());
-    if (room == Room::Later) room = co_await awaitRoom(connection, held);
+    const auto size = parser.get().body().size();
+    auto room = connection.holdBody(size, base::Clock::now());
+    if (room == Room::Later) room = co_await awaitRoom(connection, size);
     if (room != Room::Held) co_return BodyRead{BodyEnd::NoRoom, {}};
   }
   co_return BodyRead{BodyEnd::Complete, {}};
