Ends of a process are logged without memory or locks, with the place where they happened

Of an abort for want of memory the log had fatal_signal alone: the terminate handler wrote through the logger, which needs memory. process_terminated, fatal_signal and the new stack_trace are put together in a fixed buffer now; process_started tells the limits that the kernel sets, cores and workers. No logic changes.

--- a/src/base/process_end.cpp
+++ b/src/base/process_end.cpp
@@ -1,6 +1,6 @@
 #include "base/process_end.hpp"
 
-#include <unistd.h>
+#include <execinfo.h>
 
 #include <array>
 #include <csignal>
@@ -8,49 +8,74 @@
 #include <exception>
 #include <string_view>
 
-#include "base/log.hpp"
+#include "base/raw_log_line.hpp"
+
+// Where the program lies in memory; from the linker.
+// NOLINTBEGIN(readability-identifier-naming, bugprone-reserved-identifier)
+extern "C" const char __executable_start;
+extern "C" const char _end;
+// NOLINTEND(readability-identifier-naming, bugprone-reserved-identifier)
 
 namespace indigohill::base {
 
 namespace {
 
 constexpr std::array kFatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
+constexpr int kMostFrames = 32;
+
+std::uintptr_t addressOf(const void* place) { return reinterpret_cast<std::uintptr_t>(place); }
 
-// In a signal handler: nothing but calls that are async-signal-safe.
-void writeText(std::string_view text) {
-  [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, text.data(), text.size());
+// The calls that led here: within the program as offsets from its start, as addr2line takes them; others (libraries)
+// as they are.
+void logStackTrace() {
+  std::array<void*, kMostFrames> frames{};
+  const auto count = static_cast<std::size_t>(::backtrace(frames.data(), kMostFrames));
+  std::array<std::uintptr_t, kMostFrames> places{};
+  const auto start = addressOf(&__executable_start), end = addressOf(&_end);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto place = addressOf(frames.at(i));
+    places.at(i) = place >= start && place < end ? place - start : place;
+  }
+  RawLogLine("stack_trace").withAddresses("frames", places.data(), count).write();
 }
 
-extern "C" void onFatalSignal(int number) {
-  const std::array digits{static_cast<char>('0' + number / 10), static_cast<char>('0' + number % 10)};
-  writeText(R"({"level":"critical","event":"fatal_signal","signal":)");
-  writeText(number < 10 ? std::string_view(&digits[1], 1) : std::string_view(digits.data(), digits.size()));
-  writeText("}\n");
+extern "C" void onFatalSignal(int number, siginfo_t* info, void*) {
+  RawLogLine line("fatal_signal");
+  line.with("signal", static_cast<std::uint64_t>(number));
+  if (number != SIGABRT) line.with("address", addressOf(info->si_addr));
+  line.write();
+  logStackTrace();
   std::raise(number);  // its default action stands again
 }
 
+// Needs no memory: that may be what has run out.
 [[noreturn]] void onTerminate() {
-  std::string reason = "no exception";
-  if (const auto thrown = std::current_exception()) {
+  RawLogLine line("process_terminated");
+  if (std::current_exception()) {
     try {
-      std::rethrow_exception(thrown);
+      throw;
     } catch (const std::exception& error) {
-      reason = error.what();
+      line.with("error", error.what());
     } catch (...) {
-      reason = "unknown exception";
+      line.with("error", "unknown exception");
     }
+  } else {
+    line.with("error", "no exception");
   }
-  logError(LogEvent("process_terminated").with("error", reason));
+  line.write();
   std::abort();
 }
 
 }  // namespace
 
-void logAbnormalEnd() {
+void logAbnormalEnd(std::string_view node, std::string_view role) {
+  RawLogLine::setSource(node, role);
+  std::array<void*, 1> unused{};
+  ::backtrace(unused.data(), 1);  // the first call may load a library, which a signal handler must not
   std::set_terminate(onTerminate);
   struct sigaction action {};
-  action.sa_handler = onFatalSignal;
-  action.sa_flags = static_cast<int>(SA_RESETHAND | SA_NODEFER);
+  action.sa_sigaction = onFatalSignal;
+  action.sa_flags = static_cast<int>(SA_RESETHAND | SA_NODEFER | SA_SIGINFO);
   for (const auto number : kFatalSignals) ::sigaction(number, &action, nullptr);
 }
 
--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -19,17 +19,26 @@
 constexpr const char* kRouter = "router";
 constexpr const char* kController = "controller";
 
+// A limit that the kernel enforces; the largest number where there is none.
+rlim_t softLimit(int resource) {
+  rlimit limit{};
+  ::getrlimit(static_cast<__rlimit_resource>(resource), &limit);
+  return limit.rlim_cur;
+}
+
 // The first line of each life, before anything that may prevent the start.
 void logStart(const settings::Settings& settings) {
-  rlimit descriptors{}, fileSize{};
-  ::getrlimit(RLIMIT_NOFILE, &descriptors);
-  ::getrlimit(RLIMIT_FSIZE, &fileSize);
   base::logInfo(base::LogEvent("process_started")
                     .with("version", INDIGOHILL_VERSION)
                     .with("pid", ::getpid())
                     .with("memoryMb", settings.memoryMb)
-                    .with("descriptors", descriptors.rlim_cur)
-                    .with("fileSizeLimit", fileSize.rlim_cur));
+                    .with("cpuCores", settings.cpuCores)
+                    .with("workers", settings.workers)
+                    .with("descriptors", softLimit(RLIMIT_NOFILE))
+                    .with("fileSizeLimit", softLimit(RLIMIT_FSIZE))
+                    .with("addressSpaceLimit", softLimit(RLIMIT_AS))
+                    .with("dataLimit", softLimit(RLIMIT_DATA))
+                    .with("stackLimit", softLimit(RLIMIT_STACK)));
 }
 
 using Daemon = int (*)(const settings::Settings&, const DaemonOptions&);
@@ -40,7 +49,7 @@
   if (const auto* status = std::get_if<int>(&loaded)) return *status;
   const auto& settings = std::get<settings::Settings>(loaded);
   base::openLog(settings.nodeName, role, settings.logLevel);
-  base::logAbnormalEnd();
+  base::logAbnormalEnd(settings.nodeName, role);
   logStart(settings);
   try {
     return daemon(settings, options);
--- a/tests/base/test_process_end.cpp
+++ b/tests/base/test_process_end.cpp
@@ -1,5 +1,6 @@
 #include "base/process_end.hpp"
 
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <stdexcept>
 #include <string>
@@ -37,7 +39,7 @@
   if (child == 0) {
     ::dup2(ends[1], STDOUT_FILENO);
     base::openLog("n1", "router", "info");
-    base::logAbnormalEnd();
+    base::logAbnormalEnd("n1", "router");
     course();
     ::_exit(0);
   }
@@ -66,11 +68,24 @@
   cr_assert(WIFSIGNALED(end.status) && WTERMSIG(end.status) == SIGABRT);
 }
 
+Test(process_end, an_exception_is_logged_although_there_is_no_memory_left) {
+  const auto end = endOf([]() noexcept {
+    const rlimit none{0, 0};
+    ::setrlimit(RLIMIT_AS, &none);
+    while (std::malloc(16) != nullptr) {
+    }
+    throw std::bad_alloc();
+  });
+  cr_assert(has(end, R"("event":"process_terminated","error":"std::bad_alloc")"), "%s", end.output.c_str());
+  cr_assert(WIFSIGNALED(end.status) && WTERMSIG(end.status) == SIGABRT);
+}
+
 Test(process_end, a_fault_of_the_processor_is_logged_and_ends_the_process_as_before) {
   for (const auto number : {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT}) {
     const auto end = endOf([number] { std::raise(number); });
-    const auto wanted = R"("event":"fatal_signal","signal":)" + std::to_string(number) + "}";
-    cr_assert(has(end, wanted.c_str()), "%s", end.output.c_str());
+    const auto wanted = R"("node":"n1","role":"router","event":"fatal_signal","signal":)" + std::to_string(number);
+    cr_assert(has(end, (wanted + (number == SIGABRT ? "}" : ",\"address\":")).c_str()), "%s", end.output.c_str());
+    cr_assert(has(end, R"("event":"stack_trace","frames":["0x)"), "%s", end.output.c_str());
     cr_assert(WIFSIGNALED(end.status) && WTERMSIG(end.status) == number);
   }
 }
