--- a/src/emulator/applications.cpp
+++ b/src/emulator/applications.cpp
@@ -65,7 +65,7 @@
     timer.expires_after(random_.untilNext(experiment_.tallyCallsPerS));
     co_await timer.async_wait(http::kTuple);
     if (stopped_) break;
-    const auto zone = random_.whole(0, kZones - 1);
+    const auto zone = random_.whole(0, experiment_.zones - 1);
     if (random_.chance(kReadShare) && !records_.tallyAdds.empty()) {
       asio::co_spawn(
           executor_, [self, zone]() { return self->readSome(zone); }, asio::detached);
@@ -94,12 +94,12 @@
 // All that are reached from a zone, in the order in which its applications ask them.
 std::vector<std::size_t> Applications::controllersFrom(std::size_t zone) {
   std::vector<std::size_t> near, far;
-  const auto first = random_.whole(0, experiment_.controllers - 1);
-  for (std::size_t i = 0; i < experiment_.controllers; ++i) {
-    const auto controller = (first + i) % experiment_.controllers;
-    if (zoneOf(controller) == zone)
+  const auto first = random_.whole(0, experiment_.controllersWithDisk() - 1);
+  for (std::size_t i = 0; i < experiment_.controllersWithDisk(); ++i) {
+    const auto controller = (first + i) % experiment_.controllersWithDisk();
+    if (experiment_.zoneOf(controller) == zone)
       near.push_back(controller);
-    else if (cuts_.reaches(zone, zoneOf(controller)))
+    else if (cuts_.reaches(zone, experiment_.zoneOf(controller)))
       far.push_back(controller);
   }
   near.insert(near.end(), far.begin(), far.end());
@@ -179,7 +179,7 @@
   std::set<std::string> tallies;
   for (const auto& add : records_.tallyAdds) tallies.insert(add.tally);
   const auto until = base::Clock::now() + limit;
-  for (std::size_t controller = 0; controller < experiment_.controllers; ++controller)
+  for (std::size_t controller = 0; controller < experiment_.controllersWithDisk(); ++controller)
     for (const auto& tally : tallies) {
       auto found = co_await read(tally, controller);
       while (!found && base::Clock::now() < until) {
--- a/src/emulator/daemon_fleet.cpp
+++ b/src/emulator/daemon_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr Millis kSupervision{20}, kReadinessPeriod{250}, kReadinessTimeout{1000};
 constexpr Millis kRestartDelay{300};  // after an end that nobody asked for
 constexpr int kMissesUntilOut = 2;
+constexpr Millis kReloadStep{1};  // between the delays at which daemons get SIGHUP after a start
+constexpr std::size_t kReloadSteps = 8;
 constexpr const char* kInvariantEvent = R"("event":"invariant_violated")";
 
 std::string startedEvent(Role role) { return fmt::format(R"("event":"{}_started")", nameOf(role)); }
@@ -49,7 +51,8 @@
   const auto index = daemons_.size();
   out.process = std::make_shared<DaemonProcess>(
       executor_, std::vector<std::string>{program_, nameOf(role), "--settings", out.settingsPath},
-      (folder_ / (name + ".log")).string(), [this, index](const std::string& line) { onLine(daemons_[index], line); });
+      ProcessLimits{experiment_.descriptors, experiment_.addressSpaceMb << 20}, (folder_ / (name + ".log")).string(),
+      [this, index](const std::string& line) { onLine(daemons_[index], line); });
   return out;
 }
 
@@ -81,15 +84,47 @@
 }
 
 void DaemonFleet::launch(Daemon& daemon) {
-  std::ofstream(daemon.settingsPath, std::ios::trunc) << settingsText(experiment_, network_, daemon.settings);
+  daemon.settings.firstSeed = firstSeed_;
+  writeSettings(daemon);
   daemon.process->start();
   if (daemon.settings.role == Role::Controller) ++records_.controllerLives[daemon.settings.machine];
   daemon.settings.bootstrap = false;
   daemon.exitExpected = false;
+  daemon.startedAt = base::Clock::now();
   daemon.upAt = base::TimePoint::max();
   daemon.startAt = daemon.killAt = base::TimePoint::max();
   daemon.down = kRestartDelay;
   timeline_.write(event("process_started", daemon).with("pid", daemon.process->pid()));
+  if (base::Clock::now() >= settingsChangeUntil_) return;
+  const auto delay = experiment_.earliestReload + kReloadStep * (launches_++ % kReloadSteps);
+  asio::co_spawn(
+      executor_, [self = shared_from_this(), delay]() { return self->changeSettingsLater(delay); }, asio::detached);
+}
+
+void DaemonFleet::writeSettings(const Daemon& daemon) const {
+  std::ofstream(daemon.settingsPath, std::ios::trunc) << settingsText(experiment_, network_, daemon.settings);
+}
+
+void DaemonFleet::changeSettings(Millis time) {
+  settingsChangeUntil_ = std::max(settingsChangeUntil_, base::Clock::now() + time);
+  changeSettingsNow();
+}
+
+void DaemonFleet::changeSettingsNow() {
+  ++firstSeed_;
+  for (auto& daemon : daemons_) {
+    if (!daemon.process->isRunning()) continue;
+    daemon.settings.firstSeed = firstSeed_;
+    writeSettings(daemon);
+    if (base::Clock::now() >= daemon.startedAt + experiment_.earliestReload) daemon.process->signal(SIGHUP);
+  }
+}
+
+asio::awaitable<void> DaemonFleet::changeSettingsLater(Millis delay) {
+  const auto self = shared_from_this();
+  asio::steady_timer timer(executor_, delay);
+  co_await timer.async_wait(http::kTuple);
+  if (!stopped_) changeSettingsNow();
 }
 
 void DaemonFleet::recordOutage(const Daemon& daemon, Outage::Kind kind) {
@@ -165,7 +200,10 @@
   const bool inOrder = isTerminating && (whileStarting || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
   const auto how =
       WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status)) : fmt::format("status {}", WEXITSTATUS(status));
-  timeline_.write(event("process_ended", daemon).with("how", how));
+  timeline_.write(event("process_ended", daemon)
+                      .with("how", how)
+                      .with("afterMs", base::toMs(now - daemon.startedAt))
+                      .with("hadStarted", static_cast<int>(daemon.upAt != base::TimePoint::max())));
   if (!daemon.exitExpected && !inOrder)
     records_.unexpectedExits.push_back(
         fmt::format("{}-{}: {}", nameOf(daemon.settings.role), daemon.settings.machine, how));
--- a/src/emulator/daemon_fleet.hpp
+++ b/src/emulator/daemon_fleet.hpp
@@ -29,6 +29,8 @@
   void killAndWipe(std::size_t machine, base::Millis down);
   void freeze(Role role, std::size_t machine, base::Millis time);
   void terminate(Role role, std::size_t machine);
+  // Writes the settings of all daemons anew and sends SIGHUP, now and, for so long, shortly after each start of one.
+  void changeSettings(base::Millis time);
   // From now on nothing is frozen.
   void thawAll();
 
@@ -46,12 +48,15 @@
     int missedPolls = 0;
     base::Millis down{0};  // how long the next exit lasts
     base::TimePoint startAt = base::TimePoint::max(), killAt = base::TimePoint::max(), thawAt = base::TimePoint::max();
-    base::TimePoint terminatedAt{}, upAt = base::TimePoint::max();  // up: it has logged its start
+    base::TimePoint startedAt{}, terminatedAt{}, upAt = base::TimePoint::max();  // up: it has logged its start
   };
 
   Daemon makeDaemon(Role role, std::size_t machine);
   Daemon& daemon(Role role, std::size_t machine);
   void launch(Daemon& daemon);
+  void writeSettings(const Daemon& daemon) const;
+  void changeSettingsNow();
+  http::asio::awaitable<void> changeSettingsLater(base::Millis delay);
   void onExit(Daemon& daemon, int status, base::TimePoint now);
   void onLine(Daemon& daemon, const std::string& line);
   void recordOutage(const Daemon& daemon, Outage::Kind kind);
@@ -71,6 +76,8 @@
   Timeline& timeline_;
   std::vector<Daemon> daemons_;  // the routers in the order of their machines, then the controllers
   bool stopped_ = false;
+  base::TimePoint settingsChangeUntil_{};
+  std::size_t firstSeed_ = 0, launches_ = 0;
 };
 
 }  // namespace indigohill::emulator
--- a/src/emulator/daemon_process.cpp
+++ b/src/emulator/daemon_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -28,15 +29,23 @@
   return ends;
 }
 
+void limitTo(__rlimit_resource resource, std::size_t most) {
+  if (most == 0) return;
+  const rlimit limit{most, most};
+  ::setrlimit(resource, &limit);
+}
+
 // In the child: nothing but calls that are safe after a fork. The process ends with its parent. It gets none of the
 // emulator's sockets: while it held one, closing that here would not reach the peer.
-[[noreturn]] void becomeDaemon(int output, char* const* arguments) {
+[[noreturn]] void becomeDaemon(int output, const ProcessLimits& limits, char* const* arguments) {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   ::dup2(output, STDOUT_FILENO);
   ::dup2(output, STDERR_FILENO);
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
   // As a supervisor starts a daemon: what the emulator's own parents ignore is not ignored there.
   for (int number = 1; number < NSIG; ++number) ::signal(number, SIG_DFL);
+  limitTo(RLIMIT_NOFILE, limits.descriptors);
+  limitTo(RLIMIT_AS, limits.addressSpaceBytes);
   ::execv(arguments[0], arguments);
   ::_exit(kExecFailed);
 }
@@ -44,8 +53,12 @@
 }  // namespace
 
 DaemonProcess::DaemonProcess(const asio::any_io_executor& executor, std::vector<std::string> command,
-                             const std::string& logPath, LineListener onLine)
-    : executor_(executor), command_(std::move(command)), log_(logPath, std::ios::app), onLine_(std::move(onLine)) {}
+                             const ProcessLimits& limits, const std::string& logPath, LineListener onLine)
+    : executor_(executor),
+      command_(std::move(command)),
+      limits_(limits),
+      log_(logPath, std::ios::app),
+      onLine_(std::move(onLine)) {}
 
 DaemonProcess::~DaemonProcess() {
   if (!isRunning()) return;
@@ -60,7 +73,7 @@
   for (auto& word : command_) arguments.push_back(word.data());
   arguments.push_back(nullptr);
   const auto child = ::fork();
-  if (child == 0) becomeDaemon(writeEnd, arguments.data());
+  if (child == 0) becomeDaemon(writeEnd, limits_, arguments.data());
   ::close(writeEnd);
   if (child < 0) {
     ::close(readEnd);
--- a/src/emulator/daemon_process.hpp
+++ b/src/emulator/daemon_process.hpp
@@ -13,6 +13,12 @@
 
 namespace indigohill::emulator {
 
+// What the kernel enforces on a process; 0: as it is for the emulator.
+struct ProcessLimits {
+  std::size_t descriptors = 0;
+  std::size_t addressSpaceBytes = 0;
+};
+
 // A process of the daemon, one life after the other. What it writes goes line by line to a file and to a listener.
 // Only the process that was started here is ever signalled, by its id, and only while it has not been waited for.
 class DaemonProcess : public std::enable_shared_from_this<DaemonProcess> {
@@ -20,7 +26,7 @@
   using LineListener = std::function<void(const std::string& line)>;
 
   DaemonProcess(const http::asio::any_io_executor& executor, std::vector<std::string> command,
-                const std::string& logPath, LineListener onLine);
+                const ProcessLimits& limits, const std::string& logPath, LineListener onLine);
   ~DaemonProcess();
   DaemonProcess(const DaemonProcess&) = delete;
   DaemonProcess& operator=(const DaemonProcess&) = delete;
@@ -38,6 +44,7 @@
 
   http::asio::any_io_executor executor_;
   std::vector<std::string> command_;
+  ProcessLimits limits_;
   std::ofstream log_;
   LineListener onLine_;
   pid_t pid_ = 0;
--- a/src/emulator/daemon_settings.cpp
+++ b/src/emulator/daemon_settings.cpp
@@ -15,17 +15,19 @@
   return whole.substr(0, whole.find(':'));
 }
 
-std::string seedNodes(const Experiment& experiment, const Network& network) {
+std::string seedNodes(const Experiment& experiment, const Network& network, std::size_t first) {
+  const auto count = std::min(kSeedNodes, experiment.controllersWithDisk());
   std::string out;
-  for (std::size_t machine = 0; machine < std::min(kSeedNodes, experiment.controllers); ++machine)
-    out += (out.empty() ? "" : ",") + settings::text(network.controlPlane(machine));
+  for (std::size_t i = 0; i < count; ++i)
+    out += (out.empty() ? "" : ",") + settings::text(network.controlPlane((first + i) % count));
   return out;
 }
 
-std::string roleLines(const Network& network, const DaemonSettings& settings) {
+std::string roleLines(const Experiment& experiment, const Network& network, const DaemonSettings& settings) {
   if (settings.role == Role::Controller)
     return fmt::format("bindAddresses.controlPlane={}\ndataDirectory={}\n",
-                       settings::text(network.controlPlane(settings.machine)), settings.dataFolder);
+                       settings::text(network.controlPlane(settings.machine)),
+                       experiment.hasDisk(settings.machine) ? settings.dataFolder : "");
   return fmt::format("bindAddresses.frontend={}\nbindAddresses.readiness={}\n",
                      settings::text(network.frontend(settings.machine)),
                      settings::text(network.readiness(settings.machine)));
@@ -46,14 +48,16 @@
 std::string settingsText(const Experiment& experiment, const Network& network, const DaemonSettings& settings) {
   return fmt::format(
              "nodeName=machine-{}\nrole={}\nmachineClass=edge\nipAddress={}\nzone=zone-{}\nregion=region\n"
-             "internalPortRange={},{}\nseedNodes={}\nbootstrap={}\nquorumMember=true\nfaultTolerance.machines=1\n"
-             "faultTolerance.zones=1\nlimits.cpuCores=1\ncloudApi.address={}\ncloudApi.ratePerS={}\n"
+             "internalPortRange={},{}\nseedNodes={}\nbootstrap={}\nquorumMember={}\nfaultTolerance.machines=1\n"
+             "faultTolerance.zones=1\nlimits.cpuCores={}\nlimits.memoryMb={}\n"
+             "limits.maxOpenFiles={}\ncloudApi.address={}\ncloudApi.ratePerS={}\n"
              "cloudApi.maxLagMs={}\n",
              settings.machine, nameOf(settings.role), addressOf(network.frontend(settings.machine)),
-             zoneOf(settings.machine), Network::kFirstPeerPort, Network::kLastPeerPort, seedNodes(experiment, network),
-             settings.bootstrap, settings::text(network.platform()), experiment.listCallsPerS,
-             experiment.listLag.count()) +
-         roleLines(network, settings) + boundLines(experiment);
+             experiment.zoneOf(settings.machine), Network::kFirstPeerPort, Network::kLastPeerPort,
+             seedNodes(experiment, network, settings.firstSeed), settings.bootstrap,
+             experiment.hasDisk(settings.machine), experiment.cpuCores, experiment.memoryMb, experiment.descriptors,
+             settings::text(network.platform()), experiment.listCallsPerS, experiment.listLag.count()) +
+         roleLines(experiment, network, settings) + boundLines(experiment);
 }
 
 }  // namespace indigohill::emulator
--- a/src/emulator/daemon_settings.hpp
+++ b/src/emulator/daemon_settings.hpp
@@ -12,8 +12,9 @@
 struct DaemonSettings {
   Role role = Role::Router;
   std::size_t machine = 0;
-  bool bootstrap = false;  // the very first start of the whole system
-  std::string dataFolder;  // of a controller
+  bool bootstrap = false;     // the very first start of the whole system
+  std::string dataFolder;     // of a controller
+  std::size_t firstSeed = 0;  // the seed that is named first
 };
 
 // The settings file of a process, as `a.b=value` lines.
--- a/src/emulator/fault_injector.cpp
+++ b/src/emulator/fault_injector.cpp
@@ -72,6 +72,8 @@
       return traffic.setBurst(fault.strength);
     case FaultKind::ClientsLeave:
       return traffic.leaveAtOnce(fault.strength);
+    case FaultKind::ChangeSettings:
+      return fleet.changeSettings(fault.duration);
     case FaultKind::CutZone:
     case FaultKind::CutOneWay:
     case FaultKind::CutBridge:
--- a/src/emulator/fault_plan.cpp
+++ b/src/emulator/fault_plan.cpp
@@ -37,9 +37,10 @@
                                  "cut_zone",
                                  "cut_one_way",
                                  "cut_bridge",
-                                 "cut_controllers"};
+                                 "cut_controllers",
+                                 "change_settings"};
 constexpr auto kLastDrawnKind = static_cast<std::size_t>(FaultKind::ClientsLeave);
-constexpr std::array kScenarioNames{"cold_runner", "rolling_restart", "mixed", "apart"};
+constexpr std::array kScenarioNames{"cold_runner", "rolling_restart", "mixed", "apart", "reconfigure"};
 
 // Draws the faults of one run.
 class Planner {
@@ -66,6 +67,9 @@
       case Scenario::Apart:
         planApart();
         break;
+      case Scenario::Reconfigure:
+        planReconfigure();
+        break;
     }
     std::stable_sort(plan_.faults.begin(), plan_.faults.end(),
                      [](const Fault& a, const Fault& b) { return a.at < b.at; });
@@ -141,7 +145,7 @@
                                       FaultKind::CutBridge, FaultKind::CutControllers};
     for (auto at = moment(0, 0.1); at < trouble_ * 8 / 10;) {
       const auto duration = random_.millis(Millis(1200), std::max(Millis(1201), trouble_ * 5 / 10));
-      add(at, random_.oneOf(cuts), random_.whole(0, kZones - 1), std::min(duration, trouble_ - at));
+      add(at, random_.oneOf(cuts), random_.whole(0, experiment_.zones - 1), std::min(duration, trouble_ - at));
       at += random_.chance(0.3) ? duration / 2 : duration + random_.millis(Millis(0), Millis(2500));
     }
     for (auto count = random_.whole(2, 4); count > 0; --count) planLossWhileApart();
@@ -162,6 +166,26 @@
       add(moment(0, 0.7), random_.oneOf(losses), router(), random_.millis(kShortest, Millis(2500)));
   }
 
+  // Series of restarts that overlap, most of them while settings change.
+  void planReconfigure() {
+    const std::vector<FaultKind> losses{FaultKind::KillRouter,     FaultKind::TerminateRouter,
+                                        FaultKind::KillController, FaultKind::TerminateController,
+                                        FaultKind::FreezeRouter,   FaultKind::FreezeController};
+    add(Millis(0), FaultKind::ChangeSettings, 0, trouble_ * 8 / 10);
+    for (auto at = moment(0, 0.05); at < trouble_ * 8 / 10; at += random_.millis(Millis(100), Millis(1500))) {
+      const auto kind = random_.oneOf(losses);
+      add(at, kind, random_.whole(0, experiment_.routers - 1), random_.millis(kShortest, Millis(1500)));
+      if (random_.chance(0.5)) add(at, FaultKind::ChangeSettings);
+    }
+    planRunnerLosses();
+  }
+
+  void planRunnerLosses() {
+    const std::vector<FaultKind> losses{FaultKind::CrashRunner, FaultKind::DrainRunner, FaultKind::AddColdRunner};
+    for (auto count = random_.whole(2, 4); count > 0; --count)
+      add(moment(0, 0.7), random_.oneOf(losses), random_.whole(0, 100));
+  }
+
   void planOthers(std::size_t count) {
     for (; count > 0; --count) {
       const auto kind = static_cast<FaultKind>(random_.whole(0, kLastDrawnKind));
--- a/src/emulator/fault_plan.hpp
+++ b/src/emulator/fault_plan.hpp
@@ -28,7 +28,8 @@
   CutZone,       // the target of this and the next three is a zone; PeerCuts says what each cuts
   CutOneWay,
   CutBridge,
-  CutControllers
+  CutControllers,
+  ChangeSettings  // of all daemons, with SIGHUP; while it lasts, also whenever one of them has been started
 };
 const char* nameOf(FaultKind kind);
 // The cut between daemons that a fault is, if it is one.
@@ -47,7 +48,8 @@
   ColdRunner,      // daemons die and form their group anew while most runners are gone, clients press, cold ones come
   RollingRestart,  // routers get SIGTERM one after the other while runners are slow and clients leave in great numbers
   Mixed,           // faults of all kinds at random, but for cuts between daemons
-  Apart            // zones are cut off from each other, and machines are lost meanwhile; never drawn by itself
+  Apart,           // zones are cut off from each other, and machines are lost meanwhile; never drawn by itself
+  Reconfigure      // machines are lost and restarted in series while settings change; never drawn by itself
 };
 const char* nameOf(Scenario scenario);
 
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -8,10 +8,6 @@
 
 enum class Role { Router, Controller };
 
-// Machines are spread over zones by turns.
-constexpr std::size_t kZones = 3;
-constexpr std::size_t zoneOf(std::size_t machine) { return machine % kZones; }
-
 // Addresses of the emulated machines: 127.N.x.y, where N is the run's own, so that several runs do not meet.
 class Network {
  public:
--- a/src/emulator/peer_cuts.cpp
+++ b/src/emulator/peer_cuts.cpp
@@ -11,7 +11,7 @@
 }
 
 std::size_t PeerCuts::begin(CutKind kind, std::size_t zone) {
-  cuts_[next_] = {kind, zone % kZones};
+  cuts_[next_] = {kind, zone % experiment_.zones};
   records_.cuts.push_back({base::Clock::now()});
   tell();
   return next_++;
@@ -29,7 +29,7 @@
 
 // Among zones. The controllers' cut is one among controllers alone.
 bool PeerCuts::isCut(const InForce& cut, std::size_t from, std::size_t to) const {
-  const auto next = (cut.zone + 1) % kZones;
+  const auto next = (cut.zone + 1) % experiment_.zones;
   switch (cut.kind) {
     case CutKind::Zone:
     case CutKind::Controllers:
@@ -64,7 +64,7 @@
       for (const auto& [number, cut] : cuts_) {
         const bool isConcerned =
             cut.kind != CutKind::Controllers || (from.role == Role::Controller && to.role == Role::Controller);
-        if (isConcerned && isCut(cut, zoneOf(from.machine), zoneOf(to.machine)))
+        if (isConcerned && isCut(cut, experiment_.zoneOf(from.machine), experiment_.zoneOf(to.machine)))
           out.emplace(network_.peer(from.role, from.machine), network_.peer(to.role, to.machine));
       }
   writeCutFile(path_, out);
--- a/src/emulator/platform.cpp
+++ b/src/emulator/platform.cpp
@@ -61,7 +61,7 @@
   RunnerSpec spec;
   spec.instanceId = fmt::format("i-{}", number);
   spec.service = service;
-  spec.zone = fmt::format("zone-{}", zoneOf(number));
+  spec.zone = fmt::format("zone-{}", experiment_.zoneOf(number));
   spec.address = freeAddress(base::Clock::now());
   spec.slots = experiment_.slotsPerRunner;
   spec.queue = experiment_.queuePerRunner;
--- a/tests/emulator/test_fault_plan.cpp
+++ b/tests/emulator/test_fault_plan.cpp
@@ -79,3 +79,19 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
     for (const auto& fault : planFaults({}, seed).faults) cr_assert(!cutOf(fault.kind));
 }
+
+Test(fault_plan, machines_are_restarted_while_settings_change) {
+  Experiment experiment;
+  experiment.routers = 12;
+  experiment.controllers = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const auto plan = planFaults(experiment, seed, Scenario::Reconfigure);
+    std::size_t restarts = 0;
+    for (const auto kind : {FaultKind::KillRouter, FaultKind::TerminateRouter, FaultKind::KillController,
+                            FaultKind::TerminateController})
+      restarts += countOf(plan, kind);
+    cr_assert(restarts >= 3 && countOf(plan, FaultKind::ChangeSettings) >= 1, "seed %lu",
+              static_cast<unsigned long>(seed));
+    cr_assert_eq(countOf(plan, FaultKind::WipeController), 0u);
+  }
+}
