SIGHUP before main does not end a daemon: a small executable ignores it, then loads the program

Callers saw a daemon that was being started end by the signal which tells it of changed settings: its default action stood from exec until main, while the kernel and the loader mapped a program of 7.6 MB and eleven libraries and ran the constructors of all. The executable needs the C library alone and ignores SIGHUP, SIGPIPE and SIGXFSZ in .preinit_array, before any constructor; then it loads libindigohill.so beside it. Subcommands that are no daemons restore what was inherited. The test holds a daemon in the constructor of a library and sends SIGHUP there: it failed for both roles before. What is left is the kernel's time for exec, in which no process can act.

--- a/src/base/process_end.cpp
+++ b/src/base/process_end.cpp
@@ -10,10 +10,10 @@
 
 #include "base/raw_log_line.hpp"
 
-// Where the program lies in memory; from the linker.
+// Where the program (or the library that holds it) lies in memory; from the linker.
 // NOLINTBEGIN(readability-identifier-naming, bugprone-reserved-identifier)
-extern "C" const char __executable_start;
-extern "C" const char _end;
+extern "C" [[gnu::visibility("hidden")]] const char __ehdr_start;
+extern "C" [[gnu::visibility("hidden")]] const char _end;
 // NOLINTEND(readability-identifier-naming, bugprone-reserved-identifier)
 
 namespace indigohill::base {
@@ -31,7 +31,7 @@
   std::array<void*, kMostFrames> frames{};
   const auto count = static_cast<std::size_t>(::backtrace(frames.data(), kMostFrames));
   std::array<std::uintptr_t, kMostFrames> places{};
-  const auto start = addressOf(&__executable_start), end = addressOf(&_end);
+  const auto start = addressOf(&__ehdr_start), end = addressOf(&_end);
   for (std::size_t i = 0; i < count; ++i) {
     const auto place = addressOf(frames.at(i));
     places.at(i) = place >= start && place < end ? place - start : place;
--- a/src/cli/main.cpp
+++ b/src/cli/program.cpp
@@ -1,12 +1,11 @@
 // The program: its subcommands, put together.
-#include "base/ignored_signals.hpp"
+#include "cli/program.hpp"
+
 #include "cli/command.hpp"
 #include "cli/settings_option.hpp"
 
-int main(int argc, char** argv) {
+extern "C" [[gnu::visibility("default")]] int indigohillMain(int argc, char** argv, void (*restoreSignals)()) {
   using namespace indigohill::cli;
-  // First of all: a signal may come as soon as the process is there.
-  const indigohill::base::IgnoredSignals ignored;
   CLI::App app{"indigohill: a router fleet for language models"};
   app.set_version_flag("--version", std::string("indigohill ") + INDIGOHILL_VERSION);
   app.require_subcommand(1);
@@ -17,7 +16,7 @@
   CLI11_PARSE(app, argc, argv);
   for (const auto& command : commands) {
     if (!command.parser->parsed()) continue;
-    if (!command.isDaemon) ignored.restore();
+    if (!command.isDaemon) restoreSignals();
     return command.run();
   }
   return 1;
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -31,6 +31,21 @@
   cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
 }
 
+// A daemon whose libraries are still being initialised gets a hangup.
+void hangUpBeforeMain(Role role) {
+  const TestFolder folder;
+  const auto path = folder.file("settings"), gate = folder.file("gate");
+  writeFile(path, settingsOf(role, emulator::freeNetwork(), folder));
+  ::mkfifo(gate.c_str(), 0600);
+  Daemon daemon({"/bin/sh", "-c",
+                 "INDIGOHILL_TEST_GATE=" + gate + " LD_PRELOAD=" INDIGOHILL_WAIT_IN_CONSTRUCTOR " exec " +
+                     INDIGOHILL_PROGRAM + " " + emulator::nameOf(role) + " --settings " + path});
+  const int writeEnd = ::open(gate.c_str(), O_WRONLY);  // waits until the constructor reads
+  daemon.signal(SIGHUP);
+  ::close(writeEnd);
+  cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+}
+
 template <class Protocol>
 void holdAtStart(Role role, const settings::Endpoint& port) {
   const TestFolder folder;
@@ -56,6 +71,10 @@
   hangUpBeforeTheSettings(Role::Controller);
 }
 
+Test(daemon_start, a_hangup_before_main_does_not_end_a_router) { hangUpBeforeMain(Role::Router); }
+
+Test(daemon_start, a_hangup_before_main_does_not_end_a_controller) { hangUpBeforeMain(Role::Controller); }
+
 Test(daemon_start, a_limit_on_file_sizes_does_not_end_a_controller) {
   const TestFolder folder;
   const auto path = folder.file("settings");
