A number or flag that cannot be read, and need not be there, does not keep a daemon from starting

Callers saw daemons that never start where a settings file holds 1.0 for a whole number, or true or a negative number for a bound: five seconds of tries, then exit status 2, again and again. The cause: every field of the file was taken for indispensable. Whole numbers may be written with a point or an exponent now; an optional number or flag that cannot be read is as by default, or as before where the file has changed, and setting_unreadable is logged. Names, addresses and ports are as strict as before, and so is check-settings.

--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -11,6 +11,7 @@
 #include "cli/command.hpp"
 #include "cli/daemons.hpp"
 #include "cli/settings_option.hpp"
+#include "cli/settings_watch.hpp"
 
 namespace indigohill::cli {
 
@@ -47,10 +48,11 @@
   base::returnFreedMemory();
   auto loaded = awaitSettings(options.settingsPath, role);
   if (const auto* status = std::get_if<int>(&loaded)) return *status;
-  const auto& settings = std::get<settings::Settings>(loaded);
+  const auto& [settings, unreadable] = std::get<settings::TolerantSettings>(loaded);
   base::openLog(settings.nodeName, role, settings.logLevel);
   base::logAbnormalEnd(settings.nodeName, role);
   logStart(settings);
+  logUnreadable(unreadable);
   try {
     return daemon(settings, options);
   } catch (const std::exception& error) {
--- a/src/cli/settings_option.cpp
+++ b/src/cli/settings_option.cpp
@@ -21,14 +21,12 @@
   return kBadSettings;
 }
 
-base::Result<settings::Settings> readFor(const std::string& path, const std::string& role) {
-  const auto wrong = [](const std::string& why) {
-    return base::Error{base::ErrorCode::InvalidInput, "settings: " + why};
-  };
-  auto read = settings::read(path);
-  if (const auto* bad = base::errorIn(read)) return wrong(bad->message);
-  if (const auto missing = settings::missingFor(std::get<0>(read), role); !missing.empty()) return wrong(missing);
-  return read;
+// What is wrong with a file that was read, for the role; empty if it is good.
+template <class Read>
+std::string errorFor(const base::Result<Read>& read, const settings::Settings* settings, const std::string& role) {
+  const auto* bad = base::errorIn(read);
+  const auto wrong = bad != nullptr ? bad->message : settings::missingFor(*settings, role);
+  return wrong.empty() ? wrong : "settings: " + wrong;
 }
 
 const std::string kNoPath = std::string("no settings file: give --settings or set ") + kSettingsVariable;
@@ -42,21 +40,22 @@
 
 std::variant<settings::Settings, int> loadSettings(const std::string& path, const std::string& role) {
   if (path.empty()) return fail(kNoPath);
-  auto loaded = readFor(path, role);
-  if (const auto* bad = base::errorIn(loaded)) return fail(bad->message);
+  auto loaded = settings::read(path);
+  if (const auto wrong = errorFor(loaded, std::get_if<0>(&loaded), role); !wrong.empty()) return fail(wrong);
   return std::get<0>(std::move(loaded));
 }
 
-std::variant<settings::Settings, int> awaitSettings(const std::string& path, const std::string& role) {
+std::variant<settings::TolerantSettings, int> awaitSettings(const std::string& path, const std::string& role) {
   if (path.empty()) return fail(kNoPath);
   const auto until = base::Clock::now() + kWrittenWithin;
   bool told = false;
   for (;;) {
-    auto loaded = readFor(path, role);
-    const auto* bad = base::errorIn(loaded);
-    if (bad == nullptr) return std::get<0>(std::move(loaded));
-    if (base::Clock::now() >= until) return fail(bad->message);
-    if (!std::exchange(told, true)) fail(bad->message + "; trying again in case it is being written");
+    auto loaded = settings::readTolerantly(path, settings::defaultSettings());
+    const auto* good = std::get_if<0>(&loaded);
+    const auto wrong = errorFor(loaded, good != nullptr ? &good->settings : nullptr, role);
+    if (wrong.empty()) return std::get<0>(std::move(loaded));
+    if (base::Clock::now() >= until) return fail(wrong);
+    if (!std::exchange(told, true)) fail(wrong + "; trying again in case it is being written");
     std::this_thread::sleep_for(kPause);
   }
 }
--- a/src/cli/settings_watch.cpp
+++ b/src/cli/settings_watch.cpp
@@ -18,6 +18,10 @@
 
 }  // namespace
 
+void logUnreadable(const std::vector<std::string>& fields) {
+  for (const auto& field : fields) base::logError(base::LogEvent("setting_unreadable").with("error", field));
+}
+
 SettingsWatch::SettingsWatch(std::string path, std::string role, settings::Settings current)
     : path_(std::move(path)), role_(std::move(role)), current_(std::move(current)), writtenAt_(writtenAt()) {}
 
@@ -25,12 +29,12 @@
   const auto writtenAt = this->writtenAt();
   if (!signalled && writtenAt == writtenAt_) return false;
   writtenAt_ = writtenAt;
-  auto read = settings::read(path_);
+  auto read = settings::readTolerantly(path_, current_);
   if (const auto* bad = base::errorIn(read)) {
     logRejected(bad->message);
     return false;
   }
-  auto next = std::get<settings::Settings>(std::move(read));
+  auto [next, unreadable] = std::get<settings::TolerantSettings>(std::move(read));
   if (const auto missing = settings::missingFor(next, role_); !missing.empty()) {
     logRejected(missing);
     return false;
@@ -40,6 +44,7 @@
   base::setLogLevel(next.logLevel);
   current_ = std::move(next);
   base::logInfo(base::LogEvent("settings_applied"));
+  logUnreadable(unreadable);
   return true;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,8 +4,11 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
+#include <type_traits>
+#include <utility>
 
 #include "base/log.hpp"
 
@@ -37,8 +40,14 @@
   out = items(in);
   return {};
 }
+// Also with a decimal point or an exponent, as files are written that do not tell whole numbers from others.
 std::string whole(const std::string& in, std::uint64_t& out) {
-  return number(in, out) ? "" : "a whole number is wanted";
+  if (number(in, out)) return {};
+  constexpr double kMost = 1ULL << 53;  // up to here a double tells whole numbers apart
+  double value = 0;
+  if (!number(in, value) || value < 0 || value > kMost || value != std::floor(value)) return "a whole number is wanted";
+  out = static_cast<std::uint64_t>(value);
+  return {};
 }
 std::string fraction(const std::string& in, double& out) {
   return number(in, out) && out >= 0 ? "" : "a number of 0 or more is wanted";
@@ -120,22 +129,49 @@
   return tree;
 }
 
-// One field; what is wrong with it, or nothing. Field names hold dots, so the tree is asked with another separator.
-template <class Reader, class T>
-std::string readField(const Tree& tree, const char* path, Reader reader, bool required, const char* fallback,
-                      const char* purpose, T& out) {
-  const auto given = tree.get_optional<std::string>(Tree::path_type(path, '\x1f'));
-  const bool there = given && !given->empty();
-  if (required && !there) return std::string(path) + ": missing (" + purpose + ")";
-  auto wrong = reader(there ? *given : std::string(fallback), out);
-  return wrong.empty() ? wrong : std::string(path) + ": " + wrong;
-}
+// What a field that was not readable is taken for, by its type.
+template <class T>
+constexpr bool kHasSubstitute = std::is_arithmetic_v<T> || std::is_same_v<T, std::chrono::milliseconds>;
+
+// Reads the fields of one file.
+class FieldReader {
+ public:
+  // With `unreadable`, fields that cannot be read and have a substitute are named there and keep their value.
+  explicit FieldReader(const Tree& tree, std::vector<std::string>* unreadable = nullptr)
+      : tree_(tree), unreadable_(unreadable) {}
+
+  // One field; what is wrong with it, or nothing. Field names hold dots, so the tree is asked with another separator.
+  template <class Reader, class T>
+  std::string read(const char* path, Reader reader, bool required, const char* fallback, const char* purpose,
+                   T& out) const {
+    const auto given = tree_.get_optional<std::string>(Tree::path_type(path, '\x1f'));
+    const bool there = given && !given->empty();
+    if (required && !there) return std::string(path) + ": missing (" + purpose + ")";
+    T value{};
+    auto wrong = reader(there ? *given : std::string(fallback), value);
+    if (wrong.empty()) {
+      out = std::move(value);
+      return {};
+    }
+    wrong.insert(0, std::string(path) + ": ");
+    return kHasSubstitute<T> && substituted(wrong) ? "" : wrong;
+  }
+  // Whether what is wrong with some fields may be passed over; it is named then.
+  bool substituted(const std::string& wrong) const {
+    if (unreadable_ != nullptr) unreadable_->push_back(wrong);
+    return unreadable_ != nullptr;
+  }
+
+ private:
+  const Tree& tree_;
+  std::vector<std::string>* unreadable_;
+};
 
-#define INDIGOHILL_READ(type, member, path, reader, required, fallback, purpose)                                    \
-  if (auto wrong = readField(tree, path, read_as::reader, required, fallback, purpose, out.member); !wrong.empty()) \
+#define INDIGOHILL_READ(type, member, path, field, required, fallback, purpose)                                \
+  if (auto wrong = reader.read(path, read_as::field, required, fallback, purpose, out.member); !wrong.empty()) \
     return wrong;
 
-std::string readPolicy(const Tree& tree, Policy& out) {
+std::string readPolicy(const FieldReader& reader, Policy& out) {
   INDIGOHILL_POLICY(INDIGOHILL_READ)
   if (out.blockTokens < 1) return "policy.blockTokens: 1 or more is wanted";
   if (out.candidates < 2) return "policy.candidates: 2 or more is wanted";
@@ -143,19 +179,47 @@
   return {};
 }
 
-std::string readSettings(const Tree& tree, Settings& out) {
+// The policy's fields are checked together, and kept together where one is not good.
+std::string readPolicyOf(const FieldReader& reader, Settings& out) {
+  Policy policy = out.policy;
+  auto wrong = readPolicy(reader, policy);
+  if (wrong.empty()) out.policy = policy;
+  return wrong.empty() || reader.substituted(wrong) ? "" : wrong;
+}
+
+std::string readLogLevel(const FieldReader& reader, const std::string& previous, Settings& out) {
+  if (base::isLogLevel(out.logLevel)) return {};
+  std::string wrong = "logLevel: debug, info, warn or error is wanted";
+  if (!reader.substituted(wrong)) return wrong;
+  out.logLevel = previous;
+  return {};
+}
+
+std::string readSettings(const FieldReader& reader, Settings& out) {
+  const auto previousLogLevel = out.logLevel;
   INDIGOHILL_SETTINGS(INDIGOHILL_READ)
-  return readPolicy(tree, out.policy);
+  if (auto wrong = readPolicyOf(reader, out); !wrong.empty()) return wrong;
+  if (auto own = parseEndpoint(out.ipAddress + ":1"); base::errorIn(own))
+    return "ipAddress: an IPv4 address is wanted, not '" + out.ipAddress + "'";
+  return readLogLevel(reader, previousLogLevel, out);
 }
 #undef INDIGOHILL_READ
 
+base::Result<std::string> readFile(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) return base::Error{base::ErrorCode::InvalidInput, path + ": cannot be read"};
+  std::ostringstream all;
+  all << in.rdbuf();
+  return all.str();
+}
+
 }  // namespace
 
 base::Result<Policy> parsePolicy(const std::string& source) {
   auto tree = parseTree(source);
   if (const auto* bad = base::errorIn(tree)) return *bad;
   Policy out;
-  if (auto wrong = readPolicy(std::get<Tree>(tree), out); !wrong.empty())
+  if (auto wrong = readPolicy(FieldReader(std::get<Tree>(tree)), out); !wrong.empty())
     return base::Error{base::ErrorCode::InvalidInput, wrong};
   return out;
 }
@@ -166,22 +230,34 @@
   auto tree = parseTree(source);
   if (const auto* bad = base::errorIn(tree)) return *bad;
   Settings out;
-  if (auto wrong = readSettings(std::get<Tree>(tree), out); !wrong.empty())
+  if (auto wrong = readSettings(FieldReader(std::get<Tree>(tree)), out); !wrong.empty())
+    return base::Error{base::ErrorCode::InvalidInput, wrong};
+  return out;
+}
+
+base::Result<TolerantSettings> parseTolerantly(const std::string& source, const Settings& previous) {
+  auto tree = parseTree(source);
+  if (const auto* bad = base::errorIn(tree)) return *bad;
+  TolerantSettings out{previous, {}};
+  if (auto wrong = readSettings(FieldReader(std::get<Tree>(tree), &out.unreadable), out.settings); !wrong.empty())
     return base::Error{base::ErrorCode::InvalidInput, wrong};
-  if (auto own = parseEndpoint(out.ipAddress + ":1"); base::errorIn(own))
-    return base::Error{base::ErrorCode::InvalidInput,
-                       "ipAddress: an IPv4 address is wanted, not '" + out.ipAddress + "'"};
-  if (!base::isLogLevel(out.logLevel))
-    return base::Error{base::ErrorCode::InvalidInput, "logLevel: debug, info, warn or error is wanted"};
   return out;
 }
 
+Settings defaultSettings() {
+  return std::get<Settings>(parse("nodeName=-\nipAddress=0.0.0.0\nzone=-\ninternalPortRange=1,2\n"));
+}
+
 base::Result<Settings> read(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) return base::Error{base::ErrorCode::InvalidInput, path + ": cannot be read"};
-  std::ostringstream all;
-  all << in.rdbuf();
-  return parse(all.str());
+  auto source = readFile(path);
+  if (const auto* bad = base::errorIn(source)) return *bad;
+  return parse(std::get<std::string>(source));
+}
+
+base::Result<TolerantSettings> readTolerantly(const std::string& path, const Settings& previous) {
+  auto source = readFile(path);
+  if (const auto* bad = base::errorIn(source)) return *bad;
+  return parseTolerantly(std::get<std::string>(source), previous);
 }
 
 std::string missingFor(const Settings& settings, const std::string& role) {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -41,6 +41,18 @@
 // Reads `a.b=value` lines. Unknown fields are ignored; a fault names the field.
 base::Result<Settings> parse(const std::string& text);
 base::Result<Settings> read(const std::string& path);
+
+// Settings for a daemon that had better run with one value that is not meant than not at all.
+struct TolerantSettings {
+  Settings settings;
+  std::vector<std::string> unreadable;  // fields, each with what is wrong
+};
+// The same, but a number or flag that cannot be read and need not be there is as in `previous`. Names, addresses and
+// ports must be readable as before.
+base::Result<TolerantSettings> parseTolerantly(const std::string& text, const Settings& previous);
+base::Result<TolerantSettings> readTolerantly(const std::string& path, const Settings& previous);
+// Every field as when it is not given.
+Settings defaultSettings();
 // The policy fields alone, from a file that need hold nothing else; what is not there has its default.
 base::Result<Policy> parsePolicy(const std::string& text);
 Policy defaultPolicy();
--- a/tests/cli/test_settings_watch.cpp
+++ b/tests/cli/test_settings_watch.cpp
@@ -23,5 +23,9 @@
   write(settingsText({{"bindAddresses.frontend", "-"}}));
   cr_assert_not(watch.check(true));
   cr_assert_eq(settings::text(watch.current().seedNodes.at(0)), "10.0.0.9:8000");
+  write(settingsText({{"seedNodes", "10.0.0.8:8000"}, {"bounds.gracePeriodS", "-1"}}));
+  cr_assert(watch.check(true));
+  cr_assert_eq(settings::text(watch.current().seedNodes.at(0)), "10.0.0.8:8000");
+  cr_assert(watch.current().gracePeriodS == std::chrono::seconds(8));
   std::remove(path.c_str());
 }
--- a/tests/daemon.hpp
+++ b/tests/daemon.hpp
@@ -47,12 +47,18 @@
 }
 
 // The settings of the only machine.
-inline std::string settingsOf(emulator::Role role, const emulator::Network& network, const TestFolder& folder) {
-  emulator::Experiment experiment;
+inline std::string settingsOf(emulator::Role role, const emulator::Network& network, const TestFolder& folder,
+                              emulator::Experiment experiment = {}) {
   experiment.controllers = 1;
   return emulator::settingsText(experiment, network, {role, 0, true, folder.file("data")});
 }
 
+// A settings file with the line of a field replaced.
+inline std::string withLine(std::string settings, const std::string& line) {
+  const auto start = settings.find(line.substr(0, line.find('=') + 1));
+  return settings.replace(start, settings.find('\n', start) - start, line);
+}
+
 // One connection of this machine, as the kernel's table has it.
 struct ConnectionQueue {
   std::string local, inode;  // the address as the table writes it; the socket's number, "0" before it is accepted
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -52,3 +52,44 @@
   cr_assert_eq(settings::missingFor(std::get<0>(noFront), "controller"), "");
   cr_assert(base::errorIn(settings::read("/nonexistent/file")) != nullptr);
 }
+
+Test(settings, whole_numbers_may_be_written_with_a_point_or_an_exponent) {
+  for (const auto* text : {"8", "8.0", "8e0", "0.8e1"}) {
+    auto read = settings::parse(settingsText({{"limits.memoryMb", text}}));
+    cr_assert_eq(faultOf(read), "", "%s", text);
+    cr_assert_eq(std::get<0>(read).memoryMb, 8u);
+  }
+  for (const auto* text : {"8.5", "-1", "-1.0", "true", "8x", "1e300", "inf", "nan"})
+    cr_assert(faultOf(settings::parse(settingsText({{"limits.memoryMb", text}}))).starts_with("limits.memoryMb:"), "%s",
+              text);
+}
+
+Test(settings, a_number_or_flag_that_cannot_be_read_is_as_before_for_a_daemon) {
+  auto previous = settings::defaultSettings();
+  previous.memoryMb = 78;
+  const std::map<std::string, std::string> spoilt{{"limits.memoryMb", "8.5"},      {"bootstrap", "yes"},
+                                                  {"bounds.gracePeriodS", "true"}, {"bounds.retryBudgetRatio", "-1"},
+                                                  {"policy.blockTokens", "x"},     {"logLevel", "loud"}};
+  auto read = settings::parseTolerantly(settingsText(spoilt), previous);
+  cr_assert(base::errorIn(read) == nullptr);
+  const auto& [taken, unreadable] = std::get<0>(read);
+  cr_assert_eq(unreadable.size(), spoilt.size());
+  for (const auto& field : unreadable)
+    cr_assert(spoilt.count(field.substr(0, field.find(':'))) == 1, "%s", field.c_str());
+  cr_assert_eq(taken.memoryMb, 78u);
+  cr_assert_not(taken.bootstrap);
+  cr_assert(taken.gracePeriodS == previous.gracePeriodS);
+  cr_assert_eq(taken.policy.blockTokens, previous.policy.blockTokens);
+  cr_assert_eq(taken.logLevel, "info");
+  cr_assert_eq(taken.seedNodes.size(), 2u);
+}
+
+Test(settings, names_and_addresses_must_be_readable_for_a_daemon_too) {
+  const auto previous = settings::defaultSettings();
+  for (const auto& [field, text] : std::map<std::string, std::string>{
+           {"nodeName", "-"}, {"seedNodes", "x"}, {"ipAddress", "x"}, {"internalPortRange", "1"}})
+    cr_assert(faultOf(settings::parse(settingsText({{field, text}}))).starts_with(field));
+  for (const auto& [field, text] : std::map<std::string, std::string>{
+           {"nodeName", "-"}, {"seedNodes", "x"}, {"ipAddress", "x"}, {"internalPortRange", "1"}})
+    cr_assert(base::errorIn(settings::parseTolerantly(settingsText({{field, text}}), previous)) != nullptr);
+}
--- a/tests/small_fleet.hpp
+++ b/tests/small_fleet.hpp
@@ -97,8 +97,10 @@
  private:
   std::unique_ptr<Daemon> launch(emulator::Role role, std::uint16_t metricsPort) {
     const auto path = folder_.file(emulator::nameOf(role));
-    writeFile(path, settingsOf(role, network, folder_) + fmt::format("limits.memoryMb={}\nlimits.maxOpenFiles={}\n",
-                                                                     limits_.memoryMb, limits_.descriptors));
+    auto limited = experiment_;
+    limited.memoryMb = limits_.memoryMb;
+    limited.descriptors = limits_.descriptors;
+    writeFile(path, settingsOf(role, network, folder_, limited));
     return std::make_unique<Daemon>(std::vector<std::string>{INDIGOHILL_PROGRAM, emulator::nameOf(role), "--settings",
                                                              path, "--metrics-port", std::to_string(metricsPort)});
   }
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -104,6 +104,17 @@
   }
 }
 
+Test(daemon_start, an_optional_value_that_cannot_be_read_does_not_end_a_daemon) {
+  for (const auto role : {Role::Router, Role::Controller})
+    for (const auto* line : {"limits.cpuCores=1.0", "limits.memoryMb=true", "bounds.contactMs=-1"}) {
+      const TestFolder folder;
+      const auto path = folder.file("settings");
+      writeFile(path, withLine(settingsOf(role, emulator::freeNetwork(), folder), line));
+      Daemon daemon(role, path);
+      cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+    }
+}
+
 Test(daemon_start, settings_that_are_being_written_do_not_end_a_daemon) {
   for (const auto role : {Role::Router, Role::Controller}) {
     const TestFolder folder;
