A router's threads fit a limited address space, and one that cannot be started is done without

Callers saw a router of eight workers under an address space of 260 MB end by SIGABRT. Each thread reserved 8 MB for its stack and up to 128 MB for its arena. WorkerThreads goes on with the threads that there is room for (workers_missing); stacks take 1 MB, and under RLIMIT_AS arenas a quarter of the address space. The test, with 64 workers, failed before.

--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -5,9 +5,9 @@
 #include <iostream>
 #include <memory>
 
-#include "base/freed_memory.hpp"
 #include "base/log.hpp"
 #include "base/process_end.hpp"
+#include "base/process_memory.hpp"
 #include "cli/command.hpp"
 #include "cli/daemons.hpp"
 #include "cli/settings_option.hpp"
@@ -46,6 +46,7 @@
 
 int runDaemon(const std::string& role, Daemon daemon, const DaemonOptions& options) {
   base::returnFreedMemory();
+  base::boundThreadMemory();
   auto loaded = awaitSettings(options.settingsPath, role);
   if (const auto* status = std::get_if<int>(&loaded)) return *status;
   const auto& [settings, unreadable] = std::get<settings::TolerantSettings>(loaded);
--- a/src/cli/router_daemon.cpp
+++ b/src/cli/router_daemon.cpp
@@ -1,10 +1,10 @@
 #include <boost/asio/strand.hpp>
 #include <memory>
-#include <thread>
 
 #include "base/journal.hpp"
 #include "base/task_failure.hpp"
 #include "base/wall_time.hpp"
+#include "base/worker_threads.hpp"
 #include "cli/daemons.hpp"
 #include "cli/deployment.hpp"
 #include "cli/event_loop.hpp"
@@ -102,10 +102,10 @@
     base::logInfo(base::LogEvent("router_started")
                       .with("frontend", settings::text(watch_.current().frontend))
                       .with("peers", settings::text(peerAddress(watch_.current(), false))));
-    std::vector<std::thread> others;
-    for (std::size_t i = 1; i < workers_; ++i) others.emplace_back([this] { io_.run(); });
-    io_.run();
-    for (auto& other : others) other.join();
+    {
+      const base::WorkerThreads others(workers_ - 1, [this] { io_.run(); });
+      io_.run();
+    }
     logTotals();
     return 0;
   }
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -85,6 +85,19 @@
   cr_assert(daemon.runs());
 }
 
+Test(daemon_start, a_limit_on_the_address_space_does_not_end_a_router_of_many_workers) {
+  const TestFolder folder;
+  const auto path = folder.file("settings");
+  emulator::Experiment experiment;
+  experiment.cpuCores = 64;
+  writeFile(path, settingsOf(Role::Router, emulator::freeNetwork(), folder, experiment));
+  Daemon daemon(
+      {"/bin/sh", "-c", std::string("ulimit -v 266240; exec ") + INDIGOHILL_PROGRAM + " router --settings " + path});
+  cr_assert(daemon.hasStarted(), "%s", daemon.output().c_str());
+  daemon.signal(SIGTERM);
+  cr_assert(daemon.hasSaid("\"router_stopped\""), "%s", daemon.output().c_str());
+}
+
 Test(daemon_start, a_held_port_of_clients_does_not_end_a_router) {
   holdAtStart<asio::ip::tcp>(Role::Router, emulator::freeNetwork().frontend(0));
 }
