--- a/src/emulator/daemon_process.cpp
+++ b/src/emulator/daemon_process.cpp
@@ -41,7 +41,7 @@
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   ::dup2(output, STDOUT_FILENO);
   ::dup2(output, STDERR_FILENO);
-  ::close_range(STDERR_FILENO + 1, ~0U, 0);
+  ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   // As a supervisor starts a daemon: what the emulator's own parents ignore is not ignored there.
   for (int number = 1; number < NSIG; ++number) ::signal(number, SIG_DFL);
   limitTo(RLIMIT_NOFILE, limits.descriptors);
@@ -50,6 +50,15 @@
   ::_exit(kExecFailed);
 }
 
+// Waits until the child has its program: the kernel then closes its copy of the pipe.
+void awaitExec(const std::array<int, 2>& pipe) {
+  ::close(pipe[1]);
+  char unused = 0;
+  while (::read(pipe[0], &unused, 1) < 0 && errno == EINTR) {
+  }
+  ::close(pipe[0]);
+}
+
 }  // namespace
 
 DaemonProcess::DaemonProcess(const asio::any_io_executor& executor, std::vector<std::string> command,
@@ -68,6 +77,7 @@
 
 void DaemonProcess::start() {
   const auto [readEnd, writeEnd] = openPipe();
+  const auto untilExec = openPipe();
   std::vector<char*> arguments;
   arguments.reserve(command_.size() + 1);
   for (auto& word : command_) arguments.push_back(word.data());
@@ -75,6 +85,7 @@
   const auto child = ::fork();
   if (child == 0) becomeDaemon(writeEnd, limits_, arguments.data());
   ::close(writeEnd);
+  awaitExec(untilExec);
   if (child < 0) {
     ::close(readEnd);
     throwSystemError("fork");
--- a/src/emulator/daemon_process.hpp
+++ b/src/emulator/daemon_process.hpp
@@ -31,7 +31,8 @@
   DaemonProcess(const DaemonProcess&) = delete;
   DaemonProcess& operator=(const DaemonProcess&) = delete;
 
-  // Throws std::system_error if there can be no further process. REQUIRES: not running.
+  // Returns once the kernel runs the program. Throws std::system_error if there can be no further process. REQUIRES:
+  // not running.
   void start();
   void signal(int number) const;
   bool isRunning() const { return pid_ > 0; }
