--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -92,7 +92,6 @@
   void sendLeaseTableTo(const schema::Poll& poll, const settings::Endpoint& from, base::TimePoint now,
                         net::Outbox& out);
   duties::Agent::Surroundings dutySurroundings(base::TimePoint now);
-  void applyDuties(duties::AgentEffects made, Effects& effects);
 
   Self self_;
   std::vector<settings::Endpoint> seeds_;
--- a/src/control/controller_duties.cpp
+++ b/src/control/controller_duties.cpp
@@ -13,8 +13,6 @@
 // loss costs no primary besides. In heartbeats of the lease.
 constexpr int kObserverDelay = 3, kPrimaryDelay = 6;
 
-settings::Endpoint endpointOf(const schema::Address& address) { return {address.ip, address.port}; }
-
 }  // namespace
 
 bool Controller::receiveDutyMessage(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
@@ -26,16 +24,16 @@
   if (const auto* reply = std::get_if<schema::LeaseReply>(&message); reply != nullptr && reply->replyTo.port != 0) {
     auto passedBack = *reply;
     passedBack.replyTo = {};
-    effects.out.push_back({endpointOf(reply->replyTo), std::move(passedBack)});
+    effects.out.push_back({duties::endpointOf(reply->replyTo), std::move(passedBack)});
     return true;
   }
   if (const auto* ack = std::get_if<schema::UsageAck>(&message)) {
-    effects.out.push_back({endpointOf(ack->origin), *ack});
+    effects.out.push_back({duties::endpointOf(ack->origin), *ack});
     return true;
   }
   duties::AgentEffects made;
   const bool taken = duties_.receive(message, from, now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
   return taken;
 }
 
@@ -58,7 +56,7 @@
   sendLeaseTable(now, effects);
   duties::AgentEffects made;
   duties_.tick(dutySurroundings(now), now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
 }
 
 // The primary tells all controllers, itself among them. Before the first lease there is an empty table.
@@ -68,7 +66,7 @@
   table.sequence = ++tableSequence_;
   duties::AgentEffects made;
   duties_.receive(table, self_.address, now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
   for (const auto& member : group_.view()->members) {
     const auto address = membership::addressOf(member);
     if (!membership::isController(member) || address == self_.address) continue;
@@ -110,17 +108,10 @@
   return out;
 }
 
-void Controller::applyDuties(duties::AgentEffects made, Effects& effects) {
-  std::move(made.out.begin(), made.out.end(), std::back_inserter(effects.out));
-  std::move(made.calls.begin(), made.calls.end(), std::back_inserter(effects.calls));
-  std::move(made.aborted.begin(), made.aborted.end(), std::back_inserter(effects.abortedCalls));
-  std::move(made.log.begin(), made.log.end(), std::back_inserter(effects.log));
-}
-
 void Controller::onCallEnded(std::uint64_t id, duties::CallOutcome outcome, base::TimePoint now, Effects& effects) {
   duties::AgentEffects made;
   duties_.onCallEnded(id, outcome, now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
 }
 
 }  // namespace indigohill::control
--- a/src/duties/agent.cpp
+++ b/src/duties/agent.cpp
@@ -43,8 +43,6 @@
   return out;
 }
 
-settings::Endpoint endpointOf(const schema::Address& address) { return {address.ip, address.port}; }
-
 std::set<settings::Endpoint> routersOf(const schema::View* view) {
   std::set<settings::Endpoint> out;
   if (view == nullptr) return out;
--- a/src/duties/agent.hpp
+++ b/src/duties/agent.hpp
@@ -1,10 +1,13 @@
 #pragma once
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/log_event.hpp"
@@ -31,6 +34,18 @@
   std::vector<base::LogEvent> log;
 };
 
+// Hands what the agent wants done on to the effects of the daemon that it is part of.
+template <class DaemonEffects>
+void append(AgentEffects made, DaemonEffects& effects) {
+  std::move(made.out.begin(), made.out.end(), std::back_inserter(effects.out));
+  std::move(made.calls.begin(), made.calls.end(), std::back_inserter(effects.calls));
+  std::move(made.aborted.begin(), made.aborted.end(), std::back_inserter(effects.abortedCalls));
+  std::move(made.log.begin(), made.log.end(), std::back_inserter(effects.log));
+}
+
+// Where a daemon is reached that other daemons name.
+inline settings::Endpoint endpointOf(const schema::Address& address) { return {address.ip, address.port}; }
+
 class Agent {
  public:
   struct Options {
--- a/src/router/router_core.hpp
+++ b/src/router/router_core.hpp
@@ -92,7 +92,6 @@
   bool receiveDutyMessage(const schema::Message& message, const settings::Endpoint& from, base::TimePoint now,
                           RouterEffects& effects);
   void tickDuties(base::TimePoint now, RouterEffects& effects);
-  static void applyDuties(duties::AgentEffects made, RouterEffects& effects);
 
   Self self_;
   feed::Times times_;
--- a/src/router/router_duties.cpp
+++ b/src/router/router_duties.cpp
@@ -27,7 +27,7 @@
   }
   duties::AgentEffects made;
   const bool taken = duties_.receive(message, from, now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
   return taken;
 }
 
@@ -50,21 +50,14 @@
   around.claimDelay = kRouterClaimDelay * dutyOptions_.lease.heartbeat;
   duties::AgentEffects made;
   duties_.tick(around, now, made);
-  applyDuties(std::move(made), effects);
-}
-
-void RouterCore::applyDuties(duties::AgentEffects made, RouterEffects& effects) {
-  std::move(made.out.begin(), made.out.end(), std::back_inserter(effects.out));
-  std::move(made.calls.begin(), made.calls.end(), std::back_inserter(effects.calls));
-  std::move(made.aborted.begin(), made.aborted.end(), std::back_inserter(effects.abortedCalls));
-  std::move(made.log.begin(), made.log.end(), std::back_inserter(effects.log));
+  duties::append(std::move(made), effects);
 }
 
 void RouterCore::onCallEnded(std::uint64_t id, duties::CallOutcome outcome, base::TimePoint now,
                              RouterEffects& effects) {
   duties::AgentEffects made;
   duties_.onCallEnded(id, outcome, now, made);
-  applyDuties(std::move(made), effects);
+  duties::append(std::move(made), effects);
 }
 
 }  // namespace indigohill::router
