--- a/src/emulator/applications.cpp
+++ b/src/emulator/applications.cpp
@@ -65,7 +65,7 @@
     timer.expires_after(random_.untilNext(experiment_.tallyCallsPerS));
     co_await timer.async_wait(http::kTuple);
     if (stopped_) break;
-    const auto zone = random_.whole(0, experiment_.zones - 1);
+    const auto zone = random_.integer(0, experiment_.zones - 1);
     if (random_.chance(kReadShare) && !records_.tallyAdds.empty()) {
       asio::co_spawn(
           executor_, [self, zone]() { return self->readSome(zone); }, asio::detached);
@@ -81,7 +81,7 @@
 std::size_t Applications::newAdd() {
   auto& adds = records_.tallyAdds;
   const auto count = adds.size();
-  if (count > 0 && random_.chance(kResendShare)) return count - random_.whole(1, std::min(count, kRecentAdds));
+  if (count > 0 && random_.chance(kResendShare)) return count - random_.integer(1, std::min(count, kRecentAdds));
   TallyAdd add;
   add.tally = "tally-" + std::to_string(count / kAddsPerTally);
   add.id = "add-" + std::to_string(count);
@@ -94,7 +94,7 @@
 // All that are reached from a zone, in the order in which its applications ask them.
 std::vector<std::size_t> Applications::controllersFrom(std::size_t zone) {
   std::vector<std::size_t> near, far;
-  const auto first = random_.whole(0, experiment_.controllersWithDisk() - 1);
+  const auto first = random_.integer(0, experiment_.controllersWithDisk() - 1);
   for (std::size_t i = 0; i < experiment_.controllersWithDisk(); ++i) {
     const auto controller = (first + i) % experiment_.controllersWithDisk();
     if (experiment_.zoneOf(controller) == zone)
@@ -141,7 +141,7 @@
 asio::awaitable<void> Applications::readSome(std::size_t zone) {
   const auto self = shared_from_this();
   const auto count = records_.tallyAdds.size();
-  const auto tally = records_.tallyAdds[count - random_.whole(1, std::min(count, kRecentAdds))].tally;
+  const auto tally = records_.tallyAdds[count - random_.integer(1, std::min(count, kRecentAdds))].tally;
   for (const auto controller : controllersFrom(zone)) {
     const auto found = co_await read(tally, controller);
     if (!found) continue;
--- a/src/emulator/operator.cpp
+++ b/src/emulator/operator.cpp
@@ -56,7 +56,7 @@
 }
 
 std::uint64_t Operator::newChange() {
-  newest_ = std::max(newest_, current_) + random_.whole(1, kMaxRevisionStep);
+  newest_ = std::max(newest_, current_) + random_.integer(1, kMaxRevisionStep);
   records_.changes.push_back({newest_, current_, kMarkerBaseMs + newest_, false});
   return newest_;
 }
@@ -117,7 +117,7 @@
 
 // One call at a controller that is drawn, along its redirects.
 asio::awaitable<std::optional<Operator::Reply>> Operator::call(http::Request request) {
-  auto to = network_.controlPlane(random_.whole(0, experiment_.controllers - 1));
+  auto to = network_.controlPlane(random_.integer(0, experiment_.controllers - 1));
   for (std::size_t redirects = 0;; ++redirects) {
     const auto reply = co_await callAt(to, request);
     if (!reply || reply->status != 307 || redirects == kMaxRedirects) co_return reply;
--- a/src/emulator/random.hpp
+++ b/src/emulator/random.hpp
@@ -14,7 +14,7 @@
 
   bool chance(double probability) { return std::bernoulli_distribution(probability)(engine_); }
   // From `least` to `most`, both included.
-  std::size_t whole(std::size_t least, std::size_t most) {
+  std::size_t integer(std::size_t least, std::size_t most) {
     return std::uniform_int_distribution<std::size_t>(least, most)(engine_);
   }
   base::Millis millis(base::Millis least, base::Millis most) {
@@ -27,7 +27,7 @@
   }
   template <class Value>
   const Value& oneOf(const std::vector<Value>& values) {
-    return values[whole(0, values.size() - 1)];
+    return values[integer(0, values.size() - 1)];
   }
 
  private:
