--- a/tests/emulator/test_stand_ins.cpp
+++ b/tests/emulator/test_stand_ins.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::uint32_t kLoopback = 0x7f000001;
-constexpr std::uint16_t kPort = 38161;
+constexpr std::uint16_t kPort = 18161;
 
 // A runner, and what a router sends to it; ends with the last answer.
 struct Play {
