--- a/src/cli/rollout_command.cpp
+++ b/src/cli/rollout_command.cpp
@@ -120,7 +120,7 @@
   auto rolloutsInForce = parsed(described->body, "Rollouts.Describe");
   const auto statusNow = parsed(state->body, "Status");
   json::array shown;
-  bool held = false;
+  bool anyHeldBack = false;
   for (auto& rollout : rolloutsInForce.at("rollouts").as_array()) {
     if (rollout.as_object().contains("withdrawn") ||
         (!arguments.service.empty() && rollout.at("service").as_string() != arguments.service))
@@ -131,13 +131,13 @@
         if (j.at("service") == rollout.at("service")) {
           out["serving"] = j.at("serving");
           out["heldBack"] = j.at("heldBack");
-          held = held || !j.at("heldBack").as_array().empty();
+          anyHeldBack = anyHeldBack || !j.at("heldBack").as_array().empty();
         }
     shown.push_back(std::move(out));
   }
   if (arguments.json) {
     std::cout << json::serialize(json::object{{"rollouts", std::move(shown)}}) << "\n";
-    return held ? kSomebodyHeldBack : kDone;
+    return anyHeldBack ? kSomebodyHeldBack : kDone;
   }
   if (shown.empty())
     std::cout << "no rollout is declared" << (arguments.service.empty() ? "" : " for service " + arguments.service)
@@ -155,7 +155,7 @@
       std::cout << "  " << heldBack.at("instanceId").as_string().c_str() << " in "
                 << heldBack.at("zone").as_string().c_str() << ": " << heldBack.at("why").as_string().c_str() << "\n";
   }
-  return held ? kSomebodyHeldBack : kDone;
+  return anyHeldBack ? kSomebodyHeldBack : kDone;
 }
 
 // The options that all orders share.
--- a/src/http/await_room.cpp
+++ b/src/http/await_room.cpp
@@ -21,7 +21,7 @@
   co_return room == Room::Held;
 }
 
-asio::awaitable<bool> awaitRoom(ResourceLimiter::Connection& connection, Holding kind, std::uint64_t bytes) {
+asio::awaitable<bool> awaitRoom(ResourceLimiter::Connection& connection, MemoryKind kind, std::uint64_t bytes) {
   const auto ask = [&connection, kind, bytes] { return connection.hold(kind, bytes, base::Clock::now()); };
   co_return co_await awaitRoom(ask(), ask);
 }
--- a/src/http/await_room.hpp
+++ b/src/http/await_room.hpp
@@ -10,6 +10,6 @@
 asio::awaitable<bool> awaitRoom(Room first, std::function<Room()> ask);
 
 // Whether the connection holds so many bytes for this now; see ResourceLimiter::Connection::hold.
-asio::awaitable<bool> awaitRoom(ResourceLimiter::Connection& connection, Holding kind, std::uint64_t bytes);
+asio::awaitable<bool> awaitRoom(ResourceLimiter::Connection& connection, MemoryKind kind, std::uint64_t bytes);
 
 }  // namespace indigohill::http
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -26,41 +26,44 @@
   return slow || now - waitingSince >= kStalledAfter;
 }
 
-std::uint64_t ConnectionUse::total() const { return std::accumulate(held.begin(), held.end(), std::uint64_t{0}); }
+std::uint64_t ConnectionUse::total() const {
+  return std::accumulate(reserved.begin(), reserved.end(), std::uint64_t{0});
+}
 
 std::shared_ptr<MemoryBudget> MemoryBudget::unlimited() {
   return std::make_shared<MemoryBudget>(std::numeric_limits<std::uint64_t>::max() / 2);
 }
 
-std::uint64_t MemoryBudget::held() const {
+std::uint64_t MemoryBudget::reserved() const {
   const auto guard = lock();
-  return held_;
+  return reserved_;
 }
 
 void MemoryBudget::remove(const std::shared_ptr<ConnectionUse>& connection) {
-  for (auto kind : {Holding::Buffer, Holding::Head, Holding::Body, Holding::Answer}) release(*connection, kind);
+  for (auto kind : {MemoryKind::Buffer, MemoryKind::Head, MemoryKind::Body, MemoryKind::Answer})
+    release(*connection, kind);
   callOff(*connection);
   connection->stream = nullptr;
   connections_.erase(connection);
 }
 
-Room MemoryBudget::hold(ConnectionUse& connection, Holding kind, std::uint64_t bytes, base::TimePoint now) {
+Room MemoryBudget::hold(ConnectionUse& connection, MemoryKind kind, std::uint64_t bytes, base::TimePoint now) {
   const auto before = connection.of(kind), ofAll = connection.total();
-  const bool isAlone = kind != Holding::Answer && held_ == ofAll;
+  const bool isAlone = kind != MemoryKind::Answer && reserved_ == ofAll;
   if (ofAll == 0) {
     connection.transferBeganAt = now;
     connection.transferred = 0;
   }
   if (bytes > before && !isAlone) {
     const auto wanted = (bytes - before) * kPartsOfFree;
-    if (held_ + wanted > bytes_) return evictStalled(connection, held_ + wanted - bytes_, now);
+    if (reserved_ + wanted > bytes_) return evictStalled(connection, reserved_ + wanted - bytes_, now);
   }
   endAwaitingRoom(connection);
   set(connection, kind, bytes);
   return Room::Held;
 }
 
-void MemoryBudget::release(ConnectionUse& connection, Holding kind) {
+void MemoryBudget::release(ConnectionUse& connection, MemoryKind kind) {
   endAwaitingRoom(connection);
   set(connection, kind, 0);
 }
@@ -77,11 +80,11 @@
   if (std::exchange(connection.awaitsRoom, false)) --awaitingRoom_;
 }
 
-void MemoryBudget::set(ConnectionUse& connection, Holding kind, std::uint64_t bytes) {
-  auto& held = connection.of(kind);
-  held_ = held_ - held + bytes;
-  if (kind == Holding::Body) connection.listener.bodyBytes = connection.listener.bodyBytes - held + bytes;
-  held = bytes;
+void MemoryBudget::set(ConnectionUse& connection, MemoryKind kind, std::uint64_t bytes) {
+  auto& reserved = connection.of(kind);
+  reserved_ = reserved_ - reserved + bytes;
+  if (kind == MemoryKind::Body) connection.listener.bodyBytes = connection.listener.bodyBytes - reserved + bytes;
+  reserved = bytes;
 }
 
 void MemoryBudget::evict(const std::shared_ptr<ConnectionUse>& connection) {
@@ -116,7 +119,7 @@
 
 Room MemoryBudget::evictStalledBodies(ConnectionUse& connection, std::uint64_t bytes, base::TimePoint now) {
   const bool comes = evictStalledBy(bytes, now, [&](const ConnectionUse& other) {
-    return &other.listener == &connection.listener ? other.held[static_cast<std::size_t>(Holding::Body)] : 0;
+    return &other.listener == &connection.listener ? other.reserved[static_cast<std::size_t>(MemoryKind::Body)] : 0;
   });
   if (comes) return awaitRoom(connection);
   endAwaitingRoom(connection);
--- a/src/http/memory_budget.hpp
+++ b/src/http/memory_budget.hpp
@@ -10,8 +10,8 @@
 namespace indigohill::http {
 
 // What a connection's peer holds memory of the process for.
-enum class Holding { Buffer, Head, Body, Answer };
-constexpr std::size_t kHoldings = 4;
+enum class MemoryKind { Buffer, Head, Body, Answer };
+constexpr std::size_t kMemoryKinds = 4;
 
 // Whether memory may be taken.
 enum class Room {
@@ -34,7 +34,7 @@
   // The peer has let the process wait for too long, or lets a body or an answer pass too slowly.
   bool hasStalled(base::TimePoint now) const;
   std::uint64_t total() const;
-  std::uint64_t& of(Holding kind) { return held[static_cast<std::size_t>(kind)]; }
+  std::uint64_t& of(MemoryKind kind) { return reserved[static_cast<std::size_t>(kind)]; }
 
   ListenerUse& listener;
   beast::tcp_stream* stream = nullptr;  // null once the connection has ended
@@ -44,7 +44,7 @@
   bool answering = false;
   base::TimePoint waitingSince{}, transferBeganAt{};
   std::uint64_t transferred = 0;  // of the body that comes, or of the answer that goes
-  std::array<std::uint64_t, kHoldings> held{};
+  std::array<std::uint64_t, kMemoryKinds> reserved{};
 };
 
 // The memory that the peers of all listeners of a process hold together, whatever for. Where it runs out, connections
@@ -65,7 +65,7 @@
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
   std::uint64_t bytes() const { return bytes_; }
-  std::uint64_t held() const;
+  std::uint64_t reserved() const;
 
   std::unique_lock<std::mutex> lock() const { return std::unique_lock(mutex_); }
   // The rest REQUIRES the lock.
@@ -73,8 +73,8 @@
   void remove(const std::shared_ptr<ConnectionUse>& connection);
   const std::set<std::shared_ptr<ConnectionUse>>& connections() const { return connections_; }
   // The connection holds so many bytes for this now.
-  Room hold(ConnectionUse& connection, Holding kind, std::uint64_t bytes, base::TimePoint now);
-  void release(ConnectionUse& connection, Holding kind);
+  Room hold(ConnectionUse& connection, MemoryKind kind, std::uint64_t bytes, base::TimePoint now);
+  void release(ConnectionUse& connection, MemoryKind kind);
   // Ends what is pending on the connection's stream, later and on the stream's executor.
   void evict(const std::shared_ptr<ConnectionUse>& connection);
   static void callOff(ConnectionUse& connection);
@@ -90,13 +90,13 @@
   // Whether so many bytes come free.
   template <class BytesOf>
   bool evictStalledBy(std::uint64_t bytes, base::TimePoint now, const BytesOf& bytesOf);
-  void set(ConnectionUse& connection, Holding kind, std::uint64_t bytes);
+  void set(ConnectionUse& connection, MemoryKind kind, std::uint64_t bytes);
   void cancel(const ConnectionUse& connection) const;
 
   const std::uint64_t bytes_;
   mutable std::mutex mutex_;
   std::set<std::shared_ptr<ConnectionUse>> connections_;
-  std::uint64_t held_ = 0;
+  std::uint64_t reserved_ = 0;
   std::size_t awaitingRoom_ = 0;
 };
 
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -68,10 +68,10 @@
   for (;;) {
     if (const auto error = parse(buffer, parser)) co_return ReadResult{ReadEnd::Failed, error};
     // Fields are kept from when their line has come.
-    const bool hasRoom = co_await awaitRoom(connection, Holding::Head, headBytes(parser.get()));
+    const bool hasRoom = co_await awaitRoom(connection, MemoryKind::Head, headBytes(parser.get()));
     if (!hasRoom) co_return refuse(buffer, parser, connection);
     if (parser.is_header_done()) co_return ReadResult{ReadEnd::Complete, {}};
-    const bool hasBuffer = co_await awaitRoom(connection, Holding::Buffer, bufferBytes(buffer));
+    const bool hasBuffer = co_await awaitRoom(connection, MemoryKind::Buffer, bufferBytes(buffer));
     if (!hasBuffer) co_return refuse(buffer, parser, connection);
     const auto read = co_await readSome(stream, buffer, connection);
     if (read.end != ReadEnd::Complete) co_return read;
@@ -88,23 +88,23 @@
                                             [&] { return connection.holdBody(size, base::Clock::now()); });
     if (!hasRoom) co_return refuse(buffer, parser, connection);
     if (parser.is_done()) break;
-    const bool hasBuffer = co_await awaitRoom(connection, Holding::Buffer, bufferBytes(buffer));
+    const bool hasBuffer = co_await awaitRoom(connection, MemoryKind::Buffer, bufferBytes(buffer));
     if (!hasBuffer) co_return refuse(buffer, parser, connection);
     const auto read = co_await readSome(stream, buffer, connection);
     if (read.end == ReadEnd::Evicted) co_return refuse(buffer, parser, connection);
     if (read.end != ReadEnd::Complete) co_return read;
   }
   // With the fields that follow a chunked body.
-  const bool hasRoom = co_await awaitRoom(connection, Holding::Head, headBytes(parser.get()));
+  const bool hasRoom = co_await awaitRoom(connection, MemoryKind::Head, headBytes(parser.get()));
   if (!hasRoom) co_return refuse(buffer, parser, connection);
   co_return ReadResult{ReadEnd::Complete, {}};
 }
 
 void releaseRequest(beast::flat_buffer& buffer, ResourceLimiter::Connection& connection) {
-  connection.release(Holding::Head);
-  connection.release(Holding::Body);
+  connection.release(MemoryKind::Head);
+  connection.release(MemoryKind::Body);
   if (buffer.capacity() > kSmallBufferBytes && buffer.size() <= kSmallBufferBytes) buffer.shrink_to_fit();
-  connection.hold(Holding::Buffer, bufferBytes(buffer), base::Clock::now());
+  connection.hold(MemoryKind::Buffer, bufferBytes(buffer), base::Clock::now());
 }
 
 std::optional<int> statusOf(const boost::system::error_code& error) {
--- a/src/http/resource_limiter.cpp
+++ b/src/http/resource_limiter.cpp
@@ -101,26 +101,26 @@
 ResourceLimiter::Room ResourceLimiter::Connection::holdBody(std::uint64_t bytes, base::TimePoint now) {
   auto& memory = *listener_->memory;
   const auto guard = memory.lock();
-  const auto before = use_->of(Holding::Body);
+  const auto before = use_->of(MemoryKind::Body);
   const auto ofOthers = listener_->use.bodyBytes - before;
   const auto& limits = listener_->limits;
   const auto most = bytes <= kSmallBodyBytes ? limits.bodyBytes : limits.bodyBytes / 4 * 3;
   if (ofOthers > 0 && ofOthers + bytes > most) return memory.evictStalledBodies(*use_, ofOthers + bytes - most, now);
-  const auto room = memory.hold(*use_, Holding::Body, bytes, now);
+  const auto room = memory.hold(*use_, MemoryKind::Body, bytes, now);
   if (room != Room::Held) return room;
   if (before == 0) use_->transferBeganAt = now;
   use_->transferred = bytes;
   return room;
 }
 
-ResourceLimiter::Room ResourceLimiter::Connection::hold(Holding kind, std::uint64_t bytes, base::TimePoint now) {
+ResourceLimiter::Room ResourceLimiter::Connection::hold(MemoryKind kind, std::uint64_t bytes, base::TimePoint now) {
   // Changed on the connection's strand alone, so it may be read there without the lock.
   if (use_->of(kind) == bytes) return Room::Held;
   const auto guard = listener_->memory->lock();
   return listener_->memory->hold(*use_, kind, bytes, now);
 }
 
-void ResourceLimiter::Connection::release(Holding kind) {
+void ResourceLimiter::Connection::release(MemoryKind kind) {
   if (use_->of(kind) == 0 && !use_->awaitsRoom) return;
   const auto guard = listener_->memory->lock();
   listener_->memory->release(*use_, kind);
--- a/src/http/resource_limiter.hpp
+++ b/src/http/resource_limiter.hpp
@@ -59,11 +59,11 @@
     // The body of the current request has so many bytes now.
     Room holdBody(std::uint64_t bytes, base::TimePoint now);
     // The body is not kept any more.
-    void releaseBody() { release(Holding::Body); }
+    void releaseBody() { release(MemoryKind::Body); }
     // So many bytes are kept for this now, instead of what was. What is not more than before always has room.
-    Room hold(Holding kind, std::uint64_t bytes, base::TimePoint now);
+    Room hold(MemoryKind kind, std::uint64_t bytes, base::TimePoint now);
     // Nothing is kept for it, and no room is awaited any more.
-    void release(Holding kind);
+    void release(MemoryKind kind);
     // Counts a request as refused for want of memory.
     void onBodyRefused();
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,7 +91,7 @@
 asio::awaitable<bool> Server::reply(beast::tcp_stream& stream, Response reply,
                                     ResourceLimiter::Connection& connection) {
   const auto size = reply.body().size();
-  const bool hasRoom = size <= kSmallAnswerBytes || co_await awaitRoom(connection, Holding::Answer, size);
+  const bool hasRoom = size <= kSmallAnswerBytes || co_await awaitRoom(connection, MemoryKind::Answer, size);
   if (!hasRoom) {
     reply.result(static_cast<wire::status>(kUnavailable));
     reply.set(wire::field::retry_after, kNoRoomRetryAfterSeconds);
@@ -100,7 +100,7 @@
   }
   stream.expires_after(limits_.idle);
   const auto failed = co_await writeAnswer(stream, reply, connection);
-  connection.release(Holding::Answer);
+  connection.release(MemoryKind::Answer);
   co_return !failed && reply.keep_alive();
 }
 
--- a/src/metrics/router_metrics.cpp
+++ b/src/metrics/router_metrics.cpp
@@ -79,7 +79,7 @@
   out.add(Family::gauge("client_body_bytes", "Bodies of requests that are read or in progress.")
               .with(static_cast<double>(clients.bodyBytes)));
   out.add(Family::gauge("peer_memory_bytes", "Memory that the peers of all listeners hold, as far as it is counted.")
-              .with(static_cast<double>(executor.memory().held())));
+              .with(static_cast<double>(executor.memory().reserved())));
   out.add(Family::gauge("peer_memory_limit_bytes", "The bound on that memory.")
               .with(static_cast<double>(executor.memory().bytes())));
   out.add(Family::counter("clients_evicted_total", "Connections that kept the router waiting and gave way to others.")
--- a/src/proxy/answer_relay.cpp
+++ b/src/proxy/answer_relay.cpp
@@ -20,7 +20,7 @@
 
 asio::awaitable<AttemptOutcome> AnswerRelay::run(http::Response begun) {
   bool passed = co_await begin(std::move(begun));
-  exchange_.clientLimits.hold(http::Holding::Answer, kBytes, base::Clock::now());
+  exchange_.clientLimits.hold(http::MemoryKind::Answer, kBytes, base::Clock::now());
   while (passed && !parser_.is_done()) {
     auto& body = parser_.get().body();
     body.data = buffer_.data();
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -122,7 +122,7 @@
       progress_.enter(RequestState::Queued, now);
       const ServiceLoads::Scope waiting(state_.loads, exchange.service, ServiceLoads::Kind::Queued);
       const bool queued = co_await state_.queue.wait(ticket, std::min(wait->until, now + kQueuePoll));
-      progress_.onReleased(Holding::QueuePlace);
+      progress_.onReleased(MemoryKind::QueuePlace);
       if (!queued) {
         state_.metrics->queueFull.add();
         co_return policy.ending(now);
@@ -160,7 +160,7 @@
   const auto outcome = co_await call.run();
   progress.end(outcome);
   target.admission.release();
-  progress_.onReleased(Holding::Slot);
+  progress_.onReleased(MemoryKind::Slot);
   state_.queue.wake();
   if (outcome.end == AttemptOutcome::End::Answered) {
     answered_ = true;
--- a/src/proxy/request_progress.cpp
+++ b/src/proxy/request_progress.cpp
@@ -19,13 +19,13 @@
                                            "begins an attempt.");
 base::Invariant attemptEndsOnce("attempt_ends_once", "Each attempt at a runner ends exactly once.");
 
-const char* nameOf(Holding holding) {
+const char* nameOf(MemoryKind holding) {
   switch (holding) {
-    case Holding::QueuePlace:
+    case MemoryKind::QueuePlace:
       return "queue_place";
-    case Holding::Slot:
+    case MemoryKind::Slot:
       return "slot";
-    case Holding::Connection:
+    case MemoryKind::Connection:
       return "connection";
   }
   return "unknown";
@@ -85,7 +85,7 @@
                        .with("afterMs", base::toMs(now - arrivedAt_)));
 }
 
-void RequestProgress::onReleased(Holding holding, base::TimePoint now) {
+void RequestProgress::onReleased(MemoryKind holding, base::TimePoint now) {
   if (!clientGoneAt_) return;
   const auto since = now - *clientGoneAt_;
   clientGoneHoldsNothing.check(since <= kReleaseBound + base::stallAllowance(), [&](LogEvent event) {
@@ -160,7 +160,7 @@
   if (!goneAt) return;
   const auto now = base::Clock::now();
   metrics_->releaseTime.record(now - *goneAt);
-  request_.onReleased(Holding::Connection, now);
+  request_.onReleased(MemoryKind::Connection, now);
 }
 
 }  // namespace indigohill::proxy
--- a/src/proxy/request_progress.hpp
+++ b/src/proxy/request_progress.hpp
@@ -14,7 +14,7 @@
 constexpr base::Millis kReleaseBound{500};
 
 // What a request may hold, as the invariant on clients that have gone names it.
-enum class Holding { QueuePlace, Slot, Connection };
+enum class MemoryKind { QueuePlace, Slot, Connection };
 
 // One request, from when it has been read until its end. Used on one strand. The metrics may be read meanwhile.
 class RequestProgress {
@@ -29,8 +29,8 @@
   void onClientGone(base::TimePoint now);
   void onClientGone() { onClientGone(base::Clock::now()); }
   // The request has given this back: checks that its client has not been gone for too long.
-  void onReleased(Holding holding, base::TimePoint now);
-  void onReleased(Holding holding) {
+  void onReleased(MemoryKind holding, base::TimePoint now);
+  void onReleased(MemoryKind holding) {
     if (clientGoneAt_) onReleased(holding, base::Clock::now());
   }
   // The request is over. `type` of its route; nothing if it has none.
--- a/src/proxy/runner_call.cpp
+++ b/src/proxy/runner_call.cpp
@@ -248,7 +248,7 @@
 // A response that is no stream: read completely before a byte of it is passed on, so that the client gets all or
 // nothing.
 asio::awaitable<AttemptOutcome> RunnerCall::passOnComplete() {
-  const auto released = gsl::finally([this] { exchange_.clientLimits.release(http::Holding::Answer); });
+  const auto released = gsl::finally([this] { exchange_.clientLimits.release(http::MemoryKind::Answer); });
   http::Response out;
   copyResponseHead(parser_->get(), out);
   const auto status = static_cast<int>(out.result_int());
@@ -294,7 +294,7 @@
                            exchange_.route.type == control::RouteType::Streaming || !relay.isPossible();
   if (mustBeWhole) co_return AttemptOutcome::failed("no memory for the response");
   const auto bytes = std::max<std::uint64_t>(AnswerRelay::kBytes, begun.body().capacity());
-  const bool hasRoom = co_await http::awaitRoom(exchange_.clientLimits, http::Holding::Answer, bytes);
+  const bool hasRoom = co_await http::awaitRoom(exchange_.clientLimits, http::MemoryKind::Answer, bytes);
   if (!hasRoom) co_return AttemptOutcome::failed("no memory to pass on the response");
   co_return co_await relay.run(std::move(begun));
 }
@@ -303,7 +303,7 @@
 bool RunnerCall::holdAnswer(std::uint64_t bytes) {
   if (bytes <= kSmallBodyBytes) return true;
   if (bytes > kMaxKeptBodyBytes) return false;
-  return exchange_.clientLimits.hold(http::Holding::Answer, bytes, base::Clock::now()) == http::Room::Held;
+  return exchange_.clientLimits.hold(http::MemoryKind::Answer, bytes, base::Clock::now()) == http::Room::Held;
 }
 
 // Reads a response to its end, or as far as there is memory to keep it.
--- a/src/proxy/stream_relay.cpp
+++ b/src/proxy/stream_relay.cpp
@@ -26,7 +26,7 @@
 }
 
 asio::awaitable<AttemptOutcome> StreamRelay::run() {
-  const auto released = gsl::finally([this] { exchange_.clientLimits.release(http::Holding::Answer); });
+  const auto released = gsl::finally([this] { exchange_.clientLimits.release(http::MemoryKind::Answer); });
   // An empty body is complete with its head.
   if (parser_.is_done()) {
     const bool passed = co_await pass(std::string(), true);
@@ -71,9 +71,9 @@
 // Events up to the buffer's size are part of what a stream costs anyway.
 asio::awaitable<bool> StreamRelay::holdEvents(std::size_t bytes) {
   const auto held = bytes <= 2 * buffer_.size() ? 0 : bytes;
-  const auto room = exchange_.clientLimits.hold(http::Holding::Answer, held, base::Clock::now());
+  const auto room = exchange_.clientLimits.hold(http::MemoryKind::Answer, held, base::Clock::now());
   if (room == http::Room::Held) co_return true;
-  co_return co_await http::awaitRoom(exchange_.clientLimits, http::Holding::Answer, held);
+  co_return co_await http::awaitRoom(exchange_.clientLimits, http::MemoryKind::Answer, held);
 }
 
 // Reads some bytes; the complete events among them are in `events` then, also if an error comes with them.
--- a/tests/proxy/test_request_progress.cpp
+++ b/tests/proxy/test_request_progress.cpp
@@ -12,7 +12,7 @@
 using proxy::AttemptKind;
 using proxy::AttemptOutcome;
 using proxy::AttemptProgress;
-using proxy::Holding;
+using proxy::MemoryKind;
 using proxy::RequestProgress;
 using proxy::RequestState;
 
@@ -63,11 +63,11 @@
 Test(request_progress, nothing_is_held_half_a_second_after_the_client_left) {
   const ExpectedViolations expected;
   Request request;
-  request.progress.onReleased(Holding::Slot, request.arrivedAt + Millis(9000));
+  request.progress.onReleased(MemoryKind::Slot, request.arrivedAt + Millis(9000));
   request.progress.onClientGone(request.arrivedAt);
-  request.progress.onReleased(Holding::Slot, request.arrivedAt + Millis(500));
+  request.progress.onReleased(MemoryKind::Slot, request.arrivedAt + Millis(500));
   cr_assert(expected.all().empty());
-  request.progress.onReleased(Holding::QueuePlace, request.arrivedAt + Millis(501));
+  request.progress.onReleased(MemoryKind::QueuePlace, request.arrivedAt + Millis(501));
   cr_assert_eq(expected.all().size(), 1);
   cr_assert_str_eq(expected.all().front().invariant.c_str(), "client_gone_holds_nothing");
   cr_assert_neq(expected.all().front().event.find("\"held\":\"queue_place\""), std::string::npos);
