--- a/tests/emulator/test_fault_plan.cpp
+++ b/tests/emulator/test_fault_plan.cpp
@@ -87,8 +87,8 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const auto plan = planFaults(experiment, seed, Scenario::Reconfigure);
     std::size_t restarts = 0;
-    for (const auto kind : {FaultKind::KillRouter, FaultKind::TerminateRouter, FaultKind::KillController,
-                            FaultKind::TerminateController})
+    for (const auto kind :
+         {FaultKind::KillRouter, FaultKind::TerminateRouter, FaultKind::KillController, FaultKind::TerminateController})
       restarts += countOf(plan, kind);
     cr_assert(restarts >= 3 && countOf(plan, FaultKind::ChangeSettings) >= 1, "seed %lu",
               static_cast<unsigned long>(seed));
